Add admission: concurrency, KV memory, slow start and cold detection

Cause: limits that hold for any number of entry instances can only be decided beside the upstream, and an upstream that turns cold again gives no notice. Change: AdmissionController with slots, SlowStart and ColdDetector. Conclusion: ready to be wired into the sidecar; the caller must clear its knowledge of the engine cache on a sign.

--- /dev/null
+++ b/src/admission/admission_controller.cc
@@ -0,0 +1,163 @@
+// Admission decisions.
+
+#include "admission/admission_controller.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace bluebellstep {
+namespace {
+
+// Half a heartbeat interval: by then an entry has fresher hints on about half of the upstreams.
+constexpr Duration kRetryElsewhere = 250_ms;
+
+// A cold upstream's limit doubles every 2 s, so an earlier retry at the same one rarely helps.
+constexpr Duration kRetryAfterCold = 2_s;
+
+}  // namespace
+
+AdmissionController::AdmissionController(const AdmissionLimits& limits, Instant now)
+    : limits_(limits), slow_start_(limits.slow_start, now) {
+  assert(limits.max_running > 0);
+}
+
+std::uint32_t AdmissionController::limit(Instant now) const {
+  return slow_start_.limit(limits_.max_running, now);
+}
+
+void AdmissionController::set_weight_version(ModelId model, std::string_view version) {
+  weight_versions_[model] = version;
+}
+
+std::optional<Verdict> AdmissionController::check_standing(const AdmissionRequest& request) const {
+  if (leaving_) {
+    return Verdict::not_run(Reason::kUpstreamLeaving, "the upstream is shutting down",
+                            kRetryElsewhere);
+  }
+  if (zone_out_) {
+    return Verdict::not_run(Reason::kZoneOut, "the upstream's availability zone is out",
+                            kRetryElsewhere);
+  }
+  if (request.model) {
+    const auto version = weight_versions_.find(*request.model);
+    if (version == weight_versions_.end()) {
+      return Verdict::not_run(Reason::kUnknownModel, "the upstream does not serve this model",
+                              kRetryElsewhere);
+    }
+    if (!request.weight_version.empty() && request.weight_version != version->second) {
+      return Verdict::not_run(Reason::kWeightVersionChanged,
+                              "the upstream serves another weight version", kRetryElsewhere);
+    }
+  }
+  if (limits_.kv_tokens > 0 && request.kv_tokens > limits_.kv_tokens) {
+    return Verdict::not_run(Reason::kBadRequest,
+                            "the request needs more KV memory than the upstream has");
+  }
+  return std::nullopt;
+}
+
+bool AdmissionController::has_room(const AdmissionRequest& request, Instant now) const {
+  return running_ < limit(now) &&
+         (limits_.max_prefilling == 0 || prefilling_ < limits_.max_prefilling) &&
+         (limits_.kv_tokens == 0 || request.kv_tokens <= limits_.kv_tokens - kv_tokens_used_);
+}
+
+Admission AdmissionController::try_admit(const AdmissionRequest& request, Instant now) {
+  if (auto verdict = check_standing(request)) {
+    return Refused{std::move(*verdict)};
+  }
+  const bool may_overtake = request.from_queue || request.waiting == 0;
+  if (may_overtake && has_room(request, now)) {
+    return Admitted{take_slot(request, now)};
+  }
+  const std::uint64_t max_waiting = std::uint64_t{limits_.waiting_per_slot} * limit(now);
+  if (request.from_queue || request.waiting < max_waiting) {
+    return Queue{};
+  }
+  if (is_cold(now)) {
+    return Refused{
+        Verdict::not_run(Reason::kColdUpstream, "the upstream is warming up", kRetryAfterCold)};
+  }
+  return Refused{
+      Verdict::not_run(Reason::kOverloaded, "the upstream's queue is full", kRetryElsewhere)};
+}
+
+SlotId AdmissionController::take_slot(const AdmissionRequest& request, Instant now) {
+  if (free_slots_.empty()) {
+    free_slots_.push_back(static_cast<std::uint32_t>(slots_.size()));
+    slots_.emplace_back();
+  }
+  const std::uint32_t index = free_slots_.back();
+  free_slots_.pop_back();
+  Slot& slot = slots_[index];
+  slot = {.use_count = slot.use_count + 1,
+          .in_use = true,
+          .has_first_token = false,
+          .admitted_warm = !is_cold(now),
+          .start_count = start_count_,
+          .kv_tokens = request.kv_tokens};
+  ++running_;
+  ++prefilling_;
+  kv_tokens_used_ += request.kv_tokens;
+  return {std::uint64_t{slot.use_count} << 32 | index};
+}
+
+AdmissionController::Slot* AdmissionController::find_slot(SlotId slot) {
+  const auto index = static_cast<std::uint32_t>(slot.value);
+  if (index >= slots_.size() || !slots_[index].in_use ||
+      slots_[index].use_count != slot.value >> 32) {
+    return nullptr;
+  }
+  return &slots_[index];
+}
+
+std::optional<ColdSign> AdmissionController::first_token(SlotId id,
+                                                         Instant now,
+                                                         const FirstTokenReport& report) {
+  Slot* const slot = find_slot(id);
+  if (slot == nullptr) {
+    return std::nullopt;
+  }
+  if (!slot->has_first_token) {
+    slot->has_first_token = true;
+    --prefilling_;
+  }
+  // What was known about the cache before a restart says nothing about the time after it. A cold
+  // upstream is slow as expected, so the speed of requests admitted then would restart slow start
+  // without end.
+  const bool current = slot->start_count == start_count_;
+  const auto sign = cold_detector_.first_token(report, current, current && slot->admitted_warm);
+  if (sign) {
+    upstream_restarted(now);
+  }
+  return sign;
+}
+
+std::optional<ColdSign> AdmissionController::finish(SlotId id, Instant now, Outcome outcome) {
+  Slot* const slot = find_slot(id);
+  if (slot == nullptr) {
+    return std::nullopt;
+  }
+  // Requests that ran before a restart do not show that the upstream is warm now.
+  if (outcome == Outcome::kCompleted && slot->start_count == start_count_) {
+    slow_start_.request_completed();
+  }
+  --running_;
+  prefilling_ -= slot->has_first_token ? 0 : 1;
+  kv_tokens_used_ -= slot->kv_tokens;
+  slot->in_use = false;
+  free_slots_.push_back(static_cast<std::uint32_t>(id.value));
+  if (outcome != Outcome::kConnectionFailed) {
+    return std::nullopt;
+  }
+  upstream_restarted(now);
+  return ColdSign::kConnectionFailed;
+}
+
+void AdmissionController::upstream_restarted(Instant now) {
+  ++start_count_;
+  slow_start_.restart(now);
+  cold_detector_.reset();
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/admission/admission_controller.h
@@ -0,0 +1,154 @@
+// Decides at the sidecar whether the upstream beside it may take a request.
+//
+// Only the sidecar sees all load on its upstream, so limits that hold for any number of entry
+// instances are decided here. A refusal is made before any dispatch and therefore says "not run".
+
+#ifndef BLUEBELLSTEP_ADMISSION_ADMISSION_CONTROLLER_H_
+#define BLUEBELLSTEP_ADMISSION_ADMISSION_CONTROLLER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "admission/cold_detector.h"
+#include "admission/slow_start.h"
+#include "base/clock.h"
+#include "base/id.h"
+#include "base/verdict.h"
+
+namespace bluebellstep {
+
+/** Place of a running request. Slots of finished requests are never valid again. */
+using SlotId = Id<struct SlotTag, std::uint64_t>;
+
+/** Limits of one upstream. */
+struct AdmissionLimits {
+  /** Requests running at once on a warm upstream. */
+  std::uint32_t max_running = 32;
+  /** Requests running without a first token yet; 0 for no limit. Holding back more than the engine
+   * can prefill at once leaves the order of prefills to the fair queue. */
+  std::uint32_t max_prefilling = 0;
+  /** KV memory in tokens; 0 for no limit. */
+  std::uint64_t kv_tokens = 0;
+  /** Requests that may wait for each slot of the current limit. Waiting requests of a cold upstream
+   * are better served elsewhere, so the bound shrinks with the limit. */
+  std::uint32_t waiting_per_slot = 4;
+  SlowStartLimits slow_start;
+};
+
+/** A request that asks to run. */
+struct AdmissionRequest {
+  /** Model to run on; nothing for a plain service. */
+  std::optional<ModelId> model;
+  /** Weight version that the request's blocks are keyed by; empty for any. */
+  std::string_view weight_version;
+  /** KV tokens the request can use at most: prompt plus answer. */
+  std::uint64_t kv_tokens = 0;
+  /** Requests that now wait in the fair queue. */
+  std::size_t waiting = 0;
+  /** True for the request that the fair queue would give next, false for a new arrival. */
+  bool from_queue = false;
+};
+
+/** The request may be dispatched now. */
+struct Admitted {
+  SlotId slot;
+};
+
+/** The request may wait in the fair queue and ask again. */
+struct Queue {};
+
+/** The request was not and will not be dispatched. */
+struct Refused {
+  Verdict verdict;
+};
+
+using Admission = std::variant<Admitted, Queue, Refused>;
+
+/** How a running request ended. */
+enum class Outcome : std::uint8_t {
+  kCompleted,         // The whole answer arrived.
+  kFailed,            // The upstream answered with an error.
+  kCancelled,         // The caller went away.
+  kConnectionFailed,  // The connection was refused or reset.
+};
+
+/** Holds the upstream's running requests within concurrency, KV memory, slow start, weight version,
+ * zone state and leaving. */
+class AdmissionController {
+ public:
+  /** The upstream counts as freshly started at `now`. */
+  AdmissionController(const AdmissionLimits& limits, Instant now);
+
+  /** Decides on a request. A new arrival queues while others wait, so that it cannot overtake. */
+  Admission try_admit(const AdmissionRequest& request, Instant now);
+
+  /** Takes in the first token of a running request. Returns the sign if it shows that the upstream
+   * turned cold; slow start has then been restarted, and the caller should forget what it knows
+   * about the engine's cache. Unknown slots are ignored. */
+  std::optional<ColdSign> first_token(SlotId slot, Instant now, const FirstTokenReport& report);
+
+  /** Ends a running request. Returns the sign if `outcome` shows that the upstream turned cold.
+   * Unknown slots are ignored, so a repeated call does no harm. */
+  std::optional<ColdSign> finish(SlotId slot, Instant now, Outcome outcome);
+
+  /** Restarts slow start. Requests still running keep their slots until `finish`. */
+  void upstream_restarted(Instant now);
+
+  /** Sets the weight version that new requests for `model` must be keyed by. */
+  void set_weight_version(ModelId model, std::string_view version);
+
+  /** Refuses new work while the zone is out. */
+  void set_zone_out(bool out) { zone_out_ = out; }
+
+  /** Refuses new work from now on while `leaving`. */
+  void set_leaving(bool leaving) { leaving_ = leaving; }
+
+  /** Returns the number of requests that may run at once at `now`. */
+  std::uint32_t limit(Instant now) const;
+
+  /** True while slow start holds the limit below the maximum. */
+  bool is_cold(Instant now) const { return limit(now) < limits_.max_running; }
+
+  std::uint32_t running() const { return running_; }
+  std::uint64_t kv_tokens_used() const { return kv_tokens_used_; }
+
+ private:
+  struct Slot {
+    std::uint32_t use_count = 0;  // Distinguishes successive requests in the same place.
+    bool in_use = false;
+    bool has_first_token = false;
+    bool admitted_warm = false;
+    std::uint64_t start_count = 0;  // start_count_ at admission.
+    std::uint64_t kv_tokens = 0;
+  };
+
+  std::optional<Verdict> check_standing(const AdmissionRequest& request) const;
+  bool has_room(const AdmissionRequest& request, Instant now) const;
+  SlotId take_slot(const AdmissionRequest& request, Instant now);
+  Slot* find_slot(SlotId slot);
+
+  AdmissionLimits limits_;
+  SlowStart slow_start_;
+  ColdDetector cold_detector_;
+  std::unordered_map<ModelId, std::string> weight_versions_;
+  bool zone_out_ = false;
+  bool leaving_ = false;
+  std::uint64_t start_count_ = 0;
+
+  // running_, prefilling_ and kv_tokens_used_ are sums over the slots in use; free_slots_ holds
+  // exactly the indices of the others.
+  std::vector<Slot> slots_;
+  std::vector<std::uint32_t> free_slots_;
+  std::uint32_t running_ = 0;
+  std::uint32_t prefilling_ = 0;
+  std::uint64_t kv_tokens_used_ = 0;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_ADMISSION_ADMISSION_CONTROLLER_H_
