Add settings of entry instances and sidecars

Cause: processes need settings that are checked completely before they start, with every mistake named at once. Change: SettingsReader reads a YAML document into typed values and collects all errors with file, line, key, value found and expected; unknown and duplicate keys, aliases and deep nesting are refused. The document is read from parser events, since yaml-cpp's nodes drop duplicates and follow aliases.

--- /dev/null
+++ b/src/settings/common_settings.cc
@@ -0,0 +1,86 @@
+// Reads the settings that every process has.
+
+#include "settings/common_settings.h"
+
+#include <boost/leaf/error.hpp>
+#include <fstream>
+#include <set>
+
+#include "bundle/ed25519.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr std::size_t kMaxFileBytes = 16u << 20;
+
+void read_operator_keys(SettingsReader::Section& root, OperatorKeys& keys) {
+  const auto members = root.text_members("operator_keys");
+  std::set<std::string> distinct;
+  for (const auto& [name, key] : members) {
+    const auto bytes = decode_base64(key);
+    if (!bytes || bytes->size() != kPublicKeyBytes) {
+      root.add_error("operator_keys", name + ": " + key,
+                     "an Ed25519 public key: 32 bytes in base64");
+    } else if (!distinct.insert(key).second) {
+      // The owner of a key with two names could sign off a bundle of their own.
+      root.add_error("operator_keys", name + ": " + key, "a key that no other operator has");
+    } else {
+      keys.emplace(name, key);
+    }
+  }
+  // A bundle needs two operators, its author and the one who signs it off.
+  if (members.size() < 2) {
+    root.add_error("operator_keys", std::to_string(members.size()) + " operators",
+                   "at least two operators");
+  }
+}
+
+}  // namespace
+
+void read_process_settings(SettingsReader::Section& root, ProcessSettings& settings) {
+  root.read("name", settings.name);
+  root.read("zone", settings.zone);
+  root.read("region", settings.region);
+  root.read("http_listen", settings.http_listen);
+  root.read("rpc_listen", settings.rpc_listen);
+  if (auto platform = root.section("platform")) {
+    platform->read("endpoint", settings.platform.endpoint);
+    platform->read("timeout", settings.platform.timeout, Presence::kOptional);
+  }
+  if (auto tls = root.section("tls", Presence::kOptional)) {
+    settings.tls.emplace();
+    tls->read("certificate", settings.tls->certificate);
+    tls->read("private_key", settings.tls->private_key);
+    tls->read("authority", settings.tls->authority);
+  }
+  read_operator_keys(root, settings.operator_keys);
+  root.read("stop_limit", settings.stop_limit, Presence::kOptional);
+  root.read("heartbeat_interval", settings.heartbeat_interval, Presence::kOptional);
+  root.read("silence_limit", settings.silence_limit, Presence::kOptional);
+  if (settings.heartbeat_interval < 10_ms) {
+    root.add_error("heartbeat_interval", "a duration of at least 10ms");
+  }
+  // One lost heartbeat must not close a connection.
+  if (settings.silence_limit < settings.heartbeat_interval * 2) {
+    root.add_error("silence_limit", "at least twice heartbeat_interval");
+  }
+  root.read_size("max_body_bytes", settings.max_body_bytes, Presence::kOptional,
+                 {1024, 1ull << 30});
+}
+
+boost::leaf::result<std::string> read_settings_file(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return boost::leaf::new_error(SettingsErrors{{{path, 0, "", "no file", "a readable file"}}});
+  }
+  std::string text(kMaxFileBytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (file.bad() || text.size() > kMaxFileBytes) {
+    return boost::leaf::new_error(
+        SettingsErrors{{{path, 0, "", "an unreadable or very large file", "at most 16MB"}}});
+  }
+  return text;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/settings/entry_settings.h
@@ -0,0 +1,30 @@
+// Settings of an entry instance.
+
+#ifndef BLUEBELLSTEP_SETTINGS_ENTRY_SETTINGS_H_
+#define BLUEBELLSTEP_SETTINGS_ENTRY_SETTINGS_H_
+
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "settings/common_settings.h"
+
+namespace bluebellstep {
+
+/** Settings of an entry instance. */
+struct EntrySettings : ProcessSettings {
+  std::vector<Endpoint> peers;       // RPC endpoints of other entry instances; may be empty.
+  Duration balancer_delay = {5000};  // The listener stays open this long after SIGTERM.
+};
+
+/** Reads and checks settings; `file` is the name to use in errors. Fails with `SettingsErrors`. */
+boost::leaf::result<EntrySettings> parse_entry_settings(std::string_view file,
+                                                        std::string_view text);
+
+/** Reads and checks a settings file. Fails with `SettingsErrors`. */
+boost::leaf::result<EntrySettings> load_entry_settings(const std::string& path);
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_SETTINGS_ENTRY_SETTINGS_H_
