--- /dev/null
+++ b/src/fairness/fair_queue_test.cc
@@ -0,0 +1,260 @@
+// Tests of the fair queue. The bound of 5% on weighted shares is the target of the design page.
+
+#include "fairness/fair_queue.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <map>
+#include <vector>
+
+#include "base/random.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr double kShareBound = 0.05;
+
+// Keeps accounts backlogged and counts the cost served to each.
+class Backlog {
+ public:
+  explicit Backlog(std::uint64_t seed) : random_(seed) {}
+
+  FairQueue& queue() { return queue_; }
+  Random& random() { return random_; }
+
+  RequestId push(AccountId account, Cost estimate, Cost real, Priority priority) {
+    const RequestId request{++last_request_};
+    waiting_[request] = {account, estimate, real};
+    queue_.push(account, request, estimate, priority);
+    return request;
+  }
+
+  RequestId push(AccountId account, std::int64_t tokens, Priority priority = Priority::kNormal) {
+    return push(account, {tokens}, {tokens}, priority);
+  }
+
+  struct Served {
+    RequestId request;
+    AccountId account;
+  };
+
+  // Serves one request, and corrects its cost at once.
+  Served serve() {
+    const auto front = queue_.front();
+    const auto request = queue_.pop();
+    REQUIRE(request.has_value());
+    REQUIRE(front == request);
+    const Waiting waiting = waiting_.at(*request);
+    waiting_.erase(*request);
+    served_[waiting.account.value] += static_cast<double>(waiting.real.tokens);
+    queue_.correct(waiting.account, waiting.real - waiting.estimate);
+    return {*request, waiting.account};
+  }
+
+  double served(AccountId account) { return served_[account.value]; }
+
+  double total() const {
+    double sum = 0;
+    for (const auto& [account, cost] : served_) {
+      sum += cost;
+    }
+    return sum;
+  }
+
+ private:
+  struct Waiting {
+    AccountId account;
+    Cost estimate;
+    Cost real;
+  };
+
+  FairQueue queue_;
+  Random random_;
+  std::uint64_t last_request_ = 0;
+  std::map<RequestId, Waiting> waiting_;
+  std::map<std::uint32_t, double> served_;
+};
+
+}  // namespace
+
+// Guards against shares that follow the number or the size of requests instead of the weights, also
+// where estimates are wrong by up to three times in either direction, and biased by account.
+TEST_CASE("backlogged accounts get their weighted shares", "[fairness]") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    Backlog backlog(seed);
+    Random& random = backlog.random();
+    const std::uint32_t accounts = 2 + static_cast<std::uint32_t>(random.below(12));
+    std::vector<double> weights;
+    std::vector<std::int64_t> sizes;
+    std::vector<double> biases;
+    double weight_sum = 0;
+    for (std::uint32_t i = 0; i < accounts; ++i) {
+      weights.push_back(0.5 + random.uniform() * 8);
+      sizes.push_back(20 + static_cast<std::int64_t>(random.below(8000)));
+      biases.push_back(std::exp((random.uniform() * 2 - 1) * std::log(3.0)));
+      weight_sum += weights.back();
+      backlog.queue().set_weight({i}, weights.back());
+    }
+    const auto push = [&](AccountId account) {
+      const auto real = static_cast<std::int64_t>(static_cast<double>(sizes[account.value]) *
+                                                  (0.2 + 1.6 * random.uniform()));
+      const auto estimate =
+          static_cast<std::int64_t>(static_cast<double>(real) * biases[account.value]);
+      backlog.push(account, {estimate}, {real}, static_cast<Priority>(random.below(3)));
+    };
+    for (std::uint32_t i = 0; i < accounts; ++i) {
+      push({i});
+      push({i});
+    }
+    for (int step = 0; step < 40'000; ++step) {
+      push(backlog.serve().account);
+    }
+    for (std::uint32_t i = 0; i < accounts; ++i) {
+      INFO("account " << i);
+      const double share = backlog.served({i}) / backlog.total();
+      CHECK(share == Approx(weights[i] / weight_sum).epsilon(kShareBound));
+    }
+  }
+}
+
+// Guards against a flood that delays others: a request of an account within its share waits for at
+// most one request of each other account, however many these have waiting.
+TEST_CASE("a flood does not delay accounts within their share", "[fairness]") {
+  Backlog backlog(3);
+  constexpr std::uint32_t kLarge = 3;
+  for (std::uint32_t large = 0; large < kLarge; ++large) {
+    for (int i = 0; i < 1000; ++i) {
+      backlog.push({large}, 1000);
+    }
+  }
+  for (int round = 0; round < 200; ++round) {
+    const AccountId small{kLarge + round % 4};
+    const RequestId request = backlog.push(small, 100);
+    std::uint32_t before = 0;
+    while (backlog.serve().request != request) {
+      ++before;
+    }
+    CHECK(before <= kLarge);
+  }
+}
+
+// Guards against idle capacity and lost requests.
+TEST_CASE("the queue gives a request whenever one waits, each once", "[fairness]") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    Random random(seed);
+    FairQueue queue;
+    std::map<RequestId, int> waiting;
+    std::uint64_t next = 0;
+    for (int step = 0; step < 20'000; ++step) {
+      const std::uint64_t action = random.below(10);
+      if (action < 4) {
+        const RequestId request{++next};
+        waiting[request] = 1;
+        queue.push({static_cast<std::uint32_t>(random.below(9))}, request,
+                   {static_cast<std::int64_t>(random.below(500))},
+                   static_cast<Priority>(random.below(3)));
+      } else if (action < 8) {
+        const auto request = queue.pop();
+        REQUIRE(request.has_value() == !waiting.empty());
+        REQUIRE((!request || waiting.erase(*request) == 1));
+      } else if (action == 8) {
+        const RequestId request{random.below(next + 2)};
+        REQUIRE(queue.cancel(request) == (waiting.erase(request) == 1));
+      } else {
+        queue.correct({static_cast<std::uint32_t>(random.below(9))},
+                      {static_cast<std::int64_t>(random.below(1000)) - 500});
+      }
+      REQUIRE(queue.size() == waiting.size());
+    }
+  }
+}
+
+// Guards against starvation by priority inside an account, and against priorities that reach into
+// other accounts' shares.
+TEST_CASE("priority orders an account's own requests and starves none", "[fairness]") {
+  Backlog backlog(1);
+  const AccountId urgent{0};
+  const AccountId patient{1};
+  for (int i = 0; i < 8; ++i) {
+    backlog.push(urgent, 100, Priority::kHigh);
+    backlog.push(patient, 100, Priority::kLow);
+  }
+  const RequestId low = backlog.push(urgent, 100, Priority::kLow);
+  int low_served_at = -1;
+  for (int step = 0; step < 1000; ++step) {
+    const auto served = backlog.serve();
+    low_served_at = served.request == low ? step : low_served_at;
+    const bool is_urgent = served.account == urgent;
+    backlog.push(served.account, 100, is_urgent ? Priority::kHigh : Priority::kLow);
+  }
+  CHECK(low_served_at >= 0);
+  CHECK(low_served_at < 100);
+  CHECK(backlog.served(urgent) / backlog.total() == Approx(0.5).epsilon(kShareBound));
+}
+
+TEST_CASE("requests of one priority are served in order of arrival", "[fairness]") {
+  FairQueue queue;
+  const AccountId account{0};
+  queue.push(account, {1}, {10}, Priority::kLow);
+  queue.push(account, {2}, {10}, Priority::kHigh);
+  queue.push(account, {3}, {10}, Priority::kHigh);
+  queue.push(account, {4}, {10}, Priority::kHigh);
+  CHECK(queue.cancel({3}));
+  CHECK(queue.size(account) == 3);
+  CHECK(queue.pop() == RequestId{2});
+  CHECK(queue.pop() == RequestId{4});
+  CHECK(queue.pop() == RequestId{1});
+}
+
+// Guards against credit hoarded while idle: an account that returns after a long time gets its
+// share from now on, not the service it did not ask for.
+TEST_CASE("an idle account saves up no service", "[fairness]") {
+  Backlog backlog(1);
+  for (int i = 0; i < 2000; ++i) {
+    backlog.push({0}, 100);
+  }
+  for (int i = 0; i < 1000; ++i) {
+    backlog.serve();
+  }
+  for (int i = 0; i < 100; ++i) {
+    backlog.push({1}, 100);
+  }
+  for (int i = 0; i < 100; ++i) {
+    backlog.serve();
+  }
+  CHECK(backlog.served({1}) / 100 == Approx(50).margin(2));
+}
+
+// Guards against a burst of low-priority requests that holds up the high ones of its own account
+// after a long time without low ones.
+TEST_CASE("an idle priority saves up no service", "[fairness]") {
+  Backlog backlog(1);
+  const AccountId account{0};
+  for (int i = 0; i < 3000; ++i) {
+    backlog.push(account, 100, Priority::kHigh);
+  }
+  for (int i = 0; i < 1000; ++i) {
+    backlog.serve();
+  }
+  std::vector<RequestId> low;
+  for (int i = 0; i < 100; ++i) {
+    low.push_back(backlog.push(account, 100, Priority::kLow));
+  }
+  int low_served = 0;
+  for (int i = 0; i < 170; ++i) {
+    low_served += backlog.serve().request.value >= low.front().value ? 1 : 0;
+  }
+  CHECK(low_served == Approx(10).margin(1));
+}
+
+TEST_CASE("cost counts what is not cached", "[fairness]") {
+  CHECK(cost_of({.prompt_tokens = 9000,
+                 .cached_tokens = 8000,
+                 .decode_tokens = 50,
+                 .transfer_tokens = 200}) == Cost{1250});
+}
+
+}  // namespace bluebellstep
