--- a/src/bundle/ed25519.cc
+++ b/src/base/ed25519.cc
@@ -1,6 +1,6 @@
 // Ed25519 over OpenSSL's EVP interface.
 
-#include "bundle/ed25519.h"
+#include "base/ed25519.h"
 
 #include <openssl/evp.h>
 #include <openssl/sha.h>
--- a/src/bundle/ed25519.h
+++ b/src/base/ed25519.h
@@ -1,7 +1,7 @@
 // Ed25519 keys and signatures by OpenSSL, and the base64 and hexadecimal forms they are written in.
 
-#ifndef BLUEBELLSTEP_BUNDLE_ED25519_H_
-#define BLUEBELLSTEP_BUNDLE_ED25519_H_
+#ifndef BLUEBELLSTEP_BASE_ED25519_H_
+#define BLUEBELLSTEP_BASE_ED25519_H_
 
 #include <cstddef>
 #include <optional>
@@ -54,4 +54,4 @@
 
 }  // namespace bluebellstep
 
-#endif  // BLUEBELLSTEP_BUNDLE_ED25519_H_
+#endif  // BLUEBELLSTEP_BASE_ED25519_H_
--- a/src/settings/common_settings.cc
+++ b/src/settings/common_settings.cc
@@ -6,7 +6,7 @@
 #include <fstream>
 #include <set>
 
-#include "bundle/ed25519.h"
+#include "base/ed25519.h"
 
 namespace bluebellstep {
 namespace {
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "base/random.h"
-#include "bundle/ed25519.h"
+#include "base/ed25519.h"
 #include "settings/entry_settings.h"
 #include "settings/sidecar_settings.h"
 
