--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -4,8 +4,8 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
 
-#include "base/random.h"
 #include "base/ed25519.h"
+#include "base/random.h"
 #include "settings/entry_settings.h"
 #include "settings/sidecar_settings.h"
 
