Add roll-out state machines and zone notices

Cause: an accepted bundle must be in force everywhere within 8 s and never revert; a zone that operators take out must get no new work after 2 s, also while the platform is down. Change: BundleTracker adopts only valid documents of a higher generation, keeps the age of the last confirmation and picks the peer to fetch from. WatcherElection picks three watching entries and times reads of one's own. ZoneBoard merges bundle and signed notices by serial; at equal serials 'out' wins, so that all processes settle on the same state. Heartbeats are to be sent at once after an adoption or a new notice.

--- /dev/null
+++ b/src/rollout/bundle_tracker.cc
@@ -0,0 +1,145 @@
+// Adoption of bundles.
+
+#include "rollout/bundle_tracker.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <tuple>
+
+#include "base/hash.h"
+
+namespace bluebellstep {
+
+BundleTracker::BundleTracker(BundleSigner signer, std::string_view own_name)
+    : signer_(std::move(signer)), own_hash_(hash64(own_name)) {}
+
+BundleOffer BundleTracker::platform_showed(ObjectVersion version,
+                                           std::string_view document,
+                                           Instant as_of) {
+  const BundleOffer result = offer(document);
+  if (version >= platform_version_) {
+    platform_version_ = version;
+    platform_generation_ = offered_generation_;
+  }
+  if (offered_generation_ == generation()) {
+    confirm(as_of);
+  }
+  return result;
+}
+
+void BundleTracker::platform_unchanged(Instant as_of) {
+  // The bundle may have come from a peer since the watch began.
+  if (platform_generation_ == generation()) {
+    confirm(as_of);
+  }
+}
+
+void BundleTracker::confirm(Instant at) {
+  if (ready()) {
+    confirmed_ = std::max(confirmed_.value_or(at), at);
+  }
+}
+
+void BundleTracker::peer_heard(std::string_view name,
+                               std::uint64_t generation,
+                               std::optional<Duration> confirmed_age,
+                               Instant now) {
+  auto found = peers_.find(name);
+  if (found == peers_.end()) {
+    found = peers_.emplace(std::string(name), Peer{}).first;
+  }
+  found->second.generation = generation;
+  found->second.heard = now;
+  if (generation == this->generation() && confirmed_age && confirmed_age->ms >= 0) {
+    confirm(now - *confirmed_age - kConfirmationHop);
+  }
+  std::erase_if(peers_, [now](const auto& entry) {
+    return now - entry.second.heard > kPeerFresh + kFetchBackoff;
+  });
+}
+
+std::optional<Duration> BundleTracker::confirmed_age(Instant now) const {
+  return confirmed_ ? std::optional(now - *confirmed_) : std::nullopt;
+}
+
+std::optional<std::string> BundleTracker::peer_to_fetch_from(Instant now) const {
+  if (fetch_ && now - fetch_->started < kFetchLimit) {
+    return std::nullopt;
+  }
+  const std::string* best = nullptr;
+  std::tuple<std::uint64_t, std::uint64_t> best_rank;
+  for (const auto& [name, peer] : peers_) {
+    const bool usable = peer.generation > generation() && now - peer.heard <= kPeerFresh &&
+                        (!peer.not_before || now >= *peer.not_before) &&
+                        !(fetch_ && fetch_->peer == name);
+    const std::tuple rank(peer.generation, rendezvous_score(own_hash_, hash64(name)));
+    if (usable && (best == nullptr || rank > best_rank)) {
+      best = &name;
+      best_rank = rank;
+    }
+  }
+  return best ? std::optional(*best) : std::nullopt;
+}
+
+void BundleTracker::fetch_started(std::string_view peer, Instant now) {
+  // A fetch that is still marked as running has exceeded its limit.
+  if (fetch_) {
+    const std::string overdue = fetch_->peer;
+    fetch_failed(overdue, now);
+  }
+  fetch_ = Fetch{std::string(peer), now};
+}
+
+BundleOffer BundleTracker::fetch_ended(std::string_view peer,
+                                       std::string_view document,
+                                       Instant now) {
+  const BundleOffer result = offer(document);
+  const auto found = peers_.find(peer);
+  // A peer that announces more than it sends must not be asked in a tight loop.
+  const bool short_of_claim = found != peers_.end() && found->second.generation > generation();
+  if (result == BundleOffer::kInvalid || short_of_claim) {
+    fetch_failed(peer, now);
+  } else if (fetch_ && fetch_->peer == peer) {
+    fetch_.reset();
+  }
+  return result;
+}
+
+void BundleTracker::fetch_failed(std::string_view peer, Instant now) {
+  if (const auto found = peers_.find(peer); found != peers_.end()) {
+    found->second.not_before = now + kFetchBackoff;
+  }
+  if (fetch_ && fetch_->peer == peer) {
+    fetch_.reset();
+  }
+}
+
+BundleOffer BundleTracker::offer(std::string_view document) {
+  if (ready() && document == document_) {
+    offered_generation_ = generation();
+    return BundleOffer::kNotNewer;
+  }
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<BundleOffer> {
+        offered_generation_ = 0;
+        BOOST_LEAF_AUTO(opened, signer_.open("bundle", document));
+        offered_generation_ = opened.bundle.generation;
+        if (opened.bundle.generation <= generation()) {
+          return BundleOffer::kNotNewer;
+        }
+        current_ = std::make_shared<const SignedBundle>(std::move(opened));
+        document_ = document;
+        confirmed_.reset();
+        return BundleOffer::kAdopted;
+      },
+      [&](const SettingsErrors& errors) {
+        last_error_ = errors.to_string();
+        return BundleOffer::kInvalid;
+      },
+      [&] {
+        last_error_ = "unknown error";
+        return BundleOffer::kInvalid;
+      });
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/rollout/rollout_simulation_test.cc
@@ -0,0 +1,423 @@
+// Randomized test of roll-out and zone notices: many processes under a virtual clock, with lost and
+// late messages, cut links, pauses, restarts, platform outages and lost answers.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <set>
+
+#include "base/random.h"
+#include "rollout/bundle_tracker.h"
+#include "rollout/watcher_election.h"
+#include "tests/support/test_bundle.h"
+#include "zones/zone_board.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr std::size_t kEntries = 6;
+constexpr std::size_t kProcesses = 18;
+constexpr Duration kTick = {10};
+constexpr Duration kBundleBound = {8000};
+constexpr Duration kZoneBound = {2000};
+constexpr Instant kNever = {-1'000'000'000};
+
+struct Process {
+  Process(const OperatorKeys& keys, std::size_t index, std::uint64_t seed)
+      : name("p" + std::to_string(index)),
+        is_entry(index < kEntries),
+        tracker(BundleSigner(keys), name),
+        election(name, is_entry, seed),
+        board(keys) {}
+
+  std::string name;
+  bool is_entry;
+  BundleTracker tracker;
+  WatcherElection election;
+  ZoneBoard board;
+  std::map<std::string, Instant> entries_heard;
+  Instant next_heartbeat;
+  std::uint64_t announced_generation = 0;
+  std::uint64_t announced_serial = 0;
+};
+
+// The world outlives restarts of a process; its state does not.
+struct Slot {
+  std::optional<Process> process;
+  std::uint64_t incarnation = 0;
+  Instant paused_until = kNever;
+  Instant platform_cut_until = kNever;
+  Instant connected_since = kNever;
+  std::uint64_t highest_generation = 0;  // Of this incarnation.
+  std::uint64_t highest_serial = 0;      // Of zone a, in this incarnation.
+};
+
+class Simulation {
+ public:
+  Simulation(std::uint64_t seed, bool with_faults) : random_(seed), with_faults_(with_faults) {
+    for (std::size_t i = 0; i < kProcesses; ++i) {
+      restart(i);
+    }
+  }
+
+  void run(Duration length) {
+    const Instant end = now_ + length;
+    while (now_ < end) {
+      now_ = now_ + kTick;
+      if (with_faults_) {
+        inject_faults();
+      }
+      publish();
+      deliver();
+      for (std::size_t i = 0; i < kProcesses; ++i) {
+        step(i);
+      }
+      check();
+    }
+  }
+
+  /** Cuts a process off from all others; it still reaches the platform. */
+  void cut_off(std::size_t i, Duration length) {
+    for (std::size_t j = 0; j < kProcesses; ++j) {
+      cuts_[{std::min(i, j), std::max(i, j)}] = now_ + length;
+    }
+  }
+
+  Duration worst_bundle() const { return worst_bundle_; }
+  Duration worst_zone() const { return worst_zone_; }
+  std::uint64_t generation() const { return documents_.size(); }
+  std::size_t calls() const { return calls_; }
+
+ private:
+  struct Event {
+    std::size_t target;
+    std::uint64_t incarnation;
+    std::function<void(Process&)> action;
+  };
+
+  bool paused(std::size_t i) const { return now_ < slots_[i].paused_until; }
+  bool platform_up() const { return now_ >= platform_down_until_; }
+  bool reaches_platform(std::size_t i) const {
+    return platform_up() && now_ >= slots_[i].platform_cut_until;
+  }
+  bool linked(std::size_t a, std::size_t b) const {
+    const auto cut = cuts_.find({std::min(a, b), std::max(a, b)});
+    return a != b && (a < kEntries || b < kEntries) && (cut == cuts_.end() || now_ >= cut->second);
+  }
+
+  void restart(std::size_t i) {
+    Slot& slot = slots_[i];
+    ++slot.incarnation;
+    slot.process.emplace(operators_.keys(), i, random_.next());
+    slot.process->next_heartbeat = now_ + random_duration(500);
+    slot.highest_generation = 0;
+    slot.highest_serial = 0;
+    slot.connected_since = now_;
+    zone_since_[i] = now_;
+  }
+
+  Duration random_duration(std::uint64_t bound) {
+    return {static_cast<std::int64_t>(random_.below(bound))};
+  }
+
+  void after(Duration delay, std::size_t target, std::function<void(Process&)> action) {
+    events_.emplace(now_ + delay, Event{target, slots_[target].incarnation, std::move(action)});
+  }
+
+  // Delivers what is due. A paused process gets it when it resumes, a restarted one never.
+  void deliver() {
+    while (!events_.empty() && events_.begin()->first <= now_) {
+      auto node = events_.extract(events_.begin());
+      Event& event = node.mapped();
+      if (paused(event.target)) {
+        node.key() = slots_[event.target].paused_until;
+        events_.insert(std::move(node));
+      } else if (event.incarnation == slots_[event.target].incarnation) {
+        event.action(*slots_[event.target].process);
+      }
+    }
+  }
+
+  void step(std::size_t i) {
+    if (paused(i)) {
+      return;
+    }
+    Process& process = *slots_[i].process;
+    // News is sent at once, not with the next regular heartbeat.
+    const auto zone = process.board.state("a");
+    const std::uint64_t serial = zone ? zone->serial : 0;
+    if (now_ >= process.next_heartbeat || serial > process.announced_serial ||
+        process.tracker.generation() > process.announced_generation) {
+      process.next_heartbeat = now_ + 500_ms;
+      process.announced_generation = process.tracker.generation();
+      process.announced_serial = serial;
+      for (std::size_t j = 0; j < kProcesses; ++j) {
+        send_heartbeat(i, j);
+      }
+    }
+    if (const auto peer = process.tracker.peer_to_fetch_from(now_)) {
+      fetch(i, *peer);
+    }
+    const auto call = process.election.next_call(now_, process.tracker.confirmed_age(now_));
+    if (call != WatcherElection::Call::kNone) {
+      call_platform(i, call == WatcherElection::Call::kWatch);
+    }
+  }
+
+  bool fault(double probability) { return with_faults_ && random_.chance(probability); }
+
+  void send_heartbeat(std::size_t from, std::size_t to) {
+    if (!linked(from, to) || fault(0.2)) {
+      return;
+    }
+    const Process& sender = *slots_[from].process;
+    std::set<std::string> heard;
+    for (const auto& [name, at] : sender.entries_heard) {
+      if (now_ - at <= WatcherElection::kPeerFresh) {
+        heard.insert(name);
+      }
+    }
+    // One in a hundred is late by up to the silence limit of the connection.
+    const Duration delay = fault(0.01) ? random_duration(1500) : random_duration(50);
+    after(delay, to,
+          [this, name = sender.name, is_entry = sender.is_entry, heard,
+           generation = sender.tracker.generation(), age = sender.tracker.confirmed_age(now_),
+           notices = sender.board.notices()](Process& receiver) {
+            receiver.tracker.peer_heard(name, generation, age, now_);
+            for (const ZoneNotice& notice : notices) {
+              receiver.board.apply_notice(notice, now_);
+            }
+            if (is_entry) {
+              receiver.entries_heard[name] = now_;
+              receiver.election.entry_heard(name, heard.contains(receiver.name), now_);
+            }
+          });
+  }
+
+  void fetch(std::size_t i, const std::string& peer) {
+    Process& process = *slots_[i].process;
+    process.tracker.fetch_started(peer, now_);
+    const std::size_t source = std::stoul(peer.substr(1));
+    if (!linked(i, source) || paused(source) || fault(0.1)) {
+      if (random_.chance(0.5)) {  // Otherwise the fetch hangs and never ends.
+        after(500_ms, i, [this, peer](Process& p) { p.tracker.fetch_failed(peer, now_); });
+      }
+      return;
+    }
+    // One in twenty documents arrives damaged.
+    std::string document = slots_[source].process->tracker.document();
+    if (!document.empty() && fault(0.05)) {
+      document[random_.below(document.size())] ^= 1;
+    }
+    // Some arrive so late that a newer bundle came from elsewhere in the meantime.
+    after(random_duration(fault(0.1) ? 4000 : 100), i,
+          [this, peer, document](Process& p) { p.tracker.fetch_ended(peer, document, now_); });
+  }
+
+  void call_platform(std::size_t i, bool watch) {
+    ++calls_;
+    const Duration wait = watch ? WatcherElection::kWatchWait : Duration{0};
+    if (!reaches_platform(i) || fault(0.1)) {
+      const Duration failure = random_.chance(0.5) ? 5_ms : wait + WatcherElection::kCallTimeout;
+      after(failure, i, [this](Process& p) { p.election.call_ended(false, now_); });
+      return;
+    }
+    after(random_duration(10), i,
+          [this, i, start = now_, wait](Process&) { answer_call(i, start, start + wait); });
+  }
+
+  // Answers a read, or looks at the object until a watch has news or its wait is over.
+  void answer_call(std::size_t i, Instant start, Instant deadline) {
+    Process& process = *slots_[i].process;
+    if (!reaches_platform(i)) {
+      return process.election.call_ended(false, now_);
+    }
+    const ObjectVersion version{documents_.size()};
+    const bool watch = deadline > start;
+    if (!documents_.empty() && (!watch || version > process.tracker.platform_version())) {
+      return after(random_duration(fault(0.1) ? 1000 : 10), i,
+                   [this, start, version, document = documents_.back()](Process& p) {
+                     p.tracker.platform_showed(version, document, start);
+                     p.election.call_ended(true, now_);
+                   });
+    }
+    if (now_ < deadline) {
+      return after(kTick, i,
+                   [this, i, start, deadline](Process&) { answer_call(i, start, deadline); });
+    } else if (watch) {
+      process.tracker.platform_unchanged(deadline);
+    }
+    process.election.call_ended(true, now_);
+  }
+
+  // Rolls out a generation now and then, and hands a zone notice to a random process.
+  void publish() {
+    if (platform_up() && (documents_.empty() || random_.chance(0.001))) {
+      documents_.push_back(test_document(operators_, test_bundle_text(documents_.size() + 1)));
+      published_.push_back(now_);
+    }
+    const std::size_t i = random_.below(kProcesses);
+    if (random_.chance(0.0015) && !paused(i) && (!notice_at_ || now_ - *notice_at_ > 3_s)) {
+      ZoneNotice notice{"a", !zone_in_, ++serial_, "ana", ""};
+      REQUIRE(sign_zone_notice(notice, operators_.ana.private_key));
+      REQUIRE(slots_[i].process->board.apply_notice(notice, now_) == NoticeResult::kApplied);
+      zone_in_ = notice.in_service;
+      notice_at_ = now_;
+      notice_given_to_ = i;
+    }
+  }
+
+  void inject_faults() {
+    const std::size_t i = random_.below(kProcesses);
+    if (random_.chance(0.002)) {
+      slots_[i].paused_until = now_ + random_duration(12'000);
+    }
+    if (random_.chance(0.0005)) {
+      restart(i);
+    }
+    if (random_.chance(0.002)) {
+      slots_[i].platform_cut_until = now_ + random_duration(30'000);
+    }
+    if (random_.chance(0.0003)) {
+      platform_down_until_ = now_ + random_duration(20'000);
+    }
+    if (random_.chance(0.01)) {
+      const std::size_t j = random_.below(kProcesses);
+      cuts_[{std::min(i, j), std::max(i, j)}] = now_ + random_duration(20'000);
+    }
+    if (random_.chance(0.0005)) {
+      cut_off(i, random_duration(20'000));
+    }
+  }
+
+  // Reaches the platform itself or by one peer.
+  bool connected(std::size_t i) const {
+    if (paused(i)) {
+      return false;
+    }
+    for (std::size_t j = 0; j < kProcesses; ++j) {
+      if (reaches_platform(i) || (linked(i, j) && !paused(j) && reaches_platform(j))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void check() {
+    for (std::size_t i = 0; i < kProcesses; ++i) {
+      Slot& slot = slots_[i];
+      const std::uint64_t generation = slot.process->tracker.generation();
+      if (generation < slot.highest_generation) {
+        FAIL("a generation went back");
+      }
+      slot.highest_generation = generation;
+      const auto zone = slot.process->board.state("a");
+      if (zone && zone->serial < slot.highest_serial) {
+        FAIL("a zone notice was undone by an older one");
+      }
+      slot.highest_serial = zone ? zone->serial : 0;
+      slot.connected_since = connected(i) ? slot.connected_since : now_;
+      if (generation < documents_.size()) {
+        const Instant since = std::max(slot.connected_since, published_[generation]);
+        worst_bundle_ = std::max(worst_bundle_, now_ - since);
+      }
+      check_zone(i);
+    }
+  }
+
+  // Whether heartbeats can carry the notice from the process that was given it to `i`.
+  bool notice_can_reach(std::size_t i) const {
+    const std::size_t source = notice_given_to_;
+    if (paused(i) || paused(source)) {
+      return false;
+    }
+    for (std::size_t entry = 0; entry < kEntries; ++entry) {
+      if ((entry == i || linked(entry, i)) && (entry == source || linked(entry, source)) &&
+          !paused(entry)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool has_notice(std::size_t i) const {
+    const auto state = slots_[i].process->board.state("a");
+    return state && state->serial == serial_;
+  }
+
+  // Zone notices must spread while the platform is down, so that plays no part here.
+  void check_zone(std::size_t i) {
+    if (!notice_at_ || has_notice(i)) {
+      zone_since_.erase(i);
+      return;
+    }
+    if (!notice_can_reach(i) || !has_notice(notice_given_to_)) {
+      zone_since_[i] = now_;
+    }
+    const Instant since = zone_since_.try_emplace(i, *notice_at_).first->second;
+    worst_zone_ = std::max(worst_zone_, now_ - std::max(since, *notice_at_));
+  }
+
+  Random random_;
+  bool with_faults_;
+  TestOperators operators_;
+  Instant now_ = {1'000'000};
+  std::array<Slot, kProcesses> slots_;
+  std::multimap<Instant, Event> events_;
+  std::map<std::pair<std::size_t, std::size_t>, Instant> cuts_;
+  Instant platform_down_until_ = kNever;
+  std::vector<std::string> documents_;  // Index + 1 is both generation and version.
+  std::vector<Instant> published_;
+  std::size_t calls_ = 0;
+  bool zone_in_ = true;
+  std::uint64_t serial_ = 1;
+  std::optional<Instant> notice_at_;
+  std::size_t notice_given_to_ = 0;
+  std::map<std::size_t, Instant> zone_since_;
+  Duration worst_bundle_;
+  Duration worst_zone_;
+};
+
+}  // namespace
+
+// Guards against a process that keeps an old bundle after a lost message or answer, an outage or a
+// pause; that falls back to an older one by a late message; and against a zone notice that does not
+// spread.
+TEST_CASE("bundles and zone notices spread in time under random faults", "[rollout][zones]") {
+  Duration worst_bundle;
+  Duration worst_zone;
+  std::uint64_t generations = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Simulation simulation(seed, true);
+    if (seed % 4 == 0) {
+      // Guards against a process that relies on its peers alone.
+      simulation.cut_off(kProcesses - 1, 120_s);
+    }
+    simulation.run(120_s);
+    INFO("seed " << seed);
+    CHECK(simulation.worst_bundle() <= kBundleBound);
+    CHECK(simulation.worst_zone() <= kZoneBound);
+    worst_bundle = std::max(worst_bundle, simulation.worst_bundle());
+    worst_zone = std::max(worst_zone, simulation.worst_zone());
+    generations += simulation.generation();
+  }
+  CHECK(generations > 100);
+  std::cout << "roll-out under faults: " << generations << " generations, slowest process "
+            << worst_bundle.ms << " ms, slowest zone notice " << worst_zone.ms << " ms\n";
+}
+
+// Guards against a fleet that overloads the platform in its normal state.
+TEST_CASE("without faults a few processes call the platform", "[rollout]") {
+  Simulation simulation(99, false);
+  simulation.run(60_s);
+  std::cout << "roll-out without faults: slowest process " << simulation.worst_bundle().ms
+            << " ms, " << simulation.calls() / 60 << " platform calls/s by " << kProcesses
+            << " processes\n";
+  CHECK(simulation.worst_bundle() <= 2_s);
+  CHECK(simulation.calls() / 60 <= 4);
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/rollout/watcher_election.cc
@@ -0,0 +1,68 @@
+// Election of watchers by rendezvous scores.
+
+#include "rollout/watcher_election.h"
+
+#include "base/hash.h"
+
+namespace bluebellstep {
+namespace {
+
+std::uint64_t watcher_score(std::string_view name) {
+  return rendezvous_score(hash64("bundle/current"), hash64(name));
+}
+
+Duration random_below(Random& random, Duration bound) {
+  return {static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(bound.ms)))};
+}
+
+}  // namespace
+
+WatcherElection::WatcherElection(std::string_view own_name, bool is_entry, std::uint64_t seed)
+    : own_score_(watcher_score(own_name)),
+      is_entry_(is_entry),
+      random_(seed),
+      jitter_(random_below(random_, kReadJitter)) {}
+
+void WatcherElection::entry_heard(std::string_view name, bool hears_us, Instant now) {
+  if (hears_us) {
+    entries_.insert_or_assign(std::string(name), now);
+  }
+  std::erase_if(entries_, [now](const auto& entry) { return now - entry.second > kPeerFresh; });
+}
+
+bool WatcherElection::is_watcher(Instant now) const {
+  if (!is_entry_) {
+    return false;
+  }
+  std::size_t ahead = 0;
+  for (const auto& [name, heard] : entries_) {
+    ahead += now - heard <= kPeerFresh && watcher_score(name) > own_score_ ? 1 : 0;
+  }
+  return ahead < kWatchers;
+}
+
+WatcherElection::Call WatcherElection::next_call(Instant now,
+                                                 std::optional<Duration> confirmed_age) {
+  if (running_ != Call::kNone || (call_not_before_ && now < *call_not_before_)) {
+    return Call::kNone;
+  }
+  if (is_watcher(now)) {
+    running_ = Call::kWatch;
+  } else if ((!confirmed_age || *confirmed_age >= kConfirmationLimit + jitter_) &&
+             (!read_not_before_ || now >= *read_not_before_)) {
+    running_ = Call::kRead;
+  }
+  return running_;
+}
+
+void WatcherElection::call_ended(bool answered, Instant now) {
+  jitter_ = random_below(random_, kReadJitter);
+  const auto after = [&](Duration pause) { return now + pause + random_below(random_, pause); };
+  if (answered && running_ == Call::kRead) {
+    read_not_before_ = after(kReadPause);
+  }
+  call_not_before_ = after(answered ? kWatchPause : kRetryDelay);
+  running_ = Call::kNone;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/zones/zone_board.cc
@@ -0,0 +1,124 @@
+// Merge of zone states.
+
+#include "zones/zone_board.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bluebellstep {
+namespace {
+
+// Whether `a` replaces `b`. At equal serials "out" wins.
+bool wins_over(const ZoneState& a, const ZoneState& b) {
+  return a.serial != b.serial ? a.serial > b.serial : !a.in_service && b.in_service;
+}
+
+std::string_view result_name(NoticeResult result) {
+  switch (result) {
+    case NoticeResult::kApplied:
+      return "applied";
+    case NoticeResult::kKnown:
+      return "known";
+    case NoticeResult::kOlder:
+      return "older";
+    case NoticeResult::kInvalid:
+      return "invalid";
+  }
+  return "invalid";
+}
+
+}  // namespace
+
+void ZoneBoard::apply_bundle(const Bundle& bundle, Instant now) {
+  for (const BundleZone& zone : bundle.zones) {
+    const ZoneState next{zone.in_service, zone.serial};
+    const auto found = zones_.find(zone.name);
+    if (found == zones_.end() || wins_over(next, found->second.state)) {
+      change(zone.name, next, std::nullopt, now);
+    } else if (next.serial == found->second.state.serial &&
+               next.in_service == found->second.state.in_service) {
+      found->second.notice.reset();
+    }
+  }
+}
+
+NoticeResult ZoneBoard::apply_notice(const ZoneNotice& notice, Instant now) {
+  const ZoneState next{notice.in_service, notice.serial};
+  const auto found = zones_.find(notice.zone);
+  // Heartbeats repeat notices; those that change nothing are settled without a signature check.
+  if (found != zones_.end() && !wins_over(next, found->second.state)) {
+    const ZoneState& present = found->second.state;
+    const bool same = present.serial == next.serial && present.in_service == next.in_service;
+    return same ? NoticeResult::kKnown : NoticeResult::kOlder;
+  }
+  if (!verify_zone_notice(operators_, notice)) {
+    return NoticeResult::kInvalid;
+  }
+  change(notice.zone, next, notice, now);
+  return NoticeResult::kApplied;
+}
+
+void ZoneBoard::change(std::string_view name,
+                       ZoneState next,
+                       std::optional<ZoneNotice> notice,
+                       Instant now) {
+  const auto [found, inserted] = zones_.try_emplace(std::string(name));
+  Zone& zone = found->second;
+  if (!inserted && next.in_service && !zone.state.in_service) {
+    zone.returned = now;
+  }
+  zone.state = next;
+  zone.notice = std::move(notice);
+}
+
+bool ZoneBoard::in_service(std::string_view zone) const {
+  const auto found = zones_.find(zone);
+  return found != zones_.end() && found->second.state.in_service;
+}
+
+std::optional<ZoneState> ZoneBoard::state(std::string_view zone) const {
+  const auto found = zones_.find(zone);
+  return found == zones_.end() ? std::nullopt : std::optional(found->second.state);
+}
+
+double ZoneBoard::load_factor(std::string_view name, Instant now) const {
+  const auto found = zones_.find(name);
+  if (found == zones_.end() || !found->second.state.in_service) {
+    return 0;
+  }
+  if (!found->second.returned) {
+    return 1;
+  }
+  const Duration since = now - *found->second.returned;
+  return std::clamp(static_cast<double>(since.ms) / static_cast<double>(kRamp.ms), kRampStart, 1.0);
+}
+
+std::vector<ZoneNotice> ZoneBoard::notices() const {
+  std::vector<ZoneNotice> notices;
+  for (const auto& [name, zone] : zones_) {
+    if (zone.notice) {
+      notices.push_back(*zone.notice);
+    }
+  }
+  return notices;
+}
+
+ZoneNoticeAnswer answer_zone_notice(ZoneBoard& board, std::string_view body, Instant now) {
+  const auto notice = zone_notice_from_json(body);
+  if (!notice) {
+    return {400, R"({"result":"not_a_notice"})", false};
+  }
+  const NoticeResult result = board.apply_notice(*notice, now);
+  nlohmann::json json = {{"result", result_name(result)}, {"zone", notice->zone}};
+  if (const auto state = board.state(notice->zone)) {
+    json["state"] = state->in_service ? "in" : "out";
+    json["serial"] = state->serial;
+  }
+  const int status = result == NoticeResult::kInvalid ? 403
+                     : result == NoticeResult::kOlder ? 409
+                                                      : 200;
+  return {status, json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+          result == NoticeResult::kApplied};
+}
+
+}  // namespace bluebellstep
