Add the orders module: keys, owner tables, ledger and opaque claims

Cause: non-idempotent orders must run at most once (promises 7 and 8).

Change: OrderKey, OrderTable, OrderLedger, OpaqueClaim and OrderAttempts as state machines, and a randomized model test under a virtual clock. OrderAttempts keeps an entry instance from passing on "not run" while an earlier attempt may still be accepted.

The model runs 7,000 seeds.

Conclusion: no violation in 7,000 seeds; leaving out any of six rules gives one.

--- /dev/null
+++ b/src/orders/order_model_test.cc
@@ -0,0 +1,70 @@
+// Randomized test of at-most-once execution.
+
+#include <catch2/catch.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "tests/support/order_simulation.h"
+
+namespace bluebellstep {
+namespace {
+
+using order_simulation::Omitted;
+using order_simulation::Simulation;
+
+// As many as fit in about 3 s.
+constexpr std::uint64_t kSeeds = 7000;
+
+std::optional<std::uint64_t> find_failing_seed(Omitted omitted) {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    if (Simulation(seed, omitted).run()) {
+      return seed;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+// Guards against a second execution, a false "not run" and another order's answer. The share of
+// answers guards against runs in which nothing happens.
+TEST_CASE("orders run at most once under faults", "[orders][model]") {
+  std::size_t calls = 0;
+  std::size_t answered = 0;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    Simulation simulation(seed, Omitted::kNothing);
+    const auto violation = simulation.run();
+    INFO("seed " << seed << ": " << violation.value_or(""));
+    REQUIRE_FALSE(violation.has_value());
+    calls += simulation.calls();
+    answered += simulation.answered_calls();
+  }
+  CHECK(answered * 10 > calls * 3);
+}
+
+// Guards against a model that could not notice a missing rule.
+TEST_CASE("each rule of the orders is needed", "[orders][model]") {
+  const Omitted omitted =
+      GENERATE(Omitted::kFloor, Omitted::kClockDifference, Omitted::kDispatchMark, Omitted::kJoin,
+               Omitted::kOpaqueClaim, Omitted::kOpenAttempts);
+  CAPTURE(static_cast<int>(omitted));
+  CHECK(find_failing_seed(omitted).has_value());
+}
+
+// Seeds that failed once, with the rule that was missing then.
+TEST_CASE("seeds that failed pass now", "[orders][model]") {
+  struct Row {
+    std::uint64_t seed;
+    Omitted missing;
+  };
+  const Row row = GENERATE(values<Row>({
+      // The floor did not cover the difference of the clocks of two incarnations' machines.
+      {80, Omitted::kClockDifference},
+  }));
+  CHECK(Simulation(row.seed, row.missing).run().has_value());
+  CHECK_FALSE(Simulation(row.seed, Omitted::kNothing).run().has_value());
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/tests/support/event_queue.h
@@ -0,0 +1,69 @@
+// Virtual time for model tests: events run in the order of their times, and every run is repeatable
+// from its seed.
+
+#ifndef BLUEBELLSTEP_TESTS_SUPPORT_EVENT_QUEUE_H_
+#define BLUEBELLSTEP_TESTS_SUPPORT_EVENT_QUEUE_H_
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/random.h"
+
+namespace bluebellstep {
+
+/** Queue of future events with the random numbers that decide their delays. */
+class EventQueue {
+ public:
+  EventQueue(std::uint64_t seed, Instant start) : random_(seed), now_(start) {}
+
+  Instant now() const { return now_; }
+  Random& random() { return random_; }
+
+  /** Returns a random span; both ends are included. */
+  Duration span(std::int64_t from_ms, std::int64_t to_ms) {
+    return {from_ms + static_cast<std::int64_t>(
+                          random_.below(static_cast<std::uint64_t>(to_ms - from_ms + 1)))};
+  }
+
+  /** Delay of a message: mostly short, seldom so long that later messages overtake it. */
+  Duration network_delay() {
+    const double draw = random_.uniform();
+    return draw < 0.8 ? span(1, 20) : draw < 0.95 ? span(1, 1000) : span(1, 8000);
+  }
+
+  void after(Duration delay, std::function<void()> action) {
+    events_.push({now_ + delay, ++sequence_, std::move(action)});
+  }
+
+  /** Runs all events, and those that they add, up to `end`. */
+  void run_until(Instant end) {
+    while (!events_.empty() && events_.top().at <= end) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.action();
+    }
+  }
+
+ private:
+  struct Event {
+    Instant at;
+    std::uint64_t sequence;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::pair(at, sequence) > std::pair(other.at, other.sequence);
+    }
+  };
+
+  Random random_;
+  Instant now_;
+  std::uint64_t sequence_ = 0;
+  std::priority_queue<Event> events_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_TESTS_SUPPORT_EVENT_QUEUE_H_
--- /dev/null
+++ b/tests/support/order_simulation.h
@@ -0,0 +1,484 @@
+// Simulation of orders under faults: entry instances, owners, an order service and the platform
+// under a virtual clock, with lost, late, crossed and repeated messages, kills, pauses and outages.
+// Every run is repeatable from its seed.
+
+#ifndef BLUEBELLSTEP_TESTS_SUPPORT_ORDER_SIMULATION_H_
+#define BLUEBELLSTEP_TESTS_SUPPORT_ORDER_SIMULATION_H_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/overloaded.h"
+#include "orders/opaque_claim.h"
+#include "orders/order_attempts.h"
+#include "orders/order_ledger.h"
+#include "orders/order_table.h"
+#include "tests/support/event_queue.h"
+#include "tests/support/simulated_platform.h"
+
+namespace bluebellstep::order_simulation {
+
+/** Rules that a run leaves out, to show that the checks notice. */
+enum class Omitted {
+  kNothing,
+  kFloor,
+  kClockDifference,  // The floor covers the future allowance only.
+  kDispatchMark,
+  kJoin,
+  kOpaqueClaim,
+  kOpenAttempts,
+};
+
+inline constexpr Instant kStart{1'733'000'000'000};
+inline constexpr Duration kRunTime{60'000};
+inline constexpr int kOwners = 3;
+inline constexpr int kEntries = 3;
+inline constexpr int kKeys = 40;
+inline constexpr int kMaxAttempts = 3;
+
+struct Outcome {
+  RunState run_state = RunState::kMayHaveRun;
+  std::optional<std::string> reference;  // Set if the call got the answer.
+  Verdict verdict = Verdict::may_have_run(Reason::kConnectionLost, "");
+};
+
+struct Call {
+  int key = 0;
+  std::uint64_t body = 0;
+  int entry = 0;
+  OrderAttempts attempts;
+  int sent = 0;
+  std::optional<Outcome> final;
+};
+
+struct Execution {
+  int call;
+  std::uint64_t body;
+  std::string reference;
+};
+
+struct Key {
+  std::optional<OrderKey> key;
+  std::vector<Execution> executions;
+};
+
+struct Waiter {
+  int call;
+  std::uint32_t attempt;
+};
+
+struct Pending {
+  ClaimId claim;
+  int origin = 0;
+  std::vector<Waiter> waiters;
+  std::optional<OpaqueClaim> opaque;
+};
+
+struct Incarnation {
+  std::uint64_t number;
+  Duration skew;
+  OrderLedger ledger;
+  std::map<std::uint32_t, std::shared_ptr<Pending>> pending;  // By claim slot.
+};
+
+struct Owner {
+  std::unique_ptr<Incarnation> incarnation;
+  bool paused = false;
+  std::vector<std::function<void()>> backlog;  // Messages that arrived during a pause.
+};
+
+class Simulation {
+ public:
+  Simulation(std::uint64_t seed, Omitted omitted)
+      : queue_(seed, kStart),
+        platform_(queue_),
+        omitted_(omitted),
+        first_table_({{Instant{0}, {"0", "1", "2"}}}),
+        table_({{Instant{0}, {"0", "1", "2"}}, {kStart + 40_s, {"1", "2"}}}) {}
+
+  /** Runs to the end and returns the violated promise, if any. */
+  std::optional<std::string> run() {
+    for (int owner = 0; owner < kOwners; ++owner) {
+      start_incarnation(owner);
+      schedule_kills_and_pauses(owner);
+    }
+    const Instant down_from = kStart + queue_.span(0, 50'000);
+    platform_.set_outage(down_from, down_from + queue_.span(0, 8000));
+    for (int key = 0; key < kKeys; ++key) {
+      schedule_calls(key);
+    }
+    queue_.run_until(kStart + kRunTime * 10);
+    return find_violation();
+  }
+
+  std::size_t calls() const { return calls_.size(); }
+
+  std::size_t answered_calls() const {
+    return static_cast<std::size_t>(std::count_if(
+        calls_.begin(), calls_.end(), [](const Call& call) { return call.final->reference; }));
+  }
+
+ private:
+  void after(Duration delay, std::function<void()> action) {
+    queue_.after(delay, std::move(action));
+  }
+
+  // Runs `action` at one incarnation; lost if that incarnation has ended, late if it is paused.
+  void at_owner(int owner, Duration delay, std::function<void(Incarnation&)> action) {
+    const std::uint64_t number = owners_[owner].incarnation->number;
+    after(delay, [=, this] { arrive(owner, number, action); });
+  }
+
+  void arrive(int owner, std::uint64_t number, const std::function<void(Incarnation&)>& action) {
+    Owner& target = owners_[owner];
+    if (!target.incarnation || target.incarnation->number != number) {
+      return;
+    }
+    if (target.paused) {
+      target.backlog.push_back([=, this] { arrive(owner, number, action); });
+      return;
+    }
+    action(*target.incarnation);
+  }
+
+  void start_incarnation(int owner) {
+    Owner& slot = owners_[owner];
+    if (slot.incarnation) {
+      return;  // The port is bound by the earlier process, paused or not.
+    }
+    const Duration skew = queue_.random().chance(0.5) ? Duration{500} : Duration{-500};
+    OrderLedgerLimits limits{.max_claims = 30, .max_answer_bytes = 2000};
+    Instant start = queue_.now() + skew;
+    if (omitted_ == Omitted::kFloor) {
+      start = Instant{0};
+    }
+    if (omitted_ == Omitted::kClockDifference) {
+      limits.max_clock_difference = Duration{0};
+    }
+    slot.incarnation.reset(new Incarnation{++incarnations_, skew, OrderLedger(limits, start), {}});
+  }
+
+  void schedule_kills_and_pauses(int owner) {
+    for (std::uint64_t i = queue_.random().below(4); i > 0; --i) {
+      const Duration at = queue_.span(0, kRunTime.ms);
+      after(at, [=, this] { kill(owner); });
+      after(at + (queue_.random().chance(0.5) ? queue_.span(0, 100) : queue_.span(0, 4000)),
+            [=, this] { start_incarnation(owner); });
+    }
+    after(kRunTime, [=, this] { start_incarnation(owner); });
+    for (std::uint64_t i = queue_.random().below(3); i > 0; --i) {
+      const Duration at = queue_.span(0, kRunTime.ms);
+      after(at, [=, this] { owners_[owner].paused = owners_[owner].incarnation != nullptr; });
+      after(at + queue_.span(0, 3000), [=, this] { start_incarnation(owner); });
+      after(at + queue_.span(0, 20'000), [=, this] { resume(owner); });
+    }
+  }
+
+  void kill(int owner) {
+    owners_[owner].incarnation.reset();
+    owners_[owner].paused = false;
+    owners_[owner].backlog.clear();
+  }
+
+  void resume(int owner) {
+    owners_[owner].paused = false;
+    for (auto& message : std::exchange(owners_[owner].backlog, {})) {
+      message();
+    }
+  }
+
+  void submit(int owner, Incarnation& self, Waiter waiter) {
+    const Call& call = calls_[waiter.call];
+    const OrderKey& key = *keys_[call.key].key;
+    if (table_.owner(key) != std::to_string(owner)) {
+      return reply(waiter, {RunState::kNotRun, {}, Verdict::not_run(Reason::kNotOwner, "")});
+    }
+    std::visit(
+        Overloaded{[&](const Proceed& proceed) { begin(owner, self, proceed.claim, waiter); },
+                   [&](const Replay& replay) { reply(waiter, ran(replay.answer.body)); },
+                   [&](const Join& join) {
+                     if (omitted_ == Omitted::kJoin) {
+                       return begin(owner, self, join.claim, waiter);
+                     }
+                     self.pending.at(join.claim.slot)->waiters.push_back(waiter);
+                   },
+                   [&](const Refuse& refuse) { reply(waiter, refused(refuse.verdict)); }},
+        self.ledger.claim(key, call.body, queue_.now() + self.skew));
+  }
+
+  void begin(int owner, Incarnation& self, ClaimId claim, Waiter waiter) {
+    const Call& call = calls_[waiter.call];
+    const OrderKey& key = *keys_[call.key].key;
+    auto pending = std::make_shared<Pending>(Pending{claim, waiter.call, {waiter}, {}});
+    self.pending[claim.slot] = pending;
+    if (!key.birth() && omitted_ != Omitted::kOpaqueClaim) {
+      pending->opaque.emplace(key, OpaqueClaimant{self.number, ++nonces_}, call.body,
+                              queue_.now() + 2000_ms);
+      return follow(owner, self, pending);
+    }
+    at_owner(owner, queue_.span(0, 100),
+             [=, this](Incarnation& at) { dispatch(owner, at, pending); });
+  }
+
+  void follow(int owner, Incarnation& self, const std::shared_ptr<Pending>& pending) {
+    const OpaqueStep step = pending->opaque->next();
+    std::visit(Overloaded{[&](const PlatformWrite& write) { call_write(owner, pending, write); },
+                          [&](const PlatformRead& read) { call_read(owner, pending, read); },
+                          [&](const OpaqueProceed&) { dispatch(owner, self, pending); },
+                          [&](const OpaqueReplay& replay) {
+                            self.ledger.complete(pending->claim, replay.answer);
+                            reply_all(*pending, ran(replay.answer.body));
+                          },
+                          [&](const Refuse& refuse) {
+                            self.ledger.abandon_before_dispatch(pending->claim);
+                            reply_all(*pending, refused(refuse.verdict));
+                          },
+                          [](const OpaqueDone&) {}},
+               step);
+  }
+
+  void dispatch(int owner, Incarnation& self, const std::shared_ptr<Pending>& pending) {
+    if (queue_.random().chance(0.15)) {  // Connection refused.
+      abandon(owner, self, pending);
+      return;
+    }
+    if (omitted_ != Omitted::kDispatchMark && omitted_ != Omitted::kJoin) {
+      if (!self.ledger.mark_dispatched(pending->claim)) {
+        return reply_all(*pending, {});
+      }
+    } else if (omitted_ == Omitted::kJoin) {
+      (void)self.ledger.mark_dispatched(pending->claim);
+    }
+    const auto broken = [=, this](Incarnation& at) { lose_answer(owner, at, pending); };
+    const double fate = queue_.random().uniform();
+    const std::uint64_t number = self.number;
+    if (fate < 0.1) {  // Broken before the execution.
+      at_owner(owner, queue_.network_delay(), broken);
+      return;
+    }
+    after(queue_.network_delay(), [=, this] {
+      OrderAnswer answer{200, "text/plain", execute(pending->origin)};
+      const bool answers = fate > 0.2;
+      if (answers || fate < 0.15) {  // Below 0.15: broken after the execution; else silent.
+        after(queue_.network_delay(), [=, this] {
+          arrive(owner, number, [=, this](Incarnation& at) {
+            if (answers) {
+              at.ledger.complete(pending->claim, answer);
+              reply_all(*pending, ran(answer.body));
+              record(owner, at, pending, answer);
+            } else {
+              lose_answer(owner, at, pending);
+            }
+          });
+        });
+      }
+    });
+    at_owner(owner, 3000_ms, broken);
+  }
+
+  void record(int owner,
+              Incarnation& self,
+              const std::shared_ptr<Pending>& pending,
+              const OrderAnswer& answer) {
+    if (pending->opaque && std::holds_alternative<OpaqueProceed>(pending->opaque->next())) {
+      pending->opaque->record(answer, queue_.now() + 2000_ms);
+      follow(owner, self, pending);
+    }
+  }
+
+  void abandon(int owner, Incarnation& self, const std::shared_ptr<Pending>& pending) {
+    if (self.ledger.abandon_before_dispatch(pending->claim)) {
+      reply_all(*pending, {RunState::kNotRun, {}, Verdict::not_run(Reason::kUpstreamFailed, "")});
+      if (pending->opaque) {
+        pending->opaque->release(queue_.now() + 2000_ms);
+        follow(owner, self, pending);
+      }
+    }
+  }
+
+  void lose_answer(int owner, Incarnation& self, const std::shared_ptr<Pending>& pending) {
+    const auto state = self.ledger.state(pending->claim);
+    if (state == ClaimState::kClaimed) {
+      abandon(owner, self, pending);
+    } else if (state == ClaimState::kDispatched) {
+      self.ledger.mark_unknown(pending->claim);
+      reply_all(*pending, {});
+    }
+  }
+
+  std::string execute(int call) {
+    auto& executions = keys_[calls_[call].key].executions;
+    executions.push_back(
+        {call, calls_[call].body,
+         std::to_string(calls_[call].key) + "#" + std::to_string(executions.size())});
+    return executions.back().reference;
+  }
+
+  void call_write(int owner, const std::shared_ptr<Pending>& pending, const PlatformWrite& write) {
+    const std::uint64_t number = owners_[owner].incarnation->number;
+    platform_.write(write, [=, this](const PlatformClient::WriteResult& result) {
+      arrive(owner, number, [=, this](Incarnation& self) {
+        pending->opaque->on_write(result, queue_.now());
+        follow(owner, self, pending);
+      });
+    });
+  }
+
+  void call_read(int owner, const std::shared_ptr<Pending>& pending, const PlatformRead& read) {
+    const std::uint64_t number = owners_[owner].incarnation->number;
+    platform_.read(read, [=, this](const PlatformClient::ReadResult& result) {
+      arrive(owner, number, [=, this](Incarnation& self) {
+        pending->opaque->on_read(result, queue_.now());
+        follow(owner, self, pending);
+      });
+    });
+  }
+
+  void schedule_calls(int index) {
+    const Duration at = queue_.span(0, kRunTime.ms);
+    after(at, [=, this] {
+      // Half of the births are near the future allowance, where the floor decides.
+      const Instant birth = queue_.now() + (queue_.random().chance(0.5) ? queue_.span(1500, 2600)
+                                                                        : queue_.span(-1000, 3000));
+      const bool opaque = queue_.random().chance(0.3);
+      const std::string text =
+          opaque ? "k" + std::to_string(index) : std::to_string(birth.ms) + "-k";
+      keys_[index].key = OrderKey::parse("parts", std::to_string(index), text);
+      make_call(index, 0);
+      for (std::uint64_t i = queue_.random().below(4); i > 0; --i) {
+        after(queue_.random().chance(0.5) ? queue_.span(0, 200) : queue_.span(0, 10'000),
+              [=, this] { make_call(index, queue_.random().chance(0.1) ? 1 : 0); });
+      }
+    });
+  }
+
+  void make_call(int key, std::uint64_t body) {
+    calls_.push_back({key, body, static_cast<int>(queue_.random().below(kEntries)), {}, 0, {}});
+    send(static_cast<int>(calls_.size()) - 1);
+  }
+
+  void send(int index) {
+    Call& call = calls_[index];
+    ++call.sent;
+    const Waiter waiter{index, call.attempts.start()};
+    // Entry 0 adopts the second table late.
+    const bool late = call.entry == 0 && queue_.now() < kStart + 13_s;
+    const int owner =
+        std::stoi(std::string(*(late ? first_table_ : table_).owner(*keys_[call.key].key)));
+    if (!owners_[owner].incarnation) {  // Connection refused: no byte was sent.
+      return receive(waiter, refused(Verdict::not_run(Reason::kUpstreamUnreachable, "")));
+    }
+    if (!queue_.random().chance(0.1)) {
+      at_owner(owner, queue_.network_delay(),
+               [=, this](Incarnation& self) { submit(owner, self, waiter); });
+    }
+    after(queue_.span(1500, 4000), [=, this] { time_out(waiter); });
+  }
+
+  void time_out(Waiter waiter) {
+    Call& call = calls_[waiter.call];
+    if (call.final || call.sent != static_cast<int>(waiter.attempt)) {
+      return;
+    }
+    if (call.sent < kMaxAttempts) {
+      return send(waiter.call);
+    }
+    call.final = Outcome{};
+  }
+
+  void reply(Waiter waiter, const Outcome& outcome) {
+    for (int copies = queue_.random().chance(0.1) ? 2 : 1; copies > 0; --copies) {
+      if (!queue_.random().chance(0.1)) {
+        after(queue_.network_delay(), [=, this] { receive(waiter, outcome); });
+      }
+    }
+  }
+
+  void reply_all(Pending& pending, const Outcome& outcome) {
+    for (const Waiter waiter : std::exchange(pending.waiters, {})) {
+      reply(waiter, outcome);
+    }
+  }
+
+  void receive(Waiter waiter, Outcome outcome) {
+    Call& call = calls_[waiter.call];
+    if (call.final) {
+      return;
+    }
+    if (!outcome.reference) {
+      if (outcome.run_state == RunState::kNotRun) {
+        call.attempts.note_not_run(waiter.attempt);
+        if (call.sent < kMaxAttempts && queue_.random().chance(0.3)) {
+          return send(waiter.call);
+        }
+      }
+      if (omitted_ != Omitted::kOpenAttempts) {
+        outcome.run_state = call.attempts.conclude(outcome.verdict).run_state();
+      }
+    }
+    call.final = outcome;
+  }
+
+  static Outcome ran(std::string_view reference) {
+    return {RunState::kRun, std::string(reference)};
+  }
+  static Outcome refused(const Verdict& verdict) { return {verdict.run_state(), {}, verdict}; }
+
+  std::optional<std::string> find_violation() const {
+    for (std::size_t i = 0; i < keys_.size(); ++i) {
+      if (keys_[i].executions.size() > 1) {
+        return "key " + std::to_string(i) + " was executed twice";
+      }
+    }
+    for (std::size_t i = 0; i < calls_.size(); ++i) {
+      if (auto fault = find_call_fault(static_cast<int>(i))) {
+        return "call " + std::to_string(i) + " " + *fault;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::optional<std::string> find_call_fault(int index) const {
+    const Call& call = calls_[index];
+    const auto& executions = keys_[call.key].executions;
+    if (!call.final) {
+      return "got no answer";
+    }
+    if (call.final->run_state == RunState::kNotRun) {
+      const bool executed = std::any_of(executions.begin(), executions.end(),
+                                        [&](const Execution& e) { return e.call == index; });
+      return executed ? std::optional("ran after \"not run\"") : std::nullopt;
+    }
+    if (call.final->run_state == RunState::kRun && executions.empty()) {
+      return "got \"run\" without an execution";
+    }
+    if (call.final->reference &&
+        (call.final->reference != executions[0].reference || call.body != executions[0].body)) {
+      return "got the answer of another order";
+    }
+    return std::nullopt;
+  }
+
+  EventQueue queue_;
+  SimulatedPlatform platform_;
+  Omitted omitted_;
+  OrderTable first_table_;
+  OrderTable table_;
+  std::uint64_t incarnations_ = 0;
+  std::uint64_t nonces_ = 0;
+  std::array<Owner, kOwners> owners_;
+  std::array<Key, kKeys> keys_;
+  std::vector<Call> calls_;
+};
+
+}  // namespace bluebellstep::order_simulation
+
+#endif  // BLUEBELLSTEP_TESTS_SUPPORT_ORDER_SIMULATION_H_
