--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -107,15 +107,15 @@
 }
 
 interface Peer {
-  # Exchanges states. Called every heartbeat interval by the side that opened the connection.
-  heartbeat @0 (state :PeerState) -> (state :PeerState);
+  # Exchanges states. `from` lets the callee push news over the same connection.
+  heartbeat @0 (state :PeerState, from :Peer) -> (state :PeerState);
   # Returns the bundle of the callee's generation: the signed document.
   fetchBundle @1 () -> (generation :UInt64, document :Data);
 }
 
 interface Sidecar extends(Peer) {
   # Runs a request. Events and completion go to `sink`. Returns when the request is accepted or refused.
-  submit @0 (request :Request, sink :AnswerSink) -> (accepted :Bool, verdict :Verdict);
+  submit @0 (request :Request, sink :AnswerSink) -> (accepted :Bool, verdict :Verdict, hint :UpstreamHint);
   # Sends the events of a known request again from `nextIndex` on to a new sink.
   resume @1 (entryIncarnation :UInt64, requestId :UInt64, nextIndex :UInt64, sink :AnswerSink) -> (known :Bool);
   cancel @2 (entryIncarnation :UInt64, requestId :UInt64);
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -294,7 +294,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a08fb105fc21e797, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a08fb105fc21e797, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -392,7 +392,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b2938c3990922a3a, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b2938c3990922a3a, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1915,6 +1915,11 @@
   inline bool hasState() const;
   inline  ::bluebellstep::wire::PeerState::Reader getState() const;
 
+  inline bool hasFrom() const;
+#if !CAPNP_LITE
+  inline  ::bluebellstep::wire::Peer::Client getFrom() const;
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1950,6 +1955,15 @@
   inline void adoptState(::capnp::Orphan< ::bluebellstep::wire::PeerState>&& value);
   inline ::capnp::Orphan< ::bluebellstep::wire::PeerState> disownState();
 
+  inline bool hasFrom();
+#if !CAPNP_LITE
+  inline  ::bluebellstep::wire::Peer::Client getFrom();
+  inline void setFrom( ::bluebellstep::wire::Peer::Client&& value);
+  inline void setFrom( ::bluebellstep::wire::Peer::Client& value);
+  inline void adoptFrom(::capnp::Orphan< ::bluebellstep::wire::Peer>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::Peer> disownFrom();
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1969,6 +1983,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::bluebellstep::wire::PeerState::Pipeline getState();
+  inline  ::bluebellstep::wire::Peer::Client getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2402,6 +2417,9 @@
   inline bool hasVerdict() const;
   inline  ::bluebellstep::wire::Verdict::Reader getVerdict() const;
 
+  inline bool hasHint() const;
+  inline  ::bluebellstep::wire::UpstreamHint::Reader getHint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2440,6 +2458,13 @@
   inline void adoptVerdict(::capnp::Orphan< ::bluebellstep::wire::Verdict>&& value);
   inline ::capnp::Orphan< ::bluebellstep::wire::Verdict> disownVerdict();
 
+  inline bool hasHint();
+  inline  ::bluebellstep::wire::UpstreamHint::Builder getHint();
+  inline void setHint( ::bluebellstep::wire::UpstreamHint::Reader value);
+  inline  ::bluebellstep::wire::UpstreamHint::Builder initHint();
+  inline void adoptHint(::capnp::Orphan< ::bluebellstep::wire::UpstreamHint>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint> disownHint();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2459,6 +2484,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::bluebellstep::wire::Verdict::Pipeline getVerdict();
+  inline  ::bluebellstep::wire::UpstreamHint::Pipeline getHint();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4391,6 +4417,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::HeartbeatParams::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatParams::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Pipeline::getFrom() {
+  return  ::bluebellstep::wire::Peer::Client(_typeless.getPointerField(1).asCap());
+}
+inline void Peer::HeartbeatParams::Builder::setFrom( ::bluebellstep::wire::Peer::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Peer::HeartbeatParams::Builder::setFrom( ::bluebellstep::wire::Peer::Client& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void Peer::HeartbeatParams::Builder::adoptFrom(
+    ::capnp::Orphan< ::bluebellstep::wire::Peer>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bluebellstep::wire::Peer> Peer::HeartbeatParams::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
 inline bool Peer::HeartbeatResults::Reader::hasState() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4633,6 +4698,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Sidecar::SubmitResults::Reader::hasHint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sidecar::SubmitResults::Builder::hasHint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bluebellstep::wire::UpstreamHint::Reader Sidecar::SubmitResults::Reader::getHint() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::bluebellstep::wire::UpstreamHint::Builder Sidecar::SubmitResults::Builder::getHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bluebellstep::wire::UpstreamHint::Pipeline Sidecar::SubmitResults::Pipeline::getHint() {
+  return  ::bluebellstep::wire::UpstreamHint::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Sidecar::SubmitResults::Builder::setHint( ::bluebellstep::wire::UpstreamHint::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::bluebellstep::wire::UpstreamHint::Builder Sidecar::SubmitResults::Builder::initHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Sidecar::SubmitResults::Builder::adoptHint(
+    ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint> Sidecar::SubmitResults::Builder::disownHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Sidecar::ResumeParams::Reader::getEntryIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/src/rpc/rpc_loop.h
@@ -0,0 +1,71 @@
+// The control thread: a kj event loop that runs all RPC connections and owns all decision state of
+// a process.
+
+#ifndef BLUEBELLSTEP_RPC_RPC_LOOP_H_
+#define BLUEBELLSTEP_RPC_RPC_LOOP_H_
+
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+
+#include <functional>
+#include <future>
+#include <thread>
+
+#include "base/clock.h"
+#include "base/mailbox.h"
+
+namespace bluebellstep {
+
+/** Owns the control thread. Objects that are used on it must be made and destroyed on it, see
+ * `run_and_wait`. */
+class RpcLoop {
+ public:
+  /** Starts the thread. */
+  RpcLoop();
+  RpcLoop(const RpcLoop&) = delete;
+  RpcLoop& operator=(const RpcLoop&) = delete;
+
+  /** Stops the loop after the tasks posted so far and joins the thread. */
+  ~RpcLoop();
+
+  /** Runs `task` on the control thread. May be called from any thread. */
+  void post(std::function<void()> task) { mailbox_.post(std::move(task)); }
+
+  /** Runs `task` on the control thread and returns when it has run. Must not be called on the
+   * control thread. */
+  void run_and_wait(std::function<void()> task);
+
+  /** Runs `task` on the control thread after `delay`. Only on the control thread. */
+  void post_after(Duration delay, std::function<void()> task);
+
+  /** Runs `task` every `period`, first after one period, until the loop stops. Only on the control
+   * thread. */
+  void repeat_every(Duration period, std::function<void()> task);
+
+  /** Keeps `promise` alive until it is done, and logs its failure. Only on the control thread. */
+  void add_background(kj::Promise<void> promise);
+
+  /** Timer of the loop. Only on the control thread. */
+  kj::Timer& timer() { return io_->provider->getTimer(); }
+
+  /** TCP of the loop. Only on the control thread. */
+  kj::Network& network() { return io_->provider->getNetwork(); }
+
+ private:
+  class BackgroundErrors;
+
+  void run(std::promise<void> started);
+  kj::Promise<void> read_mailbox(kj::UnixEventPort::FdObserver& observer);
+  kj::Promise<void> repeat(Duration period, std::function<void()> task);
+
+  Mailbox mailbox_;
+  // Set while the thread runs; used on the control thread only.
+  kj::AsyncIoContext* io_ = nullptr;
+  kj::TaskSet* background_ = nullptr;
+  kj::PromiseFulfiller<void>* stop_ = nullptr;
+  std::thread thread_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_RPC_RPC_LOOP_H_
--- /dev/null
+++ b/src/sidecar/engine_protocol.h
@@ -0,0 +1,113 @@
+// Texts of the model engine's HTTP interface: requests, and the events of its answer streams. Pure
+// functions.
+
+#ifndef BLUEBELLSTEP_SIDECAR_ENGINE_PROTOCOL_H_
+#define BLUEBELLSTEP_SIDECAR_ENGINE_PROTOCOL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cache/block_key.h"
+
+namespace bluebellstep {
+
+/** A prompt as the engine gets it. */
+struct EngineRequest {
+  std::string request_id;
+  std::string model;
+  std::string prompt;
+  std::uint32_t max_tokens = 0;
+  std::int32_t priority = 0;
+  BlockKey cache_salt;
+  std::string resume_text;  // The answer so far, for a run that continues elsewhere.
+  std::uint64_t first_index = 0;
+};
+
+/** Returns the body of `POST /v1/completions`. */
+std::string engine_request_body(const EngineRequest& request);
+
+/** First event of an answer stream. */
+struct EngineStarted {
+  std::string start_id;
+  std::string weight_version;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t cached_blocks = 0;
+  std::uint32_t computed_blocks = 0;
+};
+
+/** One token of the answer. */
+struct EngineToken {
+  std::uint64_t index = 0;
+  std::string text;
+};
+
+/** The answer is whole. */
+struct EngineFinished {
+  std::string finish_reason;
+  std::uint64_t total = 0;
+};
+
+/** The closing mark of a stream. */
+struct EngineDone {};
+
+/** An event that is none of the above. */
+struct EngineMalformed {
+  std::string detail;
+};
+
+using EngineEvent =
+    std::variant<EngineStarted, EngineToken, EngineFinished, EngineDone, EngineMalformed>;
+
+/** Reads the data of one server-sent event. */
+EngineEvent parse_engine_event(std::string_view data);
+
+/** A load report of the engine. It lags behind. */
+struct EngineLoad {
+  std::string start_id;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint64_t kv_tokens_used = 0;
+  std::uint64_t kv_tokens_limit = 0;
+  std::map<std::string, std::string, std::less<>> weight_versions;  // By model.
+};
+
+/** Reads the answer of `GET /load`; nothing if it is malformed. */
+std::optional<EngineLoad> parse_engine_load(std::string_view body);
+
+/** One cache event of the engine. */
+struct EngineCacheEvent {
+  enum class Type { kStored, kEvicted, kCleared };
+
+  std::uint64_t sequence = 0;
+  Type type = Type::kStored;
+  std::vector<BlockKey> keys;
+};
+
+/** A page of cache events. */
+struct EngineCacheEvents {
+  std::string start_id;
+  std::uint64_t next = 0;
+  std::vector<EngineCacheEvent> events;
+};
+
+/** Reads the answer of `GET /kv/events`; nothing if it is malformed. */
+std::optional<EngineCacheEvents> parse_engine_cache_events(std::string_view body);
+
+/** The engine's full list of blocks. */
+struct EngineBlockList {
+  std::string start_id;
+  std::uint64_t next = 0;
+  std::vector<BlockKey> keys;
+};
+
+/** Reads the answer of `GET /kv/blocks`; nothing if it is malformed. */
+std::optional<EngineBlockList> parse_engine_block_list(std::string_view body);
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_SIDECAR_ENGINE_PROTOCOL_H_
