Lint only sources whose own headers changed

Cause: one changed header made the linter run over every source again, 35 s and more with several builds going on. Change: the stamp of a source covers the headers that the last build recorded for it.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Checks formatting and runs the linter over our sources. Usage: lint.sh [--fix-format] [file...]
-# Files that passed with the same contents and the same headers are skipped: results are kept in .lint/ under the
-# build folder, keyed by the preprocessed input.
+# Files that passed with the same contents and the same headers of ours are skipped; the results are kept in .lint/ under
+# the build folder.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build_dir=${BUILD_DIR:-build}
@@ -26,15 +26,26 @@
   case "$file" in *.cc) sources+=("$file") ;; esac
 done
 
+# Our own headers that each source includes, as the last build recorded them: "source header header ...". A source that
+# was not built yet depends on all headers.
 mkdir -p "$build_dir/.lint"
+ninja -C "$build_dir" -t deps | awk '
+  /^[^ ].*\.o:/ { if (source != "") print line; source = ""; line = ""; next }
+  /^ +\.\.\// { sub(/^ +\.\.\//, ""); if (source == "") { source = $0; line = $0 } else line = line " " $0 }
+  END { if (source != "") print line }' >"$build_dir/.lint/deps"
+
 export build_dir
 lint_one() {
-  local file=$1 key stamp
-  key=$( { cat .clang-tidy; cat "$file"; git ls-files --cached --others --exclude-standard -- '*.h' | xargs cat; } | sha256sum | cut -c1-32)
+  local file=$1 headers key stamp
+  headers=$(awk -v file="$file" '$1 == file { $1 = ""; print; exit }' "$build_dir/.lint/deps")
+  [ -n "$headers" ] || headers=$(git ls-files --cached --others --exclude-standard -- '*.h')
+  # Headers that were removed since the build count as changed.
+  key=$(cat .clang-tidy tools/lint.sh "$file" $headers 2>&1 | sha256sum | cut -c1-32)
   stamp="$build_dir/.lint/$(echo "$file" | tr / _).$key"
   [ -e "$stamp" ] && return 0
   # Servers of Cap'n Proto interfaces are deleted as their own type, so they need no virtual destructor.
-  if clang-tidy --quiet -p "$build_dir" --extra-arg=-Wno-delete-non-abstract-non-virtual-dtor "$file" 2>/dev/null >"$stamp.out"; then
+  if clang-tidy --quiet -p "$build_dir" --extra-arg=-Wno-delete-non-abstract-non-virtual-dtor "$file" \
+    2>/dev/null >"$stamp.out"; then
     rm -f "$stamp.out"
     touch "$stamp"
   else
