--- /dev/null
+++ b/src/routing/upstream_table.cc
@@ -0,0 +1,145 @@
+// Upstreams, hints and zones.
+
+#include "routing/upstream_table.h"
+
+#include <algorithm>
+
+namespace bluebellstep {
+
+UpstreamId UpstreamTable::add(std::string_view name,
+                              ZoneId zone,
+                              std::vector<RouteTarget> targets) {
+  const UpstreamId id = names_.intern(name);
+  if (id.value >= upstreams_.size()) {
+    upstreams_.resize(id.value + 1);
+  }
+  remove(id);
+  Upstream& upstream = upstreams_[id.value];
+  upstream = {.name = std::string(name),
+              .zone = zone,
+              .targets = std::move(targets),
+              .present = true,
+              .heard_at = std::nullopt,
+              .hint = {}};
+  for (const RouteTarget& target : upstream.targets) {
+    Group& group = groups_[target];
+    group.ring.add(id, name);
+    group.members.push_back(id);
+  }
+  return id;
+}
+
+void UpstreamTable::remove(UpstreamId id) {
+  Upstream& upstream = upstreams_.at(id.value);
+  if (!upstream.present) {
+    return;
+  }
+  uncount(upstream);
+  for (const RouteTarget& target : upstream.targets) {
+    Group& group = groups_[target];
+    group.ring.remove(id);
+    std::erase(group.members, id);
+  }
+  upstream.present = false;
+}
+
+void UpstreamTable::count(Upstream& upstream) {
+  if (upstream.counted || !upstream.present || !upstream.heard_at || upstream.hint.leaving ||
+      is_zone_out(upstream.zone)) {
+    return;
+  }
+  upstream.counted = true;
+  for (const RouteTarget& target : upstream.targets) {
+    Group& group = groups_[target];
+    group.load += upstream.hint.load;
+    group.limit += upstream.hint.limit;
+  }
+}
+
+void UpstreamTable::uncount(Upstream& upstream) {
+  if (!upstream.counted) {
+    return;
+  }
+  upstream.counted = false;
+  for (const RouteTarget& target : upstream.targets) {
+    Group& group = groups_[target];
+    group.load -= upstream.hint.load;
+    group.limit -= upstream.hint.limit;
+  }
+}
+
+void UpstreamTable::apply_hint(UpstreamId id, const UpstreamHint& hint, Instant now) {
+  Upstream& upstream = upstreams_.at(id.value);
+  if (!upstream.present) {
+    return;
+  }
+  uncount(upstream);
+  upstream.hint = hint;
+  upstream.heard_at = now;
+  upstream.sent_since_hint = 0;
+  count(upstream);
+}
+
+void UpstreamTable::note_sent(UpstreamId id) {
+  ++upstreams_.at(id.value).sent_since_hint;
+}
+
+void UpstreamTable::set_zone_out(ZoneId zone, bool out, Instant now) {
+  Zone& state = zones_[zone];
+  if (state.out == out) {
+    return;
+  }
+  state.out = out;
+  state.back_since = out ? std::nullopt : std::optional(now);
+  for (Upstream& upstream : upstreams_) {
+    if (upstream.zone == zone) {
+      uncount(upstream);
+      count(upstream);
+    }
+  }
+}
+
+bool UpstreamTable::is_zone_out(ZoneId zone) const {
+  const auto found = zones_.find(zone);
+  return found != zones_.end() && found->second.out;
+}
+
+double UpstreamTable::zone_share(ZoneId zone, Instant now) const {
+  const auto found = zones_.find(zone);
+  if (found == zones_.end()) {
+    return 1;
+  }
+  if (found->second.out) {
+    return 0;
+  }
+  if (!found->second.back_since) {
+    return 1;
+  }
+  const Duration back = now - *found->second.back_since;
+  return std::clamp(static_cast<double>(back.ms) / static_cast<double>(kZoneRamp.ms), 0.0, 1.0);
+}
+
+HintAge UpstreamTable::age(const Upstream& upstream, Instant now) const {
+  if (!upstream.heard_at || now - *upstream.heard_at > kSilentAfter) {
+    return HintAge::kSilent;
+  }
+  return now - *upstream.heard_at > kAgedAfter ? HintAge::kAged : HintAge::kFresh;
+}
+
+double UpstreamTable::utilization(const Upstream& upstream, const Group& group, Instant now) const {
+  const double load = upstream.hint.load + upstream.sent_since_hint;
+  const double own = load / std::max(upstream.hint.limit, 1U);
+  return age(upstream, now) == HintAge::kFresh ? own : (own + group.mean_utilization()) / 2;
+}
+
+std::optional<UpstreamId> UpstreamTable::find(std::string_view name) const {
+  const auto id = names_.find(name);
+  return id && upstreams_[id->value].present ? id : std::nullopt;
+}
+
+const UpstreamTable::Group* UpstreamTable::group(RouteTarget target) const {
+  const auto found = groups_.find(target);
+  return found == groups_.end() ? nullptr : &found->second;
+}
+
+}  // namespace bluebellstep
