Add a model of the inference engine for tests and experiments

Cause: admission, routing, caching and streams need an engine that batches, warms up, falls over and loses streams, and that runs under a virtual clock. Change: EngineModel with continuous batching, prefix cache, cache events, load reports, commands and faults; answers and block contents are functions of prompt and key. Conclusion: a request that reads a corrupt block, a block of replaced weights or resumes from a wrong text is counted, so that tests can see it.

--- /dev/null
+++ b/standins/block_payload.cc
@@ -0,0 +1,24 @@
+// Block contents from a pseudo-random sequence that is seeded with the key.
+
+#include "standins/block_payload.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <cstring>
+
+#include "base/hash.h"
+#include "base/random.h"
+
+namespace bluebellstep::standins {
+
+std::string block_payload(BlockKey key, std::size_t size) {
+  Random random(combine_hashes(key.high, key.low));
+  std::string bytes(size, '\0');
+  for (std::size_t at = 0; at < size; at += sizeof(std::uint64_t)) {
+    const std::uint64_t word = random.next();
+    std::memcpy(bytes.data() + at, &word, std::min(sizeof(word), size - at));
+  }
+  return bytes;
+}
+
+}  // namespace bluebellstep::standins
--- /dev/null
+++ b/standins/engine_model_test.cc
@@ -0,0 +1,314 @@
+// Tests of batching, warm-up and streams of the engine model.
+
+#include "standins/engine_model.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace bluebellstep::standins {
+namespace {
+
+constexpr Instant kStart{1'000};
+
+EngineOptions warm_options() {
+  EngineOptions options;
+  options.starts_warm = true;
+  return options;
+}
+
+CompletionRequest request(std::string id, std::string prompt, std::uint32_t max_tokens = 8) {
+  CompletionRequest made;
+  made.request_id = std::move(id);
+  made.model = "clerk";
+  made.prompt = std::move(prompt);
+  made.max_tokens = max_tokens;
+  made.cache_salt = cache_seed("account", "clerk", "1");
+  return made;
+}
+
+StreamId stream_of(const SubmitResult& result) {
+  REQUIRE(std::holds_alternative<StreamId>(result));
+  return std::get<StreamId>(result);
+}
+
+/** What a reader of one stream saw. */
+struct Seen {
+  std::string text;
+  std::vector<std::uint32_t> indices;
+  std::optional<StreamStarted> started;
+  std::optional<StreamFinished> finished;
+  bool broken = false;
+};
+
+Seen read(const std::vector<StreamEvent>& events, StreamId stream) {
+  Seen seen;
+  for (const StreamEvent& event : events) {
+    if (event.stream != stream) {
+      continue;
+    }
+    if (const auto* token = std::get_if<StreamToken>(&event.what)) {
+      seen.text += token->text;
+      seen.indices.push_back(token->index);
+    } else if (const auto* started = std::get_if<StreamStarted>(&event.what)) {
+      seen.started = *started;
+    } else if (const auto* finished = std::get_if<StreamFinished>(&event.what)) {
+      seen.finished = *finished;
+    } else {
+      seen.broken = true;
+    }
+  }
+  return seen;
+}
+
+Instant first_token_at(const std::vector<StreamEvent>& events, StreamId stream) {
+  for (const StreamEvent& event : events) {
+    if (event.stream == stream && std::holds_alternative<StreamStarted>(event.what)) {
+      return event.at;
+    }
+  }
+  FAIL("no first token");
+  return {};
+}
+
+}  // namespace
+
+// Guards against a test that takes mixed or repeated tokens for the right answer.
+TEST_CASE("the expected answer depends on prompt and index", "[standins]") {
+  const ExpectedAnswer answer("prompt");
+  CHECK(answer.text(0, 8) == ExpectedAnswer("prompt").text(0, 8));
+  CHECK(answer.text(0, 8) != ExpectedAnswer("other").text(0, 8));
+  CHECK(answer.text(0, 8) == answer.text(0, 3) + answer.text(3, 8));
+  CHECK(answer.token(0) != answer.token(1));
+  CHECK(answer.token(0).size() == kTextBytesPerToken);
+}
+
+TEST_CASE("a run gives the whole expected answer", "[standins]") {
+  EngineModel engine(warm_options(), kStart);
+  const std::string prompt = "a short prompt";
+  const std::uint32_t natural = ExpectedAnswer(prompt).natural_length();
+  const auto [max_tokens, total, stops] = GENERATE_COPY(
+      table<std::uint32_t, std::uint32_t, bool>({{8, 8, false}, {natural + 1, natural, true}}));
+  const StreamId stream = stream_of(engine.submit(request("r", prompt, max_tokens), kStart));
+  engine.advance(kStart + 60_s);
+  const Seen seen = read(engine.take_events(), stream);
+  CHECK(seen.text == ExpectedAnswer(prompt).text(0, total));
+  REQUIRE(seen.finished);
+  CHECK(seen.finished->total == total);
+  CHECK(seen.finished->stopped == stops);
+  CHECK(seen.started->prompt_tokens == 4);
+  CHECK_FALSE(engine.next_event().has_value());
+}
+
+// Guards against starvation of urgent requests and against overtaking within one priority.
+TEST_CASE("requests start by priority, then arrival", "[standins]") {
+  EngineOptions options = warm_options();
+  options.max_running = 1;
+  EngineModel engine(options, kStart);
+  std::vector<StreamId> streams;
+  for (const auto& [id, priority] : std::vector<std::pair<std::string, int>>{
+           {"first", 0}, {"low", 0}, {"low2", 0}, {"high", 5}}) {
+    CompletionRequest made = request(id, id);
+    made.priority = priority;
+    streams.push_back(stream_of(engine.submit(std::move(made), kStart)));
+  }
+  engine.advance(kStart + 60_s);
+  const auto events = engine.take_events();
+  CHECK(first_token_at(events, streams[0]) < first_token_at(events, streams[3]));
+  CHECK(first_token_at(events, streams[3]) < first_token_at(events, streams[1]));
+  CHECK(first_token_at(events, streams[1]) < first_token_at(events, streams[2]));
+  CHECK(engine.counters().peak_running == 1);
+}
+
+TEST_CASE("KV memory bounds the batch", "[standins]") {
+  EngineOptions options = warm_options();
+  options.max_kv_tokens = 250;
+  EngineModel engine(options, kStart);
+  for (int i = 0; i < 4; ++i) {
+    stream_of(engine.submit(request(std::to_string(i), std::string(368, 'x')), kStart));
+  }
+  engine.advance(kStart + 60_s);
+  CHECK(engine.counters().peak_running == 2);  // 92 + 8 tokens each.
+  CHECK(engine.counters().completed == 4);
+}
+
+TEST_CASE("prefill shares its rate and decode steps grow with the batch", "[standins]") {
+  EngineOptions options = warm_options();
+  options.prefill_tokens_per_s = 1'000;
+  options.decode_step_us = 10'000;
+  options.decode_step_us_per_run = 5'000;
+  const auto [runs, first_ms, last_ms] = GENERATE(
+      table<int, std::int64_t, std::int64_t>({{1, 100, 130}, {2, 200, 240}, {4, 400, 460}}));
+  EngineModel engine(options, kStart);
+  StreamId stream;
+  for (int i = 0; i < runs; ++i) {
+    stream = stream_of(engine.submit(request(std::to_string(i), std::string(400, 'x'), 3), kStart));
+  }
+  engine.advance(kStart + 60_s);
+  const auto events = engine.take_events();
+  CHECK(first_token_at(events, stream) == kStart + Duration{first_ms});
+  CHECK(events.back().at == kStart + Duration{last_ms});
+}
+
+TEST_CASE("refused requests are not run", "[standins]") {
+  EngineOptions options = warm_options();
+  options.max_running = 1;
+  options.max_waiting = 1;
+  options.max_kv_tokens = 1'000;
+  EngineModel engine(options, kStart);
+  engine.submit(request("running", "p"), kStart);
+  CompletionRequest other_model = request("a", "p");
+  other_model.model = "unknown";
+  CHECK(engine.submit(other_model, kStart) == SubmitResult(SubmitError::kUnknownModel));
+  CHECK(engine.submit(request("", "p"), kStart) == SubmitResult(SubmitError::kBadRequest));
+  CHECK(engine.submit(request("a", "p", 0), kStart) == SubmitResult(SubmitError::kBadRequest));
+  CHECK(engine.submit(request("running", "p"), kStart) == SubmitResult(SubmitError::kBadRequest));
+  CHECK(engine.submit(request("a", std::string(4'000, 'x')), kStart) ==
+        SubmitResult(SubmitError::kBadRequest));
+  stream_of(engine.submit(request("waiting", "p"), kStart));
+  CHECK(engine.submit(request("b", "p"), kStart) == SubmitResult(SubmitError::kOverloaded));
+  engine.advance(kStart + 60_s);
+  CHECK(engine.counters().completed == 2);
+  engine.set_faults({.refuse = true});
+  CHECK(engine.submit(request("c", "p"), kStart + 60_s) == SubmitResult(SubmitError::kOverloaded));
+  CHECK(engine.counters().started == 2);
+}
+
+// Guards against an emulator that is kinder to a cold engine than the real one.
+TEST_CASE("a cold engine falls over above 1.5 times of what it bears", "[standins]") {
+  EngineModel engine(EngineOptions{}, kStart);
+  const std::string start_id = engine.start_id();
+  CHECK(engine.bears() == 2);
+  std::vector<StreamId> streams;
+  streams.reserve(4);
+  for (int i = 0; i < 3; ++i) {
+    streams.push_back(stream_of(engine.submit(request(std::to_string(i), "p"), kStart)));
+  }
+  CHECK(engine.counters().falls == 0);
+  streams.push_back(stream_of(engine.submit(request("one too many", "p"), kStart)));
+  CHECK(engine.counters().falls == 1);
+  CHECK(engine.counters().broken_runs == 4);
+  CHECK(engine.start_id() != start_id);
+  const auto events = engine.take_events();
+  for (const StreamId stream : streams) {
+    CHECK(read(events, stream).broken);
+  }
+  CHECK_FALSE(engine.resume("0", 0, kStart).has_value());
+}
+
+TEST_CASE("what an engine bears grows with completed requests", "[standins]") {
+  EngineOptions options;
+  options.max_running = 6;
+  EngineModel engine(options, kStart);
+  Instant now = kStart;
+  for (const std::uint32_t borne : {3u, 4u, 5u, 6u, 6u}) {
+    stream_of(engine.submit(request("r", "p"), now));
+    now = now + 10_s;
+    engine.advance(now);
+    CHECK(engine.bears() == borne);
+  }
+  for (int i = 0; i < 12; ++i) {
+    stream_of(engine.submit(request(std::to_string(i), "p"), now));
+  }
+  CHECK(engine.counters().falls == 0);
+  engine.go_cold(now);  // Six run at once.
+  CHECK(engine.counters().falls == 1);
+  CHECK(engine.bears() == 2);
+}
+
+TEST_CASE("a stream resumes at an index, while running and after the end", "[standins]") {
+  EngineModel engine(warm_options(), kStart);
+  const auto after = GENERATE(1_ms, 60_ms, 10_s);
+  const auto from = GENERATE(0u, 3u, 20u);
+  engine.submit(request("r", "prompt", 20), kStart);
+  const auto stream = engine.resume("r", from, kStart + after);
+  REQUIRE(stream.has_value());
+  engine.advance(kStart + 20_s);
+  const Seen seen = read(engine.take_events(), *stream);
+  CHECK(seen.started.has_value());
+  CHECK(seen.text == ExpectedAnswer("prompt").text(from, 20));
+  REQUIRE(seen.finished);
+  CHECK(seen.finished->total == 20);
+}
+
+TEST_CASE("an ended run is kept for 30 s", "[standins]") {
+  EngineModel engine(warm_options(), kStart);
+  engine.submit(request("r", "prompt"), kStart);
+  engine.advance(kStart + 1_s);
+  CHECK(engine.resume("r", 0, kStart + 30_s).has_value());
+  CHECK_FALSE(engine.resume("r", 9, kStart + 30_s).has_value());
+  CHECK_FALSE(engine.resume("r", 0, kStart + 32_s).has_value());
+  CHECK_FALSE(engine.resume("unknown", 0, kStart).has_value());
+}
+
+// Guards against lost or repeated tokens when a run moves to another engine.
+TEST_CASE("a run continues elsewhere at its first index", "[standins]") {
+  EngineModel engine(warm_options(), kStart);
+  const ExpectedAnswer answer("prompt");
+  const bool right = GENERATE(true, false);
+  CompletionRequest made = request("r", "prompt", 20);
+  made.first_index = 5;
+  made.resume_text = right ? answer.text(0, 5) : answer.text(0, 4);
+  const StreamId stream = stream_of(engine.submit(std::move(made), kStart));
+  engine.advance(kStart + 20_s);
+  const Seen seen = read(engine.take_events(), stream);
+  CHECK(seen.indices.front() == 5);
+  CHECK(seen.text == answer.text(5, 20));
+  CHECK(seen.finished->total == 20);
+  CHECK(engine.counters().wrong_resume_texts == (right ? 0 : 1));
+}
+
+TEST_CASE("cancelling frees the place in the batch", "[standins]") {
+  EngineOptions options = warm_options();
+  options.max_running = 1;
+  EngineModel engine(options, kStart);
+  const StreamId running = stream_of(engine.submit(request("running", "p", 20), kStart));
+  const StreamId waiting = stream_of(engine.submit(request("waiting", "p"), kStart));
+  const StreamId last = stream_of(engine.submit(request("last", "p"), kStart));
+  CHECK(engine.cancel("waiting", kStart + 20_ms));
+  CHECK(engine.cancel("running", kStart + 20_ms));
+  CHECK_FALSE(engine.cancel("running", kStart + 20_ms));
+  engine.advance(kStart + 10_s);
+  const auto events = engine.take_events();
+  CHECK(read(events, running).broken);
+  CHECK(read(events, waiting).broken);
+  CHECK(read(events, last).finished.has_value());
+  CHECK(engine.load_report(kStart + 20_s).kv_tokens_used == 0);
+}
+
+TEST_CASE("stream faults end or silence one stream, not the run", "[standins]") {
+  EngineModel engine(warm_options(), kStart);
+  const auto [breaks, tokens] = GENERATE(table<bool, std::uint32_t>(
+      {{true, 0}, {true, 3}, {true, 8}, {false, 0}, {false, 3}, {false, 8}}));
+  EngineFaults faults;
+  (breaks ? faults.break_after_tokens : faults.stall_after_tokens) = tokens;
+  engine.set_faults(faults);
+  const StreamId stream = stream_of(engine.submit(request("r", "prompt"), kStart));
+  engine.advance(kStart + 10_s);
+  const Seen seen = read(engine.take_events(), stream);
+  CHECK(seen.text == ExpectedAnswer("prompt").text(0, tokens));
+  CHECK(seen.broken == breaks);
+  CHECK_FALSE(seen.finished.has_value());
+
+  engine.set_faults({});
+  const auto resumed = engine.resume("r", tokens, kStart + 10_s);
+  REQUIRE(resumed.has_value());
+  const Seen rest = read(engine.take_events(), *resumed);
+  CHECK(rest.text == ExpectedAnswer("prompt").text(tokens, 8));
+  CHECK(rest.finished.has_value());
+}
+
+TEST_CASE("load reports lag", "[standins]") {
+  EngineModel engine(warm_options(), kStart);
+  engine.submit(request("r", "prompt", 20), kStart + 1_s);
+  CHECK(engine.load_report(kStart + 1'050_ms).running == 0);
+  CHECK(engine.load_report(kStart + 1'100_ms).running == 1);
+  CHECK(engine.load_report(kStart + 10_s).running == 0);
+  engine.set_faults({.load_lag = 5_s});
+  engine.submit(request("s", "prompt"), kStart + 10_s);
+  CHECK(engine.load_report(kStart + 14'900_ms).running == 0);
+}
+
+}  // namespace bluebellstep::standins
--- /dev/null
+++ b/standins/prefix_cache.cc
@@ -0,0 +1,127 @@
+// A block is held exactly if a reference to it exists outside `order_`.
+
+#include "standins/prefix_cache.h"
+
+#include <iterator>
+#include <utility>
+
+namespace bluebellstep::standins {
+
+std::vector<BlockRef> PrefixCache::find_prefix(std::span<const BlockKey> keys) {
+  std::vector<BlockRef> prefix;
+  for (const BlockKey key : keys) {
+    const auto found = blocks_.find(key);
+    if (found == blocks_.end()) {
+      break;
+    }
+    prefix.push_back(*found->second);
+  }
+  // The head of a prompt is marked last, so that its tail is evicted first: a tail without its head
+  // is of no use.
+  for (std::size_t i = prefix.size(); i > 0; --i) {
+    find(prefix[i - 1]->key);
+  }
+  return prefix;
+}
+
+BlockRef PrefixCache::find(BlockKey key) {
+  const auto found = blocks_.find(key);
+  if (found == blocks_.end()) {
+    return nullptr;
+  }
+  order_.splice(order_.begin(), order_, found->second);
+  return *found->second;
+}
+
+BlockRef PrefixCache::insert(CachedBlock block) {
+  if (BlockRef present = find(block.key)) {
+    return present;
+  }
+  return make_room() ? add(std::move(block)) : nullptr;
+}
+
+bool PrefixCache::replace(CachedBlock block) {
+  if (const auto found = blocks_.find(block.key); found != blocks_.end()) {
+    order_.erase(found->second);
+    blocks_.erase(found);
+  } else if (!make_room()) {
+    return false;
+  }
+  add(std::move(block));
+  return true;
+}
+
+void PrefixCache::retire_model(std::string_view model) {
+  for (auto block = order_.begin(); block != order_.end();) {
+    const auto current = block++;
+    if ((*current)->model != model && !(*current)->model.empty()) {
+      continue;
+    }
+    if (current->use_count() == 1) {
+      evict(current);
+    } else {
+      (*current)->retired = true;
+    }
+  }
+}
+
+void PrefixCache::release(std::vector<BlockRef>& blocks) {
+  for (BlockRef& block : blocks) {
+    const BlockKey key = block->key;
+    block.reset();
+    const auto found = blocks_.find(key);
+    if (found != blocks_.end() && (*found->second)->retired && found->second->use_count() == 1) {
+      evict(found->second);
+    }
+  }
+  blocks.clear();
+}
+
+void PrefixCache::clear() {
+  blocks_.clear();
+  order_.clear();
+  evicted_.clear();
+}
+
+std::vector<BlockKey> PrefixCache::take_evicted() {
+  return std::exchange(evicted_, {});
+}
+
+std::vector<BlockKey> PrefixCache::keys() const {
+  std::vector<BlockKey> keys;
+  keys.reserve(order_.size());
+  for (const BlockRef& block : order_) {
+    keys.push_back(block->key);
+  }
+  return keys;
+}
+
+bool PrefixCache::make_room() {
+  if (blocks_.size() < block_limit_) {
+    return true;
+  }
+  for (auto block = order_.end(); block != order_.begin();) {
+    --block;
+    if (block->use_count() == 1) {
+      evict(block);
+      return true;
+    }
+  }
+  return false;
+}
+
+BlockRef PrefixCache::add(CachedBlock block) {
+  const BlockKey key = block.key;
+  order_.push_front(std::make_shared<CachedBlock>(std::move(block)));
+  blocks_[key] = order_.begin();
+  return order_.front();
+}
+
+void PrefixCache::evict(Order::iterator block) {
+  const BlockKey key = (*block)->key;
+  evicted_.push_back(key);
+  blocks_.erase(key);
+  order_.erase(block);
+}
+
+}  // namespace bluebellstep::standins
--- /dev/null
+++ b/standins/prefix_cache.h
@@ -0,0 +1,87 @@
+// Prefix cache of the model engine stand-in: blocks by key in limited memory, with eviction of the
+// least recently used block that no run holds.
+
+#ifndef BLUEBELLSTEP_STANDINS_PREFIX_CACHE_H_
+#define BLUEBELLSTEP_STANDINS_PREFIX_CACHE_H_
+
+#include <cstddef>
+#include <list>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cache/block_key.h"
+
+namespace bluebellstep::standins {
+
+/** One block in accelerator memory. */
+struct CachedBlock {
+  BlockKey key;
+  std::string model;                         // Empty for an imported block until a run reads it.
+  std::string weight_version;                // Same.
+  std::optional<std::string> foreign_bytes;  // Imported bytes that do not belong to the key.
+  bool retired = false;  // Computed with replaced weights; dropped when its last run ends.
+};
+
+/** Reference by which a run holds a block. A held block is not evicted. */
+using BlockRef = std::shared_ptr<CachedBlock>;
+
+/** The cache. Blocks taken out by `clear` stay valid for the runs that hold them. */
+class PrefixCache {
+ public:
+  /** Creates a cache for at most `block_limit` blocks. */
+  explicit PrefixCache(std::size_t block_limit) : block_limit_(block_limit) {}
+
+  /** Returns the blocks of the longest cached prefix of `keys` and marks them as used. */
+  std::vector<BlockRef> find_prefix(std::span<const BlockKey> keys);
+
+  /** Returns the block with `key` and marks it as used; null if there is none. */
+  BlockRef find(BlockKey key);
+
+  /** Adds a block, and evicts others if necessary. Returns the block that was there already, if
+   * any; null if runs hold all of the memory. */
+  BlockRef insert(CachedBlock block);
+
+  /** Adds a block in place of any block with the same key. Returns false if runs hold all of the
+   * memory. */
+  bool replace(CachedBlock block);
+
+  /** Drops the blocks of `model` and those of unknown model, which were imported and not yet read.
+   * Held blocks are dropped when their last run releases them. */
+  void retire_model(std::string_view model);
+
+  /** Ends the hold of a run on `blocks`. */
+  void release(std::vector<BlockRef>& blocks);
+
+  /** Drops all blocks without listing them in `take_evicted`. */
+  void clear();
+
+  /** Returns the keys evicted since the last call. */
+  std::vector<BlockKey> take_evicted();
+
+  /** Returns the keys of all blocks, most recently used first. */
+  std::vector<BlockKey> keys() const;
+
+  std::size_t size() const { return blocks_.size(); }
+
+ private:
+  using Order = std::list<BlockRef>;
+
+  bool make_room();
+  BlockRef add(CachedBlock block);
+  void evict(Order::iterator block);
+
+  std::size_t block_limit_;
+  // Most recently used first. `blocks_` has one entry for each element.
+  Order order_;
+  std::unordered_map<BlockKey, Order::iterator> blocks_;
+  std::vector<BlockKey> evicted_;
+};
+
+}  // namespace bluebellstep::standins
+
+#endif  // BLUEBELLSTEP_STANDINS_PREFIX_CACHE_H_
