--- /dev/null
+++ b/standins/store_model_test.cc
@@ -0,0 +1,131 @@
+// Tests of the tiers, links and faults of the store model.
+
+#include "standins/store_model.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+namespace bluebellstep::standins {
+namespace {
+
+constexpr Instant kStart{1'000};
+
+/** Memory of 1,000 bytes at 1,000 bytes/s, disk of 10,000 bytes at 100 bytes/s. */
+StoreModel make_store() {
+  return {{.memory = {1'000, 1'000}, .disk = {10'000, 100}}, kStart};
+}
+
+std::vector<StoreResult> run_to(StoreModel& store, Duration since_start) {
+  store.advance(kStart + since_start);
+  return store.take_results();
+}
+
+}  // namespace
+
+TEST_CASE("a value reads back from its tier only", "[standins]") {
+  StoreModel store = make_store();
+  const auto [own, other] = GENERATE(table<StoreTier, StoreTier>(
+      {{StoreTier::kMemory, StoreTier::kDisk}, {StoreTier::kDisk, StoreTier::kMemory}}));
+  store.put(own, "k", "value", kStart);
+  run_to(store, 1_s);
+  store.get(own, "k", kStart + 1_s);
+  store.get(other, "k", kStart + 1_s);
+  auto results = run_to(store, 2_s);
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].status == StoreStatus::kMissing);
+  CHECK(results[1].bytes == "value");
+  store.remove(own, "k", kStart + 2_s);
+  store.get(own, "k", kStart + 2_s);
+  results = run_to(store, 3_s);
+  CHECK(results[0].status == StoreStatus::kOk);
+  CHECK(results[1].status == StoreStatus::kMissing);
+  CHECK(store.status(own, kStart + 3_s)->used == 0);
+}
+
+TEST_CASE("a link carries one transfer after the other at its rate", "[standins]") {
+  StoreModel store = make_store();
+  const auto [tier, factor, first_ms] = GENERATE(table<StoreTier, double, std::int64_t>(
+      {{StoreTier::kMemory, 1, 200}, {StoreTier::kMemory, 4, 800}, {StoreTier::kDisk, 1, 2'000}}));
+  store.set_faults({.link_factor = factor}, kStart);
+  store.put(tier, "a", std::string(200, 'a'), kStart);
+  store.put(tier, "b", std::string(200, 'b'), kStart);
+  CHECK(store.next_event() == kStart + Duration{first_ms});
+  CHECK(store.status(tier, kStart + Duration{first_ms / 2})->queued_bytes == 300);
+  const auto results = run_to(store, 60_s);
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].at == kStart + Duration{first_ms});
+  CHECK(results[1].at == kStart + Duration{2 * first_ms});
+  CHECK(store.status(tier, kStart + 60_s)->queued_bytes == 0);
+  CHECK_FALSE(store.next_event().has_value());
+}
+
+TEST_CASE("the tiers' links do not delay each other", "[standins]") {
+  StoreModel store = make_store();
+  store.put(StoreTier::kDisk, "a", std::string(200, 'a'), kStart);
+  store.put(StoreTier::kMemory, "b", std::string(200, 'b'), kStart);
+  CHECK(run_to(store, 200_ms).size() == 1);
+}
+
+// Guards against a value that can be read before it is complete.
+TEST_CASE("a write is readable only when it is complete", "[standins]") {
+  StoreModel store = make_store();
+  store.put(StoreTier::kMemory, "k", std::string(200, 'a'), kStart);
+  store.get(StoreTier::kMemory, "k", kStart + 100_ms);
+  CHECK(store.take_results().at(0).status == StoreStatus::kMissing);
+}
+
+TEST_CASE("a full tier refuses writes, queued ones counted", "[standins]") {
+  StoreModel store = make_store();
+  store.put(StoreTier::kMemory, "a", std::string(600, 'a'), kStart);
+  store.put(StoreTier::kMemory, "b", std::string(600, 'b'), kStart);
+  CHECK(store.take_results().at(0).status == StoreStatus::kFull);
+  store.put(StoreTier::kMemory, "c", std::string(400, 'c'), kStart);
+  CHECK(run_to(store, 10_s).size() == 2);
+  store.set_faults({.full = true}, kStart + 10_s);
+  store.put(StoreTier::kDisk, "d", "d", kStart + 10_s);
+  CHECK(store.take_results().at(0).status == StoreStatus::kFull);
+  CHECK(store.counters().full == 2);
+}
+
+TEST_CASE("a store that is down breaks all calls and keeps its values", "[standins]") {
+  StoreModel store = make_store();
+  store.put(StoreTier::kMemory, "k", "value", kStart);
+  run_to(store, 1_s);
+  store.put(StoreTier::kMemory, "under way", std::string(200, 'x'), kStart + 1_s);
+  store.set_faults({.down = true}, kStart + 1'100_ms);
+  store.get(StoreTier::kMemory, "k", kStart + 1'100_ms);
+  for (const StoreResult& result : run_to(store, 5_s)) {
+    CHECK(result.status == StoreStatus::kBroken);
+  }
+  CHECK(store.counters().broken == 2);
+  CHECK_FALSE(store.status(StoreTier::kMemory, kStart + 5_s).has_value());
+  store.set_faults({}, kStart + 5_s);
+  CHECK(store.status(StoreTier::kMemory, kStart + 5_s)->used == 5);
+  store.get(StoreTier::kMemory, "k", kStart + 5_s);
+  store.get(StoreTier::kMemory, "under way", kStart + 5_s);
+  CHECK(run_to(store, 6_s).size() == 2);
+  CHECK(store.counters().misses == 1);
+}
+
+// Guards against tests of block frames whose faults do not happen.
+TEST_CASE("faulty reads and writes give other bytes", "[standins]") {
+  StoreModel store = make_store();
+  const std::string right(100, 'a');
+  const auto [faults, expected] = GENERATE_COPY(table<StoreFaults, std::string>(
+      {{StoreFaults{}, right},
+       {StoreFaults{.partial_writes = true}, right.substr(0, 50)},
+       {StoreFaults{.corrupt_reads = true}, right.substr(0, 50) + '`' + right.substr(51)},
+       {StoreFaults{.wrong_block = true}, "other"}}));
+  store.put(StoreTier::kMemory, "other", "other", kStart);
+  run_to(store, 1_s);
+  store.set_faults(faults, kStart + 1_s);
+  store.put(StoreTier::kMemory, "k", right, kStart + 1_s);
+  const auto written = run_to(store, 2_s);
+  CHECK(written.at(0).status == (faults.partial_writes ? StoreStatus::kBroken : StoreStatus::kOk));
+  store.get(StoreTier::kMemory, "k", kStart + 2_s);
+  CHECK(run_to(store, 3_s).at(0).bytes == expected);
+}
+
+}  // namespace bluebellstep::standins
