--- a/standins/engine_model_cache_test.cc
+++ b/standins/engine_model_cache_test.cc
@@ -57,6 +57,7 @@
 
 }  // namespace
 
+// Guards against prefixes that are computed again or survive a cold start.
 TEST_CASE("a returning prompt reads its cached prefix", "[standins]") {
   Bench bench;
   CHECK(bench.run('x', 3).computed_blocks == 3);
@@ -67,6 +68,7 @@
   CHECK(bench.run('x', 4).cached_blocks == 0);
 }
 
+// Guards against eviction of a head, which makes the rest of the prompt useless.
 TEST_CASE("the least recently used blocks are evicted, the tail of a prompt first", "[standins]") {
   EngineOptions options;
   options.cache_blocks = 6;
@@ -93,6 +95,7 @@
   CHECK(engine.import_block(other, block_payload(other, options.block_bytes), kStart + 10_s));
 }
 
+// Guards against right blocks being counted as corrupt.
 TEST_CASE("an exported block can be imported elsewhere", "[standins]") {
   Bench from;
   Bench to;
@@ -129,6 +132,7 @@
   CHECK(bench.engine.counters().corrupt_reads == 1);
 }
 
+// Guards against events that are fresher than those of real engines.
 TEST_CASE("cache events come late and in order", "[standins]") {
   EngineOptions options;
   options.cache_blocks = 2;
@@ -167,8 +171,10 @@
   bench.run('e', 1);
   CHECK(bench.engine.last_cache_event() == 6);
   CHECK(bench.engine.cache_events(5, bench.now).next == 5);
+  CHECK(bench.engine.cache_events(0, bench.now).next == 5);
 }
 
+// Guards against an index that mixes events of two incarnations.
 TEST_CASE("a fall over restarts the cache events", "[standins]") {
   Bench bench;
   bench.run('x', 2);
@@ -181,6 +187,7 @@
   CHECK(bench.engine.cached_keys(bench.now).empty());
 }
 
+// Guards against a stale command holder being refused by an engine that cannot check.
 TEST_CASE("fencing numbers are checked or ignored by option", "[standins]") {
   EngineOptions options;
   options.checks_fencing_numbers = GENERATE(true, false);
@@ -202,6 +209,7 @@
   CHECK(engine.load_report(kStart + 10_s).models.at("clerk:lora") == (checks ? "1" : "2"));
 }
 
+// Guards against load gates being tested without the cost that they avoid.
 TEST_CASE("a weight load takes its time, more when over two servers load", "[standins]") {
   EngineOptions options;
   options.load_group = std::make_shared<WeightLoadGroup>();
@@ -222,6 +230,7 @@
   CHECK(engine.load_report(kStart + 10_s).models.at("clerk") == "2");
 }
 
+// Guards against a lost load that counts as done or keeps its place in the group.
 TEST_CASE("a fall over aborts a weight load", "[standins]") {
   EngineOptions options;
   options.load_group = std::make_shared<WeightLoadGroup>();
@@ -258,6 +267,7 @@
   CHECK(engine.cached_keys(kStart + 10_s).empty());
 }
 
+// Guards against blocks of old weights that stay readable after a swap.
 TEST_CASE("a swap evicts the blocks of the old weights", "[standins]") {
   Bench bench;
   bench.run('x', 2);
--- a/standins/engine_model_test.cc
+++ b/standins/engine_model_test.cc
@@ -85,6 +85,7 @@
   CHECK(answer.token(0).size() == kTextBytesPerToken);
 }
 
+// Guards against lost tokens and a wrong end of an answer.
 TEST_CASE("a run gives the whole expected answer", "[standins]") {
   EngineModel engine(warm_options(), kStart);
   const std::string prompt = "a short prompt";
@@ -122,6 +123,7 @@
   CHECK(engine.counters().peak_running == 1);
 }
 
+// Guards against a batch that real accelerator memory would not hold.
 TEST_CASE("KV memory bounds the batch", "[standins]") {
   EngineOptions options = warm_options();
   options.max_kv_tokens = 250;
@@ -134,6 +136,7 @@
   CHECK(engine.counters().completed == 4);
 }
 
+// Guards against timings that make a loaded engine as fast as an idle one.
 TEST_CASE("prefill shares its rate and decode steps grow with the batch", "[standins]") {
   EngineOptions options = warm_options();
   options.prefill_tokens_per_s = 1'000;
@@ -152,6 +155,20 @@
   CHECK(events.back().at == kStart + Duration{last_ms});
 }
 
+// Guards against a prefill rate that is not divided among prompts of different lengths.
+TEST_CASE("a long prompt gets the whole prefill rate after a short one", "[standins]") {
+  EngineOptions options = warm_options();
+  options.prefill_tokens_per_s = 1'000;
+  EngineModel engine(options, kStart);
+  const StreamId short_one = stream_of(engine.submit(request("s", std::string(400, 'x')), kStart));
+  const StreamId long_one = stream_of(engine.submit(request("l", std::string(1'200, 'x')), kStart));
+  engine.advance(kStart + 60_s);
+  const auto events = engine.take_events();
+  CHECK(first_token_at(events, short_one) == kStart + 200_ms);
+  CHECK(first_token_at(events, long_one) == kStart + 400_ms);
+}
+
+// Guards against a refusal whose request runs all the same.
 TEST_CASE("refused requests are not run", "[standins]") {
   EngineOptions options = warm_options();
   options.max_running = 1;
@@ -198,6 +215,7 @@
   CHECK_FALSE(engine.resume("0", 0, kStart).has_value());
 }
 
+// Guards against an engine that never warms up, or that is warm at once.
 TEST_CASE("what an engine bears grows with completed requests", "[standins]") {
   EngineOptions options;
   options.max_running = 6;
@@ -218,6 +236,7 @@
   CHECK(engine.bears() == 2);
 }
 
+// Guards against tokens lost or repeated where a stream is resumed.
 TEST_CASE("a stream resumes at an index, while running and after the end", "[standins]") {
   EngineModel engine(warm_options(), kStart);
   const auto after = GENERATE(1_ms, 60_ms, 10_s);
@@ -233,6 +252,7 @@
   CHECK(seen.finished->total == 20);
 }
 
+// Guards against runs that vanish before a reader can resume, or that are kept for ever.
 TEST_CASE("an ended run is kept for 30 s", "[standins]") {
   EngineModel engine(warm_options(), kStart);
   engine.submit(request("r", "prompt"), kStart);
@@ -260,6 +280,7 @@
   CHECK(engine.counters().wrong_resume_texts == (right ? 0 : 1));
 }
 
+// Guards against cancelled runs that go on holding capacity.
 TEST_CASE("cancelling frees the place in the batch", "[standins]") {
   EngineOptions options = warm_options();
   options.max_running = 1;
@@ -278,6 +299,7 @@
   CHECK(engine.load_report(kStart + 20_s).kv_tokens_used == 0);
 }
 
+// Guards against a stream fault that loses the run, so that nothing is left to resume.
 TEST_CASE("stream faults end or silence one stream, not the run", "[standins]") {
   EngineModel engine(warm_options(), kStart);
   const auto [breaks, tokens] = GENERATE(table<bool, std::uint32_t>(
@@ -300,6 +322,7 @@
   CHECK(rest.finished.has_value());
 }
 
+// Guards against load reports that are fresher than those of real engines.
 TEST_CASE("load reports lag", "[standins]") {
   EngineModel engine(warm_options(), kStart);
   engine.submit(request("r", "prompt", 20), kStart + 1_s);
--- a/standins/store_model_test.cc
+++ b/standins/store_model_test.cc
@@ -24,6 +24,7 @@
 
 }  // namespace
 
+// Guards against tiers that share their values.
 TEST_CASE("a value reads back from its tier only", "[standins]") {
   StoreModel store = make_store();
   const auto [own, other] = GENERATE(table<StoreTier, StoreTier>(
@@ -44,6 +45,7 @@
   CHECK(store.status(own, kStart + 3_s)->used == 0);
 }
 
+// Guards against a link that carries more than its rate.
 TEST_CASE("a link carries one transfer after the other at its rate", "[standins]") {
   StoreModel store = make_store();
   const auto [tier, factor, first_ms] = GENERATE(table<StoreTier, double, std::int64_t>(
@@ -61,6 +63,7 @@
   CHECK_FALSE(store.next_event().has_value());
 }
 
+// Guards against a slow disk that holds up memory reads.
 TEST_CASE("the tiers' links do not delay each other", "[standins]") {
   StoreModel store = make_store();
   store.put(StoreTier::kDisk, "a", std::string(200, 'a'), kStart);
@@ -76,6 +79,7 @@
   CHECK(store.take_results().at(0).status == StoreStatus::kMissing);
 }
 
+// Guards against queued writes that overfill a tier.
 TEST_CASE("a full tier refuses writes, queued ones counted", "[standins]") {
   StoreModel store = make_store();
   store.put(StoreTier::kMemory, "a", std::string(600, 'a'), kStart);
@@ -89,6 +93,7 @@
   CHECK(store.counters().full == 2);
 }
 
+// Guards against calls that end well, or hang, on a dead store.
 TEST_CASE("a store that is down breaks all calls and keeps its values", "[standins]") {
   StoreModel store = make_store();
   store.put(StoreTier::kMemory, "k", "value", kStart);
@@ -107,6 +112,19 @@
   store.get(StoreTier::kMemory, "under way", kStart + 5_s);
   CHECK(run_to(store, 6_s).size() == 2);
   CHECK(store.counters().misses == 1);
+  store.put(StoreTier::kMemory, "rest", std::string(995, 'x'), kStart + 6_s);
+  CHECK(run_to(store, 8_s).at(0).status == StoreStatus::kOk);
+}
+
+// Guards against a tier that fills up when values are written again.
+TEST_CASE("a write replaces the earlier value", "[standins]") {
+  StoreModel store = make_store();
+  store.put(StoreTier::kMemory, "k", std::string(400, 'a'), kStart);
+  store.put(StoreTier::kMemory, "k", std::string(300, 'b'), kStart);
+  run_to(store, 1_s);
+  CHECK(store.status(StoreTier::kMemory, kStart + 1_s)->used == 300);
+  store.get(StoreTier::kMemory, "k", kStart + 1_s);
+  CHECK(run_to(store, 2_s).at(0).bytes == std::string(300, 'b'));
 }
 
 // Guards against tests of block frames whose faults do not happen.
