Let the order ledger decide repeats without taking new orders

Cause: a leaving sidecar answers repeats of orders until the end but must not claim new keys.

Change: OrderLedger::find_repeat decides on a known key and changes nothing.

--- a/src/orders/order_ledger.cc
+++ b/src/orders/order_ledger.cc
@@ -57,6 +57,12 @@
   return Proceed{{slot, claims_[slot].generation}};
 }
 
+std::optional<ClaimDecision> OrderLedger::find_repeat(const OrderKey& key,
+                                                      std::uint64_t body_hash) const {
+  const std::uint32_t slot = index_[index_position(key.digest())];
+  return slot == kNone ? std::nullopt : std::optional(decide_known(slot, body_hash));
+}
+
 ClaimDecision OrderLedger::decide_known(std::uint32_t slot, std::uint64_t body_hash) const {
   const Claim& claim = claims_[slot];
   if (claim.body_hash != body_hash) {
--- a/src/orders/order_ledger.h
+++ b/src/orders/order_ledger.h
@@ -97,6 +97,10 @@
    * key apart. For an opaque key, `Proceed` must be followed by an `OpaqueClaim`. */
   ClaimDecision claim(const OrderKey& key, std::uint64_t body_hash, Instant wall_now);
 
+  /** Decides on a key that has a claim, as `claim` does; nothing if it has none. For a leaving
+   * owner, which answers repeats but takes no new orders. */
+  std::optional<ClaimDecision> find_repeat(const OrderKey& key, std::uint64_t body_hash) const;
+
   /** Must be called before the first byte is sent to the upstream. If it returns false, the claim
    * is no longer held in `kClaimed` and the order must not be sent. */
   [[nodiscard]] bool mark_dispatched(ClaimId id);
--- a/src/orders/order_ledger_test.cc
+++ b/src/orders/order_ledger_test.cc
@@ -35,6 +35,8 @@
   const OrderKey key = key_born(kReady);
   const ClaimId id = std::get<Proceed>(ledger.claim(key, 1, kReady)).claim;
   CHECK(std::get<Join>(ledger.claim(key, 1, kReady)).claim == id);
+  CHECK(std::get<Join>(ledger.find_repeat(key, 1).value()).claim == id);
+  CHECK_FALSE(ledger.find_repeat(key_born(kReady, "unknown"), 1).has_value());
   CHECK(refused_state(ledger.claim(key, 2, kReady)) == RunState::kMayHaveRun);
 
   REQUIRE(ledger.mark_dispatched(id));
