Add the shutdown module: phases and exit codes of a drain

Change: DrainController for entry instances and sidecars, with variant-typed phases. The stop limit counts from the first SIGTERM.

--- /dev/null
+++ b/src/shutdown/drain_controller.cc
@@ -0,0 +1,91 @@
+// Phases of a shutdown: serving, announced, draining, cutting, exiting.
+
+#include "shutdown/drain_controller.h"
+
+#include <cassert>
+
+#include "base/overloaded.h"
+
+namespace bluebellstep {
+
+DrainController::DrainController(DrainRole role, const DrainTimes& times)
+    : role_(role), times_(times) {
+  assert(times.stop_limit > times.balancer_delay && times.stop_limit > times.leave_notice);
+}
+
+void DrainController::terminate(Instant now) {
+  if (!ready()) {
+    phase_ = Exiting{kExitForced};
+    return;
+  }
+  const Duration notice = role_ == DrainRole::kEntry ? times_.balancer_delay : times_.leave_notice;
+  phase_ = Announced{now + notice, now + times_.stop_limit};
+}
+
+DrainStep DrainController::step(std::size_t open_work, Instant now) {
+  return std::visit(
+      Overloaded{[](Serving) -> DrainStep { return DrainContinue{}; },
+                 [&](Announced announced) { return step_announced(announced, open_work, now); },
+                 [&](Draining draining) { return step_draining(draining, open_work, now); },
+                 [&](Cutting cutting) -> DrainStep {
+                   if (open_work > 0 && now < cutting.until) {
+                     return DrainContinue{cutting.until};
+                   }
+                   phase_ = Exiting{kExitCut};
+                   return ExitProcess{kExitCut};
+                 },
+                 [](Exiting exiting) -> DrainStep { return ExitProcess{exiting.code}; }},
+      phase_);
+}
+
+DrainStep DrainController::step_announced(const Announced& announced,
+                                          std::size_t open_work,
+                                          Instant now) {
+  if (now < announced.until) {
+    return DrainContinue{announced.until};
+  }
+  const Draining next{announced.stop_at};
+  phase_ = next;
+  if (role_ == DrainRole::kEntry) {
+    return CloseListener{};
+  }
+  return step_draining(next, open_work, now);
+}
+
+DrainStep DrainController::step_draining(const Draining& draining,
+                                         std::size_t open_work,
+                                         Instant now) {
+  if (open_work == 0) {
+    phase_ = Exiting{kExitGraceful};
+    return ExitProcess{kExitGraceful};
+  }
+  if (now < draining.stop_at) {
+    return DrainContinue{draining.stop_at};
+  }
+  phase_ = Cutting{now + times_.cut_limit};
+  return CutStreams{};
+}
+
+std::optional<Verdict> DrainController::refuse(DrainWork work) const {
+  const bool cutting =
+      std::holds_alternative<Cutting>(phase_) || std::holds_alternative<Exiting>(phase_);
+  bool accepted = ready();
+  if (role_ == DrainRole::kEntry) {
+    accepted = accepted || std::holds_alternative<Announced>(phase_) ||
+               (work == DrainWork::kResume && !cutting);
+  } else {
+    accepted = accepted || (work != DrainWork::kNewRequest && !cutting);
+  }
+  if (accepted) {
+    return std::nullopt;
+  }
+  // A repeat's first request and a resumed stream may have run.
+  if (work != DrainWork::kNewRequest) {
+    return Verdict::may_have_run(Reason::kShuttingDown, "the process is shutting down");
+  }
+  const Reason reason =
+      role_ == DrainRole::kEntry ? Reason::kShuttingDown : Reason::kUpstreamLeaving;
+  return Verdict::not_run(reason, "the process is shutting down", Duration{0});
+}
+
+}  // namespace bluebellstep
