--- /dev/null
+++ b/src/commands/fenced_lease_test.cc
@@ -0,0 +1,133 @@
+// Tests of the lease with fencing numbers.
+
+#include "commands/fenced_lease.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace bluebellstep {
+namespace {
+
+constexpr Duration kTerm{1000};
+
+FencedLease lease_of(std::string holder) {
+  FencedLease lease({.object_key = "leases/u1",
+                     .holder = std::move(holder),
+                     .term = kTerm,
+                     .grace = {300},
+                     .send_margin = {100}});
+  lease.acquire();
+  return lease;
+}
+
+// Acquires a lease whose object is absent; returns the object that it wrote.
+PlatformObject acquire_absent(FencedLease& lease, Instant now) {
+  REQUIRE(std::holds_alternative<PlatformRead>(lease.next(now)));
+  lease.on_read(std::nullopt, now);
+  const auto write = std::get<PlatformWrite>(lease.next(now));
+  lease.on_write(ObjectVersion{1}, now);
+  return {write.key, {1}, write.value};
+}
+
+}  // namespace
+
+// Guards against acting on a lease in the time that its write took, or shortly before its end.
+TEST_CASE("a lease counts from before its write was sent", "[commands]") {
+  FencedLease lease = lease_of("a");
+  REQUIRE(std::holds_alternative<PlatformRead>(lease.next(Instant{0})));
+  CHECK(std::holds_alternative<LeaseBusy>(lease.next(Instant{0})));
+  lease.on_read(std::nullopt, Instant{10});
+  REQUIRE(std::holds_alternative<PlatformWrite>(lease.next(Instant{10})));
+  lease.on_write(ObjectVersion{1}, Instant{200});
+  CHECK(lease.fencing_number() == 1);
+  CHECK(lease.may_act(Instant{909}));
+  CHECK_FALSE(lease.may_act(Instant{910}));
+  CHECK(std::get<LeaseHeld>(lease.next(Instant{200})).renew_at == Instant{510});
+}
+
+// Guards against a holder that overlaps with the previous one, or a number that is used twice.
+TEST_CASE("another holder waits for term and grace and raises the number", "[commands]") {
+  FencedLease first = lease_of("a");
+  const PlatformObject object = acquire_absent(first, Instant{0});
+  FencedLease second = lease_of("b");
+  Instant now{5000};
+  (void)second.next(now);
+  second.on_read(object, now);
+  while (now < Instant{6300}) {
+    const LeaseStep step = second.next(now);
+    if (const auto* wait = std::get_if<LeaseWait>(&step)) {
+      now = wait->at;
+    } else {
+      REQUIRE(std::holds_alternative<PlatformRead>(step));
+      second.on_read(object, now);
+    }
+  }
+  CHECK(std::holds_alternative<PlatformRead>(second.next(now)));
+  second.on_read(object, now);
+  CHECK(std::get<PlatformWrite>(second.next(now)).expected == ObjectVersion{1});
+  second.on_write(ObjectVersion{2}, now);
+  CHECK(second.fencing_number() == 2);
+}
+
+TEST_CASE("a released lease is taken without a wait", "[commands]") {
+  FencedLease first = lease_of("a");
+  acquire_absent(first, Instant{0});
+  first.release();
+  CHECK_FALSE(first.may_act(Instant{1}));
+  const auto write = std::get<PlatformWrite>(first.next(Instant{1}));
+  first.on_write(ObjectVersion{2}, Instant{2});
+  CHECK(std::holds_alternative<LeaseIdle>(first.next(Instant{2})));
+  FencedLease second = lease_of("b");
+  (void)second.next(Instant{3});
+  second.on_read(PlatformObject{write.key, {2}, write.value}, Instant{3});
+  REQUIRE(std::holds_alternative<PlatformWrite>(second.next(Instant{3})));
+  second.on_write(ObjectVersion{3}, Instant{4});
+  CHECK(second.fencing_number() == 2);
+}
+
+// Guards against a second, different write while the first may still take effect.
+TEST_CASE("a write without an answer is read back and repeated unchanged", "[commands]") {
+  FencedLease lease = lease_of("a");
+  (void)lease.next(Instant{0});
+  lease.on_read(std::nullopt, Instant{0});
+  const auto write = std::get<PlatformWrite>(lease.next(Instant{0}));
+  lease.on_write(PlatformUnavailable{}, Instant{50});
+  REQUIRE(std::get<LeaseWait>(lease.next(Instant{50})).at == Instant{250});
+  REQUIRE(std::holds_alternative<PlatformRead>(lease.next(Instant{250})));
+  SECTION("it took effect") {
+    lease.on_read(PlatformObject{write.key, {4}, write.value}, Instant{260});
+    CHECK(lease.may_act(Instant{899}));
+    CHECK_FALSE(lease.may_act(Instant{900}));
+  }
+  SECTION("it did not") {
+    lease.on_read(std::nullopt, Instant{260});
+    const auto again = std::get<PlatformWrite>(lease.next(Instant{260}));
+    CHECK(again.value == write.value);
+    CHECK(again.expected == write.expected);
+  }
+}
+
+TEST_CASE("a stale number loses the lease and the next one is higher", "[commands]") {
+  FencedLease lease = lease_of("a");
+  const PlatformObject object = acquire_absent(lease, Instant{0});
+  lease.report_stale(8);
+  CHECK_FALSE(lease.may_act(Instant{1}));
+  (void)lease.next(Instant{1});
+  lease.on_read(object, Instant{1});
+  REQUIRE(std::holds_alternative<PlatformWrite>(lease.next(Instant{1})));
+  lease.on_write(ObjectVersion{2}, Instant{1});
+  CHECK(lease.fencing_number() == 9);
+}
+
+// Guards against taking over a lease that a newer version of the program wrote.
+TEST_CASE("a value that is not understood is never taken over", "[commands]") {
+  FencedLease lease = lease_of("a");
+  for (Instant now{0}; now < Instant{100'000}; now = now + 600_ms) {
+    REQUIRE(std::holds_alternative<PlatformRead>(lease.next(now)));
+    lease.on_read(PlatformObject{"leases/u1", {3}, "v2"}, now);
+    REQUIRE(std::holds_alternative<LeaseWait>(lease.next(now)));
+  }
+}
+
+}  // namespace bluebellstep
