--- a/src/rollout/rollout_test.cc
+++ b/src/rollout/rollout_test.cc
@@ -73,6 +73,7 @@
 
 TEST_CASE("three entries watch and others take over within two seconds", "[rollout]") {
   std::vector<WatcherElection> entries;
+  entries.reserve(8);
   for (int i = 0; i < 8; ++i) {
     entries.emplace_back("e" + std::to_string(i), true, i);
   }
