--- /dev/null
+++ b/src/entry/caller_routes.cc
@@ -0,0 +1,290 @@
+// Routes of the entry instance.
+
+#include "entry/caller_routes.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cache/block_key.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr std::string_view kServicePrefix = "/v1/services/";
+constexpr Duration kNotReadyRetry = {500};
+
+std::string_view query_of(std::string_view path) {
+  const auto mark = path.find('?');
+  return mark == std::string_view::npos ? std::string_view() : path.substr(mark + 1);
+}
+
+// Returns the value of a parameter of a query string. Values are names, which need no decoding.
+std::string_view query_parameter(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    const auto end = query.find('&');
+    const std::string_view item = query.substr(0, end);
+    if (item.size() > name.size() && item.starts_with(name) && item[name.size()] == '=') {
+      return item.substr(name.size() + 1);
+    }
+    query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+  }
+  return {};
+}
+
+std::uint64_t root_key_of(const RequestSpec& spec, const BlockKey& seed) {
+  return next_block_key(seed, std::string_view(spec.body).substr(0, kBlockTextBytes)).low;
+}
+
+std::variant<Duration, Verdict> read_deadline(std::span<const HttpHeader> headers,
+                                              Duration longest) {
+  const auto header = find_header(headers, "x-deadline-ms");
+  if (!header.has_value()) {
+    return longest;
+  }
+  std::int64_t ms = 0;
+  const char* const end = header->data() + header->size();
+  const auto [read_to, fault] = std::from_chars(header->data(), end, ms);
+  if (fault != std::errc() || read_to != end || ms < 1) {
+    return Verdict::not_run(Reason::kBadRequest,
+                            "header \"x-deadline-ms\" must be a positive number of milliseconds");
+  }
+  return std::min(Duration{ms}, longest);
+}
+
+}  // namespace
+
+void respond_verdict(HttpServer& server, ExchangeId exchange, const Verdict& verdict) {
+  std::vector<HttpHeader> headers = {{"content-type", "application/json"},
+                                     {"x-run-state", std::string(to_string(verdict.run_state()))}};
+  if (verdict.retry_after().has_value()) {
+    const std::int64_t seconds = (verdict.retry_after()->ms + 999) / 1000;
+    headers.push_back({"retry-after", std::to_string(seconds)});
+  }
+  server.respond(exchange, http_status(verdict), std::move(headers), verdict_document(verdict));
+}
+
+CallerRoutes::CallerRoutes(HttpServer& server,
+                           ProcessState& state,
+                           UpstreamLinks& links,
+                           RequestRunner& runner,
+                           Metrics& metrics)
+    : server_(server),
+      links_(links),
+      runner_(runner),
+      operator_routes_(
+          server,
+          state,
+          metrics,
+          {.is_ready = [this] { return ready_; },
+           .update_metrics =
+               [this](Metrics& out) {
+                 out.set("bluebellstep_open_requests",
+                         static_cast<double>(runner_.open_requests()));
+               },
+           .role_status =
+               [this] {
+                 return "{\"open_requests\":" + std::to_string(runner_.open_requests()) + "}";
+               }}) {}
+
+void CallerRoutes::apply_bundle(const Bundle& bundle) {
+  bundle_ = std::make_shared<const Bundle>(bundle);
+  accounts_ = AccountTable(bundle);
+  order_tables_ = OrderTables(bundle);
+}
+
+void CallerRoutes::handle(ExchangeId exchange, HttpRequest request) {
+  const std::string_view path = path_without_query(request.path);
+  if (path == "/v1/completions" && request.method == "POST") {
+    handle_completion(exchange, std::move(request));
+  } else if (path.starts_with(kServicePrefix)) {
+    handle_service(exchange, std::move(request));
+  } else if (path == "/v1/models" && request.method == "GET") {
+    handle_models(exchange, request);
+  } else if (path == "/admin/explain" && request.method == "GET") {
+    handle_explain(exchange, query_of(request.path));
+  } else if (!operator_routes_.handle(exchange, request)) {
+    respond_verdict(server_, exchange,
+                    Verdict::not_run(Reason::kUnknownService,
+                                     "no such route: " + request.method + " " + std::string(path)));
+  }
+}
+
+std::variant<RequestSpec, Verdict> CallerRoutes::base_spec(ExchangeId exchange,
+                                                           const HttpRequest& request) {
+  if (bundle_ == nullptr) {
+    return Verdict::not_run(Reason::kNoConfiguration, "the entry instance has no configuration yet",
+                            kNotReadyRetry);
+  }
+  auto identity = accounts_.identify(request.headers);
+  if (auto* refused = std::get_if<Verdict>(&identity)) {
+    return std::move(*refused);
+  }
+  const auto deadline = read_deadline(request.headers, bundle_->limits.request_deadline);
+  if (const auto* refused = std::get_if<Verdict>(&deadline)) {
+    return *refused;
+  }
+  auto& caller = std::get<CallerIdentity>(identity);
+  RequestSpec spec;
+  spec.exchange = exchange;
+  spec.account = std::move(caller.account.name);
+  spec.service_class = std::move(caller.service_class);
+  spec.priority = caller.account.priority;
+  spec.arrived = clock_.now();
+  spec.deadline = spec.arrived + std::get<Duration>(deadline);
+  return spec;
+}
+
+std::variant<RequestSpec, Verdict> CallerRoutes::prompt_spec(ExchangeId exchange,
+                                                             HttpRequest& request) {
+  auto base = base_spec(exchange, request);
+  auto* const spec = std::get_if<RequestSpec>(&base);
+  if (spec == nullptr) {
+    return base;
+  }
+  auto parsed = parse_completion_request(request.body);
+  if (auto* refused = std::get_if<Verdict>(&parsed)) {
+    return std::move(*refused);
+  }
+  auto& completion = std::get<CompletionRequest>(parsed);
+  const BundleModel* const model = find_named(bundle_->models, completion.model);
+  const auto target = links_.model_target(completion.model);
+  if (model == nullptr || !target.has_value()) {
+    return Verdict::not_run(Reason::kUnknownModel,
+                            "no model \"" + completion.model + "\" is on offer");
+  }
+  if (completion.prompt.size() > bundle_->limits.max_prompt_bytes ||
+      completion.max_tokens > bundle_->limits.max_tokens) {
+    return Verdict::not_run(Reason::kBadRequest, "the prompt or \"max_tokens\" is above the limit");
+  }
+  spec->kind = wire::RequestKind::PROMPT;
+  spec->target_name = std::move(completion.model);
+  spec->target = *target;
+  spec->weight_version = model->weight_version;
+  spec->body = std::move(completion.prompt);
+  spec->max_tokens = completion.max_tokens;
+  // The account's priority is the default; a request may only lower or raise itself within the
+  // account.
+  spec->priority += completion.priority;
+  spec->stream = completion.stream;
+  if (spec->body.size() >= kBlockTextBytes) {
+    spec->root_key =
+        root_key_of(*spec, cache_seed(spec->account, spec->target_name, spec->weight_version));
+  }
+  return base;
+}
+
+void CallerRoutes::handle_completion(ExchangeId exchange, HttpRequest request) {
+  auto spec = prompt_spec(exchange, request);
+  if (const auto* refused = std::get_if<Verdict>(&spec)) {
+    respond_verdict(server_, exchange, *refused);
+    return;
+  }
+  runner_.start(std::move(std::get<RequestSpec>(spec)));
+}
+
+std::optional<Verdict> CallerRoutes::fill_order(RequestSpec& spec,
+                                                const HttpRequest& request) const {
+  const auto header = find_header(request.headers, "idempotency-key");
+  if (!header.has_value()) {
+    return Verdict::not_run(Reason::kBadRequest,
+                            "a call that must not run twice needs the header \"idempotency-key\"");
+  }
+  const auto key = OrderKey::parse(spec.target_name, spec.account, *header);
+  if (!key.has_value()) {
+    return Verdict::not_run(Reason::kBadRequest,
+                            "the idempotency key must be 1 to 255 printable ASCII characters");
+  }
+  const auto owner = order_tables_.owner(spec.target_name, *key);
+  if (!owner.has_value()) {
+    // Keys from before the first table may belong to an order of an earlier system.
+    return Verdict::may_have_run(Reason::kKeyExpired,
+                                 "the key is older than the service's first table of owners");
+  }
+  spec.kind = wire::RequestKind::ORDER;
+  spec.idempotency_key = std::string(*header);
+  spec.owner = std::string(*owner);
+  return std::nullopt;
+}
+
+std::variant<RequestSpec, Verdict> CallerRoutes::service_spec(ExchangeId exchange,
+                                                              HttpRequest& request) {
+  auto base = base_spec(exchange, request);
+  auto* const spec = std::get_if<RequestSpec>(&base);
+  if (spec == nullptr) {
+    return base;
+  }
+  const std::string_view rest = std::string_view(request.path).substr(kServicePrefix.size());
+  const auto slash = std::min(rest.find('/'), rest.size());
+  spec->target_name = std::string(rest.substr(0, slash));
+  spec->path = slash == rest.size() ? "/" : std::string(rest.substr(slash));
+  const BundleService* const service = find_named(bundle_->services, spec->target_name);
+  const auto target = links_.service_target(spec->target_name);
+  if (service == nullptr || !target.has_value()) {
+    return Verdict::not_run(Reason::kUnknownService,
+                            "no service \"" + spec->target_name + "\" is on offer");
+  }
+  spec->target = *target;
+  spec->method = request.method;
+  spec->content_type = std::string(find_header(request.headers, "content-type").value_or(""));
+  spec->body = std::move(request.body);
+  spec->kind = wire::RequestKind::IDEMPOTENT_CALL;
+  if (!service->is_idempotent(path_without_query(spec->path))) {
+    if (auto refused = fill_order(*spec, request)) {
+      return *std::move(refused);
+    }
+  }
+  return base;
+}
+
+void CallerRoutes::handle_service(ExchangeId exchange, HttpRequest request) {
+  auto spec = service_spec(exchange, request);
+  if (const auto* refused = std::get_if<Verdict>(&spec)) {
+    respond_verdict(server_, exchange, *refused);
+    return;
+  }
+  runner_.start(std::move(std::get<RequestSpec>(spec)));
+}
+
+void CallerRoutes::handle_models(ExchangeId exchange, const HttpRequest& request) {
+  const auto spec = base_spec(exchange, request);
+  if (const auto* refused = std::get_if<Verdict>(&spec)) {
+    respond_verdict(server_, exchange, *refused);
+    return;
+  }
+  nlohmann::json document = {{"object", "list"}, {"data", nlohmann::json::array()}};
+  for (const BundleModel& model : bundle_->models) {
+    document["data"].push_back(
+        {{"id", model.name}, {"object", "model"}, {"weight_version", model.weight_version}});
+  }
+  respond_json(server_, exchange, 200, document.dump() + "\n");
+}
+
+void CallerRoutes::handle_explain(ExchangeId exchange, std::string_view query) {
+  const std::string_view model = query_parameter(query, "model");
+  const std::string_view service = query_parameter(query, "service");
+  const auto target = model.empty() ? links_.service_target(service) : links_.model_target(model);
+  if (!target.has_value()) {
+    respond_verdict(server_, exchange,
+                    Verdict::not_run(Reason::kBadRequest,
+                                     "give a parameter \"model\" or \"service\" that is on offer"));
+    return;
+  }
+  RouteQuery route;
+  route.target = *target;
+  const std::string_view account = query_parameter(query, "account");
+  const std::string_view key = query_parameter(query, "key");
+  if (!model.empty() && bundle_ != nullptr) {
+    const BundleModel* const found = find_named(bundle_->models, model);
+    route.weight_version = found == nullptr ? std::string_view() : found->weight_version;
+  } else if (!key.empty()) {
+    const auto parsed = OrderKey::parse(service, account, key);
+    const auto owner = parsed.has_value() ? order_tables_.owner(service, *parsed) : std::nullopt;
+    route.owner = owner.has_value() ? links_.find(*owner) : std::nullopt;
+  }
+  server_.respond(exchange, 200, {{"content-type", "text/plain"}},
+                  links_.explain(route, clock_.now()) + "\n");
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/entry/entry_process.h
@@ -0,0 +1,17 @@
+// The entry instance as a process.
+
+#ifndef BLUEBELLSTEP_ENTRY_ENTRY_PROCESS_H_
+#define BLUEBELLSTEP_ENTRY_ENTRY_PROCESS_H_
+
+#include "settings/entry_settings.h"
+
+namespace bluebellstep {
+
+/** Runs an entry instance until it is stopped by a signal, and returns the exit code, see
+ * `cli/exit_codes.h`. Prints a line `listening http=PORT rpc=PORT` on standard output when it
+ * serves. Throws if an address cannot be bound. */
+int run_entry(const EntrySettings& settings);
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_ENTRY_ENTRY_PROCESS_H_
--- a/src/orders/order_ledger.cc
+++ b/src/orders/order_ledger.cc
@@ -134,6 +134,15 @@
   return true;
 }
 
+bool OrderLedger::abandon_unsent(ClaimId id) {
+  const Claim* const claim = find(id);
+  if (claim == nullptr || claim->state != ClaimState::kDispatched) {
+    return false;
+  }
+  remove(id.slot);
+  return true;
+}
+
 void OrderLedger::mark_unknown(ClaimId id) {
   Claim* const claim = find(id);
   if (claim != nullptr && claim->state != ClaimState::kAnswered) {
--- a/src/orders/order_ledger.h
+++ b/src/orders/order_ledger.h
@@ -112,6 +112,11 @@
    * claim, if it was marked as dispatched. */
   bool abandon_before_dispatch(ClaimId id);
 
+  /** Frees the key after a dispatch of which the transport is certain that no byte was sent, for
+   * example because the connection was refused. Returns false, and keeps the claim, unless it is
+   * dispatched and unanswered. */
+  bool abandon_unsent(ClaimId id);
+
   /** Records that the order may have run and no answer is to be had. */
   void mark_unknown(ClaimId id);
 
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -38,7 +38,7 @@
   deadlineMs @15 :UInt32;      # From receipt.
   resumeText @16 :Text;        # Prompts that resume after their sidecar died: the answer so far.
   firstIndex @17 :UInt64;      # Index of the first event to send.
-  sequence @18 :Text;          # Request name for logs, the same for all attempts.
+  contentType @18 :Text;       # Plain calls: of the body.
 }
 
 # One event of an answer: a token of a prompt's answer, or the whole answer of a plain call.
@@ -58,16 +58,16 @@
       reusedBlocks @5 :UInt32;
       fetchedBlocks @6 :UInt32;
       recomputedBlocks @7 :UInt32;
-      executions @8 :UInt32;
-      replayed @9 :Bool;        # Order: the answer of an earlier request with the same key.
-      contentType @10 :Text;
+      replayed @8 :Bool;        # Order: the answer of an earlier request with the same key.
+      contentType @9 :Text;
     }
   }
 }
 
 # Receives the events of one answer, in batches and in order.
 interface AnswerSink {
-  push @0 (firstIndex :UInt64, events :List(Event)) -> stream;
+  # Returns the index of the next event that the receiver expects: all below are received for good.
+  push @0 (firstIndex :UInt64, events :List(Event)) -> (nextIndex :UInt64);
   finish @1 (completion :Completion);
 }
 
@@ -116,7 +116,8 @@
 interface Sidecar extends(Peer) {
   # Runs a request. Events and completion go to `sink`. Returns when the request is accepted or refused.
   submit @0 (request :Request, sink :AnswerSink) -> (accepted :Bool, verdict :Verdict, hint :UpstreamHint);
-  # Sends the events of a known request again from `nextIndex` on to a new sink.
-  resume @1 (entryIncarnation :UInt64, requestId :UInt64, nextIndex :UInt64, sink :AnswerSink) -> (known :Bool);
+  # Sends the events of a known attempt again, from `nextIndex` on, to a new sink.
+  resume @1 (entryIncarnation :UInt64, requestId :UInt64, attempt :UInt32, nextIndex :UInt64, sink :AnswerSink) -> (known :Bool);
+  # Ends all attempts of a prompt or idempotent call. Orders are not cancelled.
   cancel @2 (entryIncarnation :UInt64, requestId :UInt64);
 }
--- a/src/rpc/rpc_loop.cc
+++ b/src/rpc/rpc_loop.cc
@@ -51,8 +51,11 @@
   add_background(timer().afterDelay(delay.ms * kj::MILLISECONDS).then(std::move(task)));
 }
 
-void RpcLoop::repeat_every(Duration period, std::function<void()> task) {
-  add_background(repeat(period, std::move(task)));
+kj::Promise<void> RpcLoop::repeat_every(Duration period, std::function<void()> task) {
+  return repeat(period, std::move(task)).eagerlyEvaluate([](kj::Exception&& exception) {
+    LogEvent("periodic_task_failed", LogEvent::Severity::kError)
+        .field("detail", exception.getDescription().cStr());
+  });
 }
 
 kj::Promise<void> RpcLoop::repeat(Duration period, std::function<void()> task) {
--- a/src/rpc/rpc_loop.h
+++ b/src/rpc/rpc_loop.h
@@ -38,9 +38,9 @@
   /** Runs `task` on the control thread after `delay`. Only on the control thread. */
   void post_after(Duration delay, std::function<void()> task);
 
-  /** Runs `task` every `period`, first after one period, until the loop stops. Only on the control
-   * thread. */
-  void repeat_every(Duration period, std::function<void()> task);
+  /** Runs `task` every `period`, first after one period, until the returned promise is destroyed.
+   * `task` must not destroy it. Only on the control thread. */
+  [[nodiscard]] kj::Promise<void> repeat_every(Duration period, std::function<void()> task);
 
   /** Keeps `promise` alive until it is done, and logs its failure. Only on the control thread. */
   void add_background(kj::Promise<void> promise);
--- a/src/sidecar/engine_protocol.cc
+++ b/src/sidecar/engine_protocol.cc
@@ -47,22 +47,21 @@
   return keys;
 }
 
-std::optional<EngineCacheEvent> cache_event(const Json& document) {
+std::optional<CacheEvent> cache_event(const Json& document) {
   if (!document.is_object()) {
     return std::nullopt;
   }
-  EngineCacheEvent event;
-  event.sequence = number_field(document, "seq");
+  CacheEvent event;
+  event.seq = number_field(document, "seq");
   const std::string type = text_field(document, "type");
   if (type == "cleared") {
-    event.type = EngineCacheEvent::Type::kCleared;
+    event.type = CacheEvent::Type::kCleared;
     return event;
   }
   if (type != "stored" && type != "evicted") {
     return std::nullopt;
   }
-  event.type =
-      type == "stored" ? EngineCacheEvent::Type::kStored : EngineCacheEvent::Type::kEvicted;
+  event.type = type == "stored" ? CacheEvent::Type::kStored : CacheEvent::Type::kEvicted;
   auto keys = key_list(document);
   if (!keys.has_value()) {
     return std::nullopt;
@@ -142,12 +141,12 @@
   return load;
 }
 
-std::optional<EngineCacheEvents> parse_engine_cache_events(std::string_view body) {
+std::optional<CacheEventBatch> parse_engine_cache_events(std::string_view body) {
   const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (!document.is_object()) {
     return std::nullopt;
   }
-  EngineCacheEvents page{text_field(document, "start_id"), number_field(document, "next"), {}};
+  CacheEventBatch page{text_field(document, "start_id"), number_field(document, "next"), {}};
   const auto events = document.find("events");
   if (page.start_id.empty() || events == document.end() || !events->is_array()) {
     return std::nullopt;
@@ -162,13 +161,13 @@
   return page;
 }
 
-std::optional<EngineBlockList> parse_engine_block_list(std::string_view body) {
+std::optional<CacheBlockList> parse_engine_block_list(std::string_view body) {
   const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (!document.is_object()) {
     return std::nullopt;
   }
   auto keys = key_list(document);
-  EngineBlockList list{text_field(document, "start_id"), number_field(document, "next"), {}};
+  CacheBlockList list{text_field(document, "start_id"), number_field(document, "next"), {}};
   if (!keys.has_value() || list.start_id.empty()) {
     return std::nullopt;
   }
--- a/src/sidecar/engine_protocol.h
+++ b/src/sidecar/engine_protocol.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <string_view>
 #include <variant>
-#include <vector>
 
 #include "cache/block_key.h"
+#include "cache/event_follower.h"
 
 namespace bluebellstep {
 
@@ -79,34 +79,11 @@
 /** Reads the answer of `GET /load`; nothing if it is malformed. */
 std::optional<EngineLoad> parse_engine_load(std::string_view body);
 
-/** One cache event of the engine. */
-struct EngineCacheEvent {
-  enum class Type { kStored, kEvicted, kCleared };
-
-  std::uint64_t sequence = 0;
-  Type type = Type::kStored;
-  std::vector<BlockKey> keys;
-};
-
-/** A page of cache events. */
-struct EngineCacheEvents {
-  std::string start_id;
-  std::uint64_t next = 0;
-  std::vector<EngineCacheEvent> events;
-};
-
 /** Reads the answer of `GET /kv/events`; nothing if it is malformed. */
-std::optional<EngineCacheEvents> parse_engine_cache_events(std::string_view body);
-
-/** The engine's full list of blocks. */
-struct EngineBlockList {
-  std::string start_id;
-  std::uint64_t next = 0;
-  std::vector<BlockKey> keys;
-};
+std::optional<CacheEventBatch> parse_engine_cache_events(std::string_view body);
 
 /** Reads the answer of `GET /kv/blocks`; nothing if it is malformed. */
-std::optional<EngineBlockList> parse_engine_block_list(std::string_view body);
+std::optional<CacheBlockList> parse_engine_block_list(std::string_view body);
 
 }  // namespace bluebellstep
 
--- /dev/null
+++ b/src/sidecar/prompt_runner.cc
@@ -0,0 +1,298 @@
+// Dispatch, streaming and resume of prompts.
+
+#include "sidecar/prompt_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log_event.h"
+#include "base/overloaded.h"
+#include "http/sse_reader.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr Duration kRefusedRetry = {100};
+
+// The engine's own silence is watched here; this only bounds a connection that is lost altogether.
+constexpr Duration kStreamIdleLimit = {60'000};
+
+std::string engine_request_id(const AttemptKey& key) {
+  return std::to_string(key.entry_incarnation) + "-" + std::to_string(key.request_id) + "-" +
+         std::to_string(key.attempt);
+}
+
+}  // namespace
+
+/** Reading state of one HTTP stream. Used on the HTTP thread only. */
+struct PromptRunner::Stream {
+  SseReader reader;
+  int status = 0;
+  bool too_long = false;
+};
+
+PromptRunner::PromptRunner(RpcLoop& loop,
+                           HttpClient& client,
+                           EngineCache& cache,
+                           PromptRunnerOptions options,
+                           Listener listener)
+    : loop_(loop),
+      client_(client),
+      cache_(cache),
+      options_(std::move(options)),
+      listener_(std::move(listener)),
+      self_(std::make_shared<PromptRunner*>(this)) {}
+
+PromptRunner::~PromptRunner() {
+  *self_ = nullptr;
+}
+
+void PromptRunner::start(Run& run) {
+  run.phase = RunPhase::kPreparing;
+  run.prompt.engine_request_id = engine_request_id(run.spec.key);
+  run.prompt.next_index = run.spec.first_index;
+  cache_.prepare(run, [self = self_, id = run.id](std::uint32_t fetched_blocks) {
+    Run* const prepared = *self == nullptr ? nullptr : (*self)->listener_.find_run(id);
+    if (prepared != nullptr && prepared->phase == RunPhase::kPreparing) {
+      prepared->prompt.fetched_blocks = fetched_blocks;
+      (*self)->dispatch(*prepared);
+    }
+  });
+}
+
+void PromptRunner::dispatch(Run& run) {
+  run.phase = RunPhase::kDispatched;
+  run.prompt.dispatched_at = clock_.now();
+  run.prompt.last_event_at = run.prompt.dispatched_at;
+  EngineRequest request;
+  request.request_id = run.prompt.engine_request_id;
+  request.model = run.spec.target;
+  request.prompt = run.spec.body;
+  request.max_tokens = run.spec.max_tokens;
+  request.priority = run.spec.priority;
+  request.cache_salt = cache_seed(run.spec.account, run.spec.target, run.spec.weight_version);
+  request.resume_text = run.spec.resume_text;
+  request.first_index = run.spec.first_index;
+  HttpCall call;
+  call.endpoint = options_.engine;
+  call.method = "POST";
+  call.path = "/v1/completions";
+  call.headers = {{"content-type", "application/json"}};
+  call.body = engine_request_body(request);
+  open_stream(run, std::move(call));
+}
+
+void PromptRunner::open_stream(Run& run, HttpCall call) {
+  call.idle_timeout = kStreamIdleLimit;
+  const auto stream = std::make_shared<Stream>();
+  const RequestId id = run.id;
+  const std::uint32_t opened = run.prompt.resumes;
+  HttpClient::Listener listener;
+  listener.on_head = [this, stream, self = self_, id, opened](int status,
+                                                              std::span<const HttpHeader>) {
+    stream->status = status;
+    loop_.post([self, id, opened, status] {
+      if (*self != nullptr) {
+        (*self)->take_head(id, opened, status);
+      }
+    });
+  };
+  listener.on_data = [this, stream, self = self_, id, opened](std::string_view bytes) {
+    if (stream->status != 200) {
+      return;
+    }
+    std::vector<EngineEvent> events;
+    const auto status = stream->reader.feed(
+        bytes, [&events](std::string_view data) { events.push_back(parse_engine_event(data)); });
+    if (status != SseReader::Status::kOk) {
+      events.emplace_back(EngineMalformed{std::string(SseReader::describe(status))});
+    }
+    if (events.empty()) {
+      return;
+    }
+    loop_.post([self, id, opened, events = std::move(events)]() mutable {
+      if (*self != nullptr) {
+        (*self)->take_events(id, opened, std::move(events));
+      }
+    });
+  };
+  listener.on_done = [this, stream, self = self_, id, opened](const HttpClient::Outcome& outcome) {
+    loop_.post([self, id, opened, status = stream->status, outcome] {
+      if (*self != nullptr) {
+        (*self)->take_end(id, opened, status, outcome);
+      }
+    });
+  };
+  run.call = client_.send(std::move(call), std::move(listener));
+}
+
+Run* PromptRunner::find(RequestId id, std::uint32_t opened) {
+  Run* const run = listener_.find_run(id);
+  const bool is_current = run != nullptr && run->phase == RunPhase::kDispatched &&
+                          run->prompt.resumes == opened && run->call.has_value();
+  return is_current ? run : nullptr;
+}
+
+void PromptRunner::take_head(RequestId id, std::uint32_t opened, int status) {
+  if (Run* const run = find(id, opened); run != nullptr && status == 200) {
+    run->prompt.last_event_at = clock_.now();
+  }
+}
+
+void PromptRunner::take_events(RequestId id,
+                               std::uint32_t opened,
+                               std::vector<EngineEvent> events) {
+  for (EngineEvent& event : events) {
+    // Each event may end the run or open another stream.
+    Run* const run = find(id, opened);
+    if (run == nullptr) {
+      return;
+    }
+    run->prompt.last_event_at = clock_.now();
+    std::visit(Overloaded{[&](const EngineStarted& started) { take_started(*run, started); },
+                          [&](EngineToken& token) { take_token(*run, token); },
+                          [&](const EngineFinished& finished) { take_finished(*run, finished); },
+                          [](const EngineDone&) {},
+                          [&](const EngineMalformed& malformed) {
+                            resume_or_fail(*run, malformed.detail);
+                          }},
+               event);
+  }
+}
+
+void PromptRunner::take_started(Run& run, const EngineStarted& started) {
+  if (started.weight_version != run.spec.weight_version) {
+    // The engine has swapped weights; what it computes must not be taken for the other version's.
+    cancel(run);
+    fail(run,
+         Verdict::may_have_run(Reason::kUpstreamFailed, "the engine runs another weight version"),
+         Outcome::kFailed);
+    return;
+  }
+  if (run.prompt.first_token_seen) {
+    return;
+  }
+  run.prompt.first_token_seen = true;
+  run.prompt.prompt_tokens = started.prompt_tokens;
+  run.prompt.reused_blocks = started.cached_blocks;
+  run.prompt.recomputed_blocks = started.computed_blocks;
+  listener_.on_first_token(run, started);
+}
+
+void PromptRunner::take_token(Run& run, EngineToken& token) {
+  if (token.index < run.prompt.next_index) {
+    return;  // Sent again after a resume.
+  }
+  if (token.index > run.prompt.next_index) {
+    resume_or_fail(run, "tokens are missing from the engine's stream");
+    return;
+  }
+  ++run.prompt.next_index;
+  run.outbox.add(std::move(token.text));
+}
+
+bool PromptRunner::take_finished(Run& run, const EngineFinished& finished) {
+  if (finished.total != run.prompt.next_index) {
+    resume_or_fail(run, "the engine's stream ended before the last token");
+    return false;
+  }
+  run.call.reset();
+  AnswerSummary summary;
+  summary.finish_reason = finished.finish_reason;
+  summary.prompt_tokens = run.prompt.prompt_tokens;
+  summary.fetched_blocks = std::min(run.prompt.fetched_blocks, run.prompt.reused_blocks);
+  summary.reused_blocks = run.prompt.reused_blocks - summary.fetched_blocks;
+  summary.recomputed_blocks = run.prompt.recomputed_blocks;
+  listener_.on_finished(run, std::move(summary), Outcome::kCompleted);
+  return true;
+}
+
+void PromptRunner::take_end(RequestId id,
+                            std::uint32_t opened,
+                            int status,
+                            HttpClient::Outcome outcome) {
+  Run* const run = find(id, opened);
+  if (run == nullptr) {
+    return;
+  }
+  const auto* failed = std::get_if<HttpClient::Failed>(&outcome);
+  const bool is_first = opened == 0;
+  if (is_first && failed != nullptr && !failed->may_have_been_sent) {
+    fail(*run, Verdict::not_run(Reason::kUpstreamUnreachable, failed->detail, kRefusedRetry),
+         Outcome::kConnectionFailed);
+    return;
+  }
+  if (is_first && failed == nullptr && status != 200) {
+    const bool is_overloaded = status == 503;
+    fail(*run,
+         Verdict::not_run(is_overloaded ? Reason::kOverloaded : Reason::kUpstreamFailed,
+                          "the engine refused the prompt with status " + std::to_string(status),
+                          kRefusedRetry),
+         Outcome::kFailed);
+    return;
+  }
+  if (!is_first && failed == nullptr && status != 200) {
+    fail(
+        *run,
+        Verdict::may_have_run(Reason::kUpstreamFailed, "the engine does not know the run any more"),
+        Outcome::kConnectionFailed);
+    return;
+  }
+  resume_or_fail(*run, failed != nullptr ? failed->detail : "the engine's stream was cut");
+}
+
+void PromptRunner::resume_or_fail(Run& run, std::string_view detail) {
+  if (run.call.has_value()) {
+    client_.cancel(*run.call);
+    run.call.reset();
+  }
+  LogEvent("engine_stream_broken", LogEvent::Severity::kWarning)
+      .field("run", run.prompt.engine_request_id)
+      .field("next_index", run.prompt.next_index)
+      .field("detail", detail);
+  if (run.prompt.resumes >= options_.max_resumes) {
+    fail(run, Verdict::may_have_run(Reason::kUpstreamFailed, detail), Outcome::kConnectionFailed);
+    return;
+  }
+  ++run.prompt.resumes;
+  run.prompt.last_event_at = clock_.now();
+  HttpCall call;
+  call.endpoint = options_.engine;
+  call.path = "/v1/requests/" + run.prompt.engine_request_id +
+              "/stream?from_index=" + std::to_string(run.prompt.next_index);
+  open_stream(run, std::move(call));
+}
+
+void PromptRunner::fail(Run& run, const Verdict& verdict, Outcome outcome) {
+  run.call.reset();
+  listener_.on_finished(run, verdict, outcome);
+}
+
+void PromptRunner::cancel(Run& run) {
+  if (run.call.has_value()) {
+    client_.cancel(*run.call);
+    run.call.reset();
+  }
+  if (run.phase != RunPhase::kDispatched) {
+    return;
+  }
+  HttpCall call;
+  call.endpoint = options_.engine;
+  call.method = "POST";
+  call.path = "/v1/requests/" + run.prompt.engine_request_id + "/cancel";
+  client_.send(std::move(call), [](HttpClient::Response) {});
+}
+
+void PromptRunner::check_silence(Run& run) {
+  if (run.phase != RunPhase::kDispatched) {
+    return;
+  }
+  const Duration limit = run.prompt.first_token_seen
+                             ? options_.token_silence
+                             : options_.first_token_silence + run.prompt.predicted_first_token;
+  if (clock_.now() - run.prompt.last_event_at > limit) {
+    resume_or_fail(run, "the engine's stream went silent");
+  }
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/sidecar/run.h
@@ -0,0 +1,110 @@
+// One request at a sidecar, from its arrival until its answer is delivered.
+
+#ifndef BLUEBELLSTEP_SIDECAR_RUN_H_
+#define BLUEBELLSTEP_SIDECAR_RUN_H_
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "admission/admission_controller.h"
+#include "base/clock.h"
+#include "base/id.h"
+#include "cache/block_key.h"
+#include "fairness/cost.h"
+#include "http/http_client.h"
+#include "orders/opaque_claim.h"
+#include "orders/order_key.h"
+#include "orders/order_ledger.h"
+#include "rpc/peer.capnp.h"
+#include "sidecar/answer_outbox.h"
+
+namespace bluebellstep {
+
+/** Names one attempt of one request of one entry instance. */
+struct AttemptKey {
+  std::uint64_t entry_incarnation = 0;
+  std::uint64_t request_id = 0;
+  std::uint32_t attempt = 0;
+
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+/** What is to be run. Does not change. */
+struct RunSpec {
+  AttemptKey key;
+  wire::RequestKind kind = wire::RequestKind::PROMPT;
+  std::string account;
+  std::string service_class;
+  std::string target;  // Model or service.
+  std::string weight_version;
+  std::string body;
+  std::uint32_t max_tokens = 0;
+  std::int32_t priority = 0;
+  std::string idempotency_key;
+  std::string method;
+  std::string path;
+  std::string content_type;
+  std::string resume_text;
+  std::uint64_t first_index = 0;
+  Instant arrived;
+  Instant deadline;
+};
+
+/** Progress of a prompt. */
+struct PromptProgress {
+  std::vector<BlockKey> blocks;    // Of the whole prompt.
+  std::uint32_t known_blocks = 0;  // Leading ones believed to be in the engine's cache at dispatch.
+  std::uint32_t fetched_blocks = 0;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t reused_blocks = 0;      // As the engine reported; fetched ones included.
+  std::uint32_t recomputed_blocks = 0;  // As the engine reported.
+  Duration predicted_first_token;
+  Instant dispatched_at;
+  Instant last_event_at;
+  std::uint64_t next_index = 0;  // Of the next token from the engine.
+  bool first_token_seen = false;
+  std::optional<std::string> finish_reason;
+  std::uint32_t resumes = 0;  // Streams opened again after the first.
+  std::string engine_request_id;
+};
+
+/** Progress of an order. */
+struct OrderProgress {
+  std::optional<OrderKey> key;
+  std::optional<ClaimId> claim;  // Held, or joined.
+  bool holds_claim = false;
+  std::shared_ptr<OpaqueClaim> opaque;  // For opaque keys; shared with calls on the way.
+};
+
+/** Where a run stands. */
+enum class RunPhase : std::uint8_t {
+  kClaiming,    // Waits for the platform to claim an opaque key.
+  kQueued,      // Waits for admission.
+  kPreparing,   // Admitted; blocks are being fetched into the engine.
+  kDispatched,  // Sent to the upstream.
+  kJoined,      // Waits for the outcome of another run's order.
+  kFinished,    // The result is in the outbox.
+};
+
+/** A request in work. */
+struct Run {
+  RequestId id;  // Unique within the sidecar.
+  RunSpec spec;
+  AnswerOutbox outbox;
+  RunPhase phase = RunPhase::kQueued;
+  std::optional<SlotId> slot;  // While admitted.
+  Cost estimate;
+  std::optional<HttpCallId> call;  // To the upstream, while one is open.
+  Instant finished_at;
+  PromptProgress prompt;
+  OrderProgress order;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_SIDECAR_RUN_H_
--- /dev/null
+++ b/src/sidecar/sidecar_core.cc
@@ -0,0 +1,531 @@
+// Life of a run at the sidecar.
+
+#include "sidecar/sidecar_core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log_event.h"
+#include "base/overloaded.h"
+
+namespace bluebellstep {
+namespace {
+
+// About 4 characters make a token. Used for estimates only; the engine counts.
+constexpr std::uint64_t kBytesPerToken = 4;
+
+constexpr Duration kNoConfigurationRetry = {500};
+
+std::string text_of(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+std::string bytes_of(capnp::Data::Reader data) {
+  const auto chars = data.asChars();
+  return {chars.begin(), chars.size()};
+}
+
+Priority queue_priority(std::int32_t priority) {
+  if (priority == 0) {
+    return Priority::kNormal;
+  }
+  return priority > 0 ? Priority::kHigh : Priority::kLow;
+}
+
+AdmissionLimits admission_limits(const SidecarSettings& settings) {
+  AdmissionLimits limits;
+  limits.max_running = settings.limits.max_concurrency;
+  limits.kv_tokens = settings.limits.kv_tokens;
+  limits.slow_start.initial = settings.limits.initial_concurrency;
+  return limits;
+}
+
+PromptRunnerOptions prompt_options(const SidecarSettings& settings) {
+  PromptRunnerOptions options;
+  options.engine = settings.upstream;
+  options.prefill_tokens_per_s = settings.limits.prefill_tokens_per_s;
+  return options;
+}
+
+PlainRunnerOptions plain_options(const SidecarSettings& settings, std::uint64_t incarnation) {
+  PlainRunnerOptions options;
+  options.service = settings.upstream;
+  options.incarnation = incarnation;
+  options.ledger.retention = settings.limits.order_retention;
+  // Engines own no orders; the ledger allocates for its maximum at once.
+  options.ledger.max_claims =
+      settings.kind == UpstreamKind::kService ? settings.limits.max_claims : 1;
+  return options;
+}
+
+EngineCacheOptions cache_options(const SidecarSettings& settings) {
+  EngineCacheOptions options;
+  options.engine = settings.upstream;
+  options.enabled = settings.kind == UpstreamKind::kEngine;
+  options.prefill_tokens_per_s = settings.limits.prefill_tokens_per_s;
+  return options;
+}
+
+bool is_prompt(const Run& run) {
+  return run.spec.kind == wire::RequestKind::PROMPT;
+}
+
+bool is_order(const Run& run) {
+  return run.spec.kind == wire::RequestKind::ORDER;
+}
+
+}  // namespace
+
+SidecarCore::SidecarCore(RpcLoop& loop,
+                         HttpClient& client,
+                         PlatformClient& platform,
+                         const SidecarSettings& settings,
+                         std::uint64_t incarnation,
+                         Metrics& metrics)
+    : loop_(loop),
+      settings_(settings),
+      metrics_(metrics),
+      admission_(admission_limits(settings), clock_.now()),
+      cache_(loop, client, cache_options(settings), metrics),
+      prompts_(
+          loop,
+          client,
+          cache_,
+          prompt_options(settings),
+          {.find_run = [this](RequestId id) { return find(id); },
+           .on_first_token =
+               [this](Run& run, const EngineStarted& started) { take_first_token(run, started); },
+           .on_finished =
+               [this](Run& run, RunResult result, Outcome outcome) {
+                 take_finished(run, std::move(result), outcome);
+               }}),
+      plain_(loop,
+             client,
+             platform,
+             plain_options(settings, incarnation),
+             clock_.wall(),
+             {.find_run = [this](RequestId id) { return find(id); },
+              .on_claimed =
+                  [this](Run& run) {
+                    if (const auto refused = admit(run)) {
+                      plain_.refuse(run, *refused);
+                    }
+                  },
+              .on_finished =
+                  [this](Run& run, RunResult result, Outcome outcome) {
+                    take_finished(run, std::move(result), outcome);
+                  }}) {}
+
+SidecarCore::~SidecarCore() = default;
+
+RunSpec SidecarCore::read_spec(wire::Request::Reader request) const {
+  const Instant now = clock_.now();
+  return {.key = {request.getEntryIncarnation(), request.getRequestId(), request.getAttempt()},
+          .kind = request.getKind(),
+          .account = text_of(request.getAccount()),
+          .service_class = text_of(request.getServiceClass()),
+          .target = text_of(request.getModel()),
+          .weight_version = text_of(request.getWeightVersion()),
+          .body = bytes_of(request.getBody()),
+          .max_tokens = request.getMaxTokens(),
+          .priority = request.getPriority(),
+          .idempotency_key = text_of(request.getIdempotencyKey()),
+          .method = text_of(request.getMethod()),
+          .path = text_of(request.getPath()),
+          .content_type = text_of(request.getContentType()),
+          .resume_text = text_of(request.getResumeText()),
+          .first_index = request.getFirstIndex(),
+          .arrived = now,
+          .deadline = now + Duration{request.getDeadlineMs()}};
+}
+
+std::optional<Verdict> SidecarCore::check_request(const RunSpec& spec) const {
+  if (bundle_ == nullptr) {
+    return Verdict::not_run(Reason::kNoConfiguration, "the sidecar has no configuration yet",
+                            kNoConfigurationRetry);
+  }
+  const bool wants_engine = spec.kind == wire::RequestKind::PROMPT;
+  const bool is_engine = settings_.kind == UpstreamKind::kEngine;
+  if (wants_engine != is_engine) {
+    return Verdict::not_run(Reason::kBadRequest, "the upstream does not run requests of this kind");
+  }
+  if (find_named(bundle_->accounts, spec.account) == nullptr) {
+    return Verdict::not_run(Reason::kUnauthorized,
+                            "the client account is not in the configuration");
+  }
+  if (wants_engine && settings_.limits.kv_tokens > 0 &&
+      kv_tokens(spec) > settings_.limits.kv_tokens) {
+    return Verdict::not_run(Reason::kBadRequest,
+                            "prompt and answer do not fit into the upstream's memory");
+  }
+  return std::nullopt;
+}
+
+std::optional<Verdict> SidecarCore::submit(wire::Request::Reader request,
+                                           wire::AnswerSink::Client sink) {
+  RunSpec spec = read_spec(request);
+  if (auto refused = check_request(spec)) {
+    return refused;
+  }
+  if (by_key_.contains(spec.key)) {
+    return Verdict::may_have_run(Reason::kInternal, "the attempt was submitted before");
+  }
+  const RequestId id{next_id_++};
+  const std::uint64_t first_index = spec.first_index;
+  const AttemptKey key = spec.key;
+  const auto position = runs_
+                            .emplace(id, Run{.id = id,
+                                             .spec = std::move(spec),
+                                             .outbox = AnswerOutbox(loop_, first_index)})
+                            .first;
+  by_key_.emplace(key, id);
+  Run& run = position->second;
+  auto refused = is_order(run) ? accept_order(run) : admit(run);
+  if (refused.has_value()) {
+    forget(id);
+    return refused;
+  }
+  run.outbox.attach(kj::mv(sink), first_index);
+  return std::nullopt;
+}
+
+std::optional<Verdict> SidecarCore::accept_order(Run& run) {
+  const auto key = OrderKey::parse(run.spec.target, run.spec.account, run.spec.idempotency_key);
+  if (key.has_value() && order_tables_.owner(run.spec.target, *key) != settings_.name) {
+    return Verdict::not_run(Reason::kNotOwner, "another upstream owns the key",
+                            kNoConfigurationRetry);
+  }
+  auto claimed = plain_.claim_order(run);
+  if (auto* refused = std::get_if<Verdict>(&claimed)) {
+    return std::move(*refused);
+  }
+  if (std::get<PlainRunner::OrderStart>(claimed) != PlainRunner::OrderStart::kAdmit) {
+    return std::nullopt;
+  }
+  auto refused = admit(run);
+  if (refused.has_value()) {
+    // Nobody has joined the claim yet, so only this run gets the verdict, from the caller of this
+    // function.
+    plain_.drop_claim(run);
+  }
+  return refused;
+}
+
+std::uint64_t SidecarCore::kv_tokens(const RunSpec& spec) const {
+  return spec.body.size() / kBytesPerToken + spec.max_tokens;
+}
+
+AdmissionRequest SidecarCore::admission_request(const Run& run, bool from_queue) const {
+  AdmissionRequest request;
+  if (is_prompt(run)) {
+    request.model = models_.find(run.spec.target);
+    request.weight_version = run.spec.weight_version;
+    request.kv_tokens = kv_tokens(run.spec);
+  }
+  request.waiting = from_queue ? queue_.size() - 1 : queue_.size();
+  request.from_queue = from_queue;
+  return request;
+}
+
+std::optional<Verdict> SidecarCore::admit(Run& run) {
+  Admission admission =
+      admission_.try_admit(admission_request(run, /*from_queue=*/false), clock_.now());
+  if (auto* refused = std::get_if<Refused>(&admission)) {
+    return std::move(refused->verdict);
+  }
+  // Counted for all, so that the fair queue charges requests that did not have to wait, too.
+  enqueue(run);
+  if (const auto* admitted = std::get_if<Admitted>(&admission)) {
+    const auto next = queue_.pop();
+    assert(next == run.id);
+    start(run, admitted->slot);
+  }
+  return std::nullopt;
+}
+
+void SidecarCore::enqueue(Run& run) {
+  run.phase = RunPhase::kQueued;
+  const std::uint64_t prompt_tokens = run.spec.body.size() / kBytesPerToken;
+  run.estimate =
+      cost_of({.prompt_tokens = prompt_tokens, .decode_tokens = std::max(1u, run.spec.max_tokens)});
+  queue_.push(accounts_.intern(run.spec.account), run.id, run.estimate,
+              queue_priority(run.spec.priority));
+}
+
+void SidecarCore::start_queued() {
+  while (const auto next = queue_.front()) {
+    Run& run = runs_.at(*next);
+    Admission admission =
+        admission_.try_admit(admission_request(run, /*from_queue=*/true), clock_.now());
+    if (std::holds_alternative<Queue>(admission)) {
+      return;
+    }
+    queue_.pop();
+    if (const auto* admitted = std::get_if<Admitted>(&admission)) {
+      start(run, admitted->slot);
+    } else {
+      refuse_queued(run, std::get<Refused>(admission).verdict);
+    }
+  }
+}
+
+void SidecarCore::start(Run& run, SlotId slot) {
+  run.slot = slot;
+  if (is_prompt(run)) {
+    prompts_.start(run);
+  } else {
+    plain_.start(run);
+  }
+}
+
+void SidecarCore::refuse_queued(Run& run, const Verdict& verdict) {
+  if (is_prompt(run)) {
+    take_finished(run, verdict, Outcome::kCancelled);
+  } else {
+    plain_.refuse(run, verdict);
+  }
+}
+
+void SidecarCore::take_first_token(Run& run, const EngineStarted& started) {
+  const Instant now = clock_.now();
+  const Duration elapsed = now - run.prompt.dispatched_at;
+  metrics_.first_token(run.spec.account, run.spec.service_class, now - run.spec.arrived);
+  cache_.note_started(run);
+  note_cold(admission_.first_token(*run.slot, now,
+                                   {.start_id = started.start_id,
+                                    .known_blocks = run.prompt.known_blocks,
+                                    .reused_blocks = started.cached_blocks,
+                                    .elapsed = elapsed,
+                                    .predicted = run.prompt.predicted_first_token}));
+  start_queued();
+}
+
+void SidecarCore::note_cold(std::optional<ColdSign> sign) {
+  if (!sign.has_value()) {
+    return;
+  }
+  LogEvent("upstream_cold", LogEvent::Severity::kWarning)
+      .field("upstream", settings_.name)
+      .field("sign", to_string(*sign))
+      .field("limit", admission_.limit(clock_.now()));
+  metrics_.count("bluebellstep_cold_restarts_total", std::string(to_string(*sign)));
+  cache_.forget_engine();
+}
+
+void SidecarCore::take_finished(Run& run, RunResult result, Outcome outcome) {
+  assert(run.phase != RunPhase::kFinished);
+  run.phase = RunPhase::kFinished;
+  run.finished_at = clock_.now();
+  if (run.slot.has_value()) {
+    const SlotId slot = *std::exchange(run.slot, std::nullopt);
+    charge(run);
+    note_cold(admission_.finish(slot, run.finished_at, outcome));
+  }
+  cache_.note_dropped(run);
+  if (is_prompt(run) && std::holds_alternative<AnswerSummary>(result)) {
+    cache_.note_finished(run);
+  }
+  metrics_.request_done(run.spec.account, run.spec.service_class,
+                        run.finished_at - run.spec.arrived);
+  run.outbox.finish(std::move(result));
+  // Not at once: the run may be in use further up the stack.
+  loop_.post([this, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired()) {
+      start_queued();
+    }
+  });
+}
+
+void SidecarCore::charge(const Run& run) {
+  const std::uint64_t prompt_tokens = run.spec.body.size() / kBytesPerToken;
+  const std::uint64_t cached =
+      std::min(prompt_tokens, run.prompt.reused_blocks * (kBlockTextBytes / kBytesPerToken));
+  const std::uint64_t decoded = std::max<std::uint64_t>(1, run.outbox.added());
+  const Cost actual =
+      cost_of({.prompt_tokens = prompt_tokens, .cached_tokens = cached, .decode_tokens = decoded});
+  queue_.correct(accounts_.intern(run.spec.account), actual - run.estimate);
+  served_[run.spec.account] += static_cast<std::uint64_t>(std::max<std::int64_t>(0, actual.tokens));
+}
+
+bool SidecarCore::resume(const AttemptKey& key,
+                         std::uint64_t next_index,
+                         wire::AnswerSink::Client sink) {
+  const auto found = by_key_.find(key);
+  return found != by_key_.end() && runs_.at(found->second).outbox.attach(kj::mv(sink), next_index);
+}
+
+void SidecarCore::cancel(std::uint64_t entry_incarnation, std::uint64_t request_id) {
+  std::vector<RequestId> ids;
+  for (auto it = by_key_.lower_bound({entry_incarnation, request_id, 0});
+       it != by_key_.end() && it->first.entry_incarnation == entry_incarnation &&
+       it->first.request_id == request_id;
+       ++it) {
+    ids.push_back(it->second);
+  }
+  for (const RequestId id : ids) {
+    if (Run& run = runs_.at(id); !is_order(run)) {
+      cancel_run(run);
+      forget(id);
+    }
+  }
+  start_queued();
+}
+
+void SidecarCore::cancel_run(Run& run) {
+  if (run.phase == RunPhase::kFinished) {
+    return;
+  }
+  queue_.cancel(run.id);
+  cache_.note_dropped(run);
+  if (is_prompt(run)) {
+    prompts_.cancel(run);
+  } else {
+    plain_.cancel(run);
+  }
+  if (run.slot.has_value()) {
+    charge(run);
+    note_cold(admission_.finish(*std::exchange(run.slot, std::nullopt), clock_.now(),
+                                Outcome::kCancelled));
+  }
+  run.phase = RunPhase::kFinished;
+}
+
+void SidecarCore::forget(RequestId id) {
+  const auto found = runs_.find(id);
+  assert(found != runs_.end());
+  by_key_.erase(found->second.spec.key);
+  runs_.erase(found);
+}
+
+void SidecarCore::apply_bundle(const Bundle& bundle) {
+  bundle_ = std::make_shared<const Bundle>(bundle);
+  for (const BundleAccount& account : bundle.accounts) {
+    queue_.set_weight(accounts_.intern(account.name), account.share);
+  }
+  for (const BundleModel& model : bundle.models) {
+    admission_.set_weight_version(models_.intern(model.name), model.weight_version);
+  }
+  order_tables_ = OrderTables(bundle);
+  cache_.apply_bundle(bundle);
+  start_queued();
+}
+
+void SidecarCore::set_zone_in_service(bool in_service) {
+  if (zone_in_service_ == in_service) {
+    return;
+  }
+  zone_in_service_ = in_service;
+  admission_.set_zone_out(!in_service);
+  LogEvent("zone_state").field("zone", settings_.zone).field("in_service", in_service);
+  start_queued();
+}
+
+void SidecarCore::set_leaving() {
+  leaving_ = true;
+  admission_.set_leaving(true);
+  start_queued();
+}
+
+void SidecarCore::fill_hint(wire::UpstreamHint::Builder hint) const {
+  const Instant now = clock_.now();
+  hint.setLoad(admission_.running() + static_cast<std::uint32_t>(queue_.size()));
+  hint.setLimit(admission_.limit(now));
+  hint.setLeaving(leaving_);
+  hint.setCold(admission_.is_cold(now));
+  const std::uint64_t limit = settings_.limits.kv_tokens;
+  hint.setKvTokensFree(limit - std::min(limit, admission_.kv_tokens_used()));
+  if (bundle_ == nullptr || settings_.kind != UpstreamKind::kEngine) {
+    return;
+  }
+  auto versions = hint.initWeightVersions(static_cast<unsigned>(bundle_->models.size()));
+  for (unsigned i = 0; i < versions.size(); ++i) {
+    versions.set(i, bundle_->models[i].name + "=" + bundle_->models[i].weight_version);
+  }
+}
+
+SidecarCore::RunCare SidecarCore::care_for(const Run& run, Instant now) const {
+  if (run.phase == RunPhase::kFinished) {
+    const bool is_over = run.outbox.is_delivered() || now - run.finished_at > kKeepFinished;
+    return is_over ? RunCare::kForget : RunCare::kNone;
+  }
+  const bool is_late = now >= run.spec.deadline;
+  if (is_order(run)) {
+    return is_late && run.phase == RunPhase::kQueued ? RunCare::kExpire : RunCare::kNone;
+  }
+  const auto detached = run.outbox.detached_since();
+  const bool is_abandoned = detached.has_value() && now - *detached > kDetachLimit;
+  if (is_late || is_abandoned) {
+    return RunCare::kExpire;
+  }
+  return is_prompt(run) ? RunCare::kWatch : RunCare::kNone;
+}
+
+void SidecarCore::tick() {
+  const Instant now = clock_.now();
+  std::map<RunCare, std::vector<RequestId>> due;
+  for (const auto& [id, run] : runs_) {
+    due[care_for(run, now)].push_back(id);
+  }
+  cache_.tick();
+  for (const RequestId id : due[RunCare::kWatch]) {
+    prompts_.check_silence(runs_.at(id));
+  }
+  for (const RequestId id : due[RunCare::kExpire]) {
+    expire(id);
+  }
+  for (const RequestId id : due[RunCare::kForget]) {
+    forget(id);
+  }
+  start_queued();
+}
+
+void SidecarCore::expire(RequestId id) {
+  Run& run = runs_.at(id);
+  if (is_order(run)) {
+    queue_.cancel(id);
+    plain_.refuse(run, Verdict::not_run(Reason::kDeadlineExceeded, "the order waited too long"));
+    return;
+  }
+  cancel_run(run);
+  forget(id);
+}
+
+void SidecarCore::abort_all() {
+  for (auto& [id, run] : runs_) {
+    if (run.phase != RunPhase::kFinished) {
+      take_finished(run,
+                    Verdict::may_have_run(Reason::kShuttingDown,
+                                          "the sidecar stops before the answer is whole"),
+                    Outcome::kCancelled);
+    }
+  }
+}
+
+std::size_t SidecarCore::open_runs() const {
+  return static_cast<std::size_t>(std::count_if(runs_.begin(), runs_.end(), [](const auto& entry) {
+    return !entry.second.outbox.is_delivered();
+  }));
+}
+
+Run* SidecarCore::find(RequestId id) {
+  const auto found = runs_.find(id);
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+std::string SidecarCore::status_document() const {
+  const Instant now = clock_.now();
+  const nlohmann::json document = {{"running", admission_.running()},
+                                   {"queued", queue_.size()},
+                                   {"limit", admission_.limit(now)},
+                                   {"cold", admission_.is_cold(now)},
+                                   {"leaving", leaving_},
+                                   {"zone_in_service", zone_in_service_},
+                                   {"open_runs", open_runs()},
+                                   {"held_claims", plain_.held_claims()}};
+  return document.dump(2) + "\n";
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/sidecar/sidecar_process.cc
@@ -0,0 +1,184 @@
+// Wiring of a sidecar.
+
+#include "sidecar/sidecar_process.h"
+
+#include <cstdio>
+#include <memory>
+
+#include "base/log_event.h"
+#include "http/http_server.h"
+#include "metrics/metrics.h"
+#include "process/drain_process.h"
+#include "process/operator_routes.h"
+#include "process/process_runtime.h"
+#include "process/process_state.h"
+#include "process/signal_waiter.h"
+#include "rpc/rpc_transport.h"
+#include "sidecar/sidecar_core.h"
+#include "sidecar/sidecar_server.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr Duration kTickInterval = {10};
+
+// Idle entry instances send heartbeats less often than busy ones.
+constexpr int kSilentHeartbeats = 4;
+
+constexpr std::size_t kNewsFanOut = 8;
+
+/** Everything that lives on the control thread of a sidecar. */
+class SidecarControl {
+ public:
+  SidecarControl(ProcessRuntime& runtime, HttpServer& server, const SidecarSettings& settings);
+
+  void start();
+  void handle(ExchangeId exchange, const HttpRequest& request);
+  void set_leaving();
+  void abort_all() { core_.abort_all(); }
+  std::size_t open_runs() const { return core_.open_runs(); }
+  std::uint16_t rpc_port() const { return rpc_server_.port(); }
+
+ private:
+  ProcessState::Listener state_listener();
+  wire::Sidecar::Client make_server(std::uint64_t connection);
+  void push_news();
+
+  RpcLoop& loop_;
+  HttpServer& server_;
+  SidecarSettings settings_;
+  std::uint64_t incarnation_;
+  Metrics metrics_;
+  RpcTransport transport_;
+  // Bound before the order ledger starts: the port is the proof that no earlier incarnation of this
+  // slot is left.
+  RpcServer rpc_server_;
+  ProcessState state_;
+  SidecarCore core_;
+  OperatorRoutes operator_routes_;
+  bool leaving_ = false;
+  kj::Promise<void> ticking_ = nullptr;
+};
+
+SidecarControl::SidecarControl(ProcessRuntime& runtime,
+                               HttpServer& server,
+                               const SidecarSettings& settings)
+    : loop_(runtime.control_loop),
+      server_(server),
+      settings_(settings),
+      incarnation_(make_incarnation()),
+      transport_(loop_, load_tls_keys(settings)),
+      rpc_server_(loop_,
+                  transport_,
+                  settings.rpc_listen,
+                  settings.silence_limit * kSilentHeartbeats,
+                  [this](std::uint64_t connection) { return make_server(connection); }),
+      state_(loop_,
+             runtime.platform,
+             settings,
+             settings.kind == UpstreamKind::kEngine ? ProcessRole::kEngineSidecar
+                                                    : ProcessRole::kServiceSidecar,
+             incarnation_,
+             state_listener()),
+      core_(loop_, runtime.client, runtime.platform, settings, incarnation_, metrics_),
+      operator_routes_(server,
+                       state_,
+                       metrics_,
+                       {.is_ready = [this] { return !leaving_; },
+                        .update_metrics =
+                            [this](Metrics& out) {
+                              out.set("bluebellstep_open_runs",
+                                      static_cast<double>(core_.open_runs()));
+                            },
+                        .role_status = [this] { return core_.status_document(); }}) {}
+
+ProcessState::Listener SidecarControl::state_listener() {
+  return {
+      .on_bundle = [this](const Bundle& bundle) { core_.apply_bundle(bundle); },
+      .on_zones = [this] { core_.set_zone_in_service(state_.zones().in_service(settings_.zone)); },
+      .on_news = [this] { push_news(); }};
+}
+
+wire::Sidecar::Client SidecarControl::make_server(std::uint64_t connection) {
+  return kj::heap<SidecarServer>(state_, core_,
+                                 [this, connection] { rpc_server_.touch(connection); });
+}
+
+void SidecarControl::start() {
+  state_.start();
+  ticking_ = loop_.repeat_every(kTickInterval, [this] { core_.tick(); });
+}
+
+void SidecarControl::handle(ExchangeId exchange, const HttpRequest& request) {
+  if (!operator_routes_.handle(exchange, request)) {
+    respond_json(server_, exchange, 404, "{\"error\":\"no such route\"}\n");
+  }
+}
+
+void SidecarControl::set_leaving() {
+  leaving_ = true;
+  core_.set_leaving();
+  push_news();
+}
+
+void SidecarControl::push_news() {
+  for (wire::Peer::Client& peer : state_.random_peers(kNewsFanOut)) {
+    auto call = peer.heartbeatRequest();
+    auto state = call.initState();
+    state_.fill_state(state);
+    core_.fill_hint(state.initHint());
+    call.setFrom(make_server(/*connection=*/0));
+    loop_.add_background(call.send().ignoreResult());
+  }
+}
+
+}  // namespace
+
+int run_sidecar(const SidecarSettings& settings) {
+  SignalWaiter signals;
+  ProcessRuntime runtime(settings);
+  RpcLoop& loop = runtime.control_loop;
+  std::unique_ptr<SidecarControl> control;
+  HttpServer server(runtime.http_loop, {.listen = settings.http_listen},
+                    {.on_request =
+                         [&](ExchangeId exchange, HttpRequest request) {
+                           loop.post([&, exchange, request = std::move(request)] {
+                             if (control != nullptr) {
+                               control->handle(exchange, request);
+                             } else {
+                               server.respond(exchange, 503, {}, "");
+                             }
+                           });
+                         },
+                     .on_closed = [](ExchangeId) {}});
+  std::uint16_t rpc_port = 0;
+  loop.run_and_wait([&] {
+    control = std::make_unique<SidecarControl>(runtime, server, settings);
+    control->start();
+    rpc_port = control->rpc_port();
+  });
+  std::printf("listening http=%u rpc=%u\n", server.port(), rpc_port);
+  std::fflush(stdout);
+  LogEvent("sidecar_started")
+      .field("name", settings.name)
+      .field("rpc_port", std::uint32_t{rpc_port});
+  DrainTimes times;
+  times.stop_limit = settings.stop_limit;
+  const int exit_code = drain_process(
+      signals, DrainController(DrainRole::kSidecar, times),
+      {.announce = [&] { loop.run_and_wait([&] { control->set_leaving(); }); },
+       .open_work =
+           [&] {
+             std::size_t open = 0;
+             loop.run_and_wait([&] { open = control->open_runs(); });
+             return open;
+           },
+       // A sidecar's listener stays open to the end: entry instances fetch answers over it.
+       .close_listener = [] {},
+       .cut_streams = [&] { loop.run_and_wait([&] { control->abort_all(); }); }});
+  loop.run_and_wait([&] { control.reset(); });
+  LogEvent("sidecar_stopped").field("name", settings.name).field("exit_code", exit_code);
+  return exit_code;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/sidecar/store_client.h
@@ -0,0 +1,124 @@
+// Transfers of blocks between this sidecar and the cache stores, in the order of the
+// `LinkScheduler`.
+
+#ifndef BLUEBELLSTEP_SIDECAR_STORE_CLIENT_H_
+#define BLUEBELLSTEP_SIDECAR_STORE_CLIENT_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "bundle/bundle.h"
+#include "cache/block_frame.h"
+#include "cache/block_index.h"
+#include "cache/fetch_planner.h"
+#include "cache/link_scheduler.h"
+#include "cache/store_selector.h"
+#include "http/http_client.h"
+#include "metrics/metrics.h"
+#include "rpc/rpc_loop.h"
+
+namespace bluebellstep {
+
+/**
+ * Reads and writes framed blocks. Each transfer ends with exactly one callback on the control
+ * thread, at its deadline at the latest; a dead, full or slow store only costs that time. Lives on
+ * the control thread.
+ */
+class StoreClient {
+ public:
+  /** Result of a read. */
+  struct Block {
+    std::string payload;
+    BlockGeneration generation;
+    std::uint32_t frame_bytes = 0;
+  };
+
+  /** Gets the block, or nothing if it is not to be had: missing, damaged, late, or no store is
+   * live. */
+  using OnRead = std::function<void(std::optional<Block>)>;
+
+  /** Tells the generation written, or nothing if the block was not stored. */
+  using OnWritten = std::function<void(std::optional<BlockGeneration>)>;
+
+  /** What to move, and how urgent it is. */
+  struct Request {
+    BlockKey key;
+    AccountId account;
+    Tier tier = Tier::kMemory;
+    std::uint64_t bytes = 0;  // Estimate, for sharing the link.
+    BlockGeneration oldest;   // Reads: lowest generation to accept.
+    Instant deadline;
+  };
+
+  StoreClient(RpcLoop& loop, HttpClient& client, Metrics& metrics);
+  ~StoreClient();
+
+  /** Applies the stores and the shares of a bundle. */
+  void apply_bundle(const Bundle& bundle, NameTable<AccountId>& accounts);
+
+  /** Reads a block. */
+  void read(const Request& request, OnRead on_read);
+
+  /** Writes a block. Writes wait behind all reads of their account. */
+  void write(const Request& request, std::string payload, OnWritten on_written);
+
+  /** Whether there is any store. */
+  bool has_stores() const { return !stores_.empty(); }
+
+  /** Rate and queue of a tier's links together. */
+  LinkState link_state(Tier tier) const;
+
+  /** Ends transfers whose deadline has come; call it every few milliseconds. */
+  void tick();
+
+ private:
+  struct Store {
+    std::string name;
+    Endpoint endpoint;
+    std::array<std::uint64_t, kTiers> bytes_per_s = {};
+  };
+
+  struct Moving {
+    Request request;
+    std::string payload;   // Writes only.
+    OnRead on_read;        // Set for reads.
+    OnWritten on_written;  // Set for writes.
+    std::optional<StoreId> store;
+    std::optional<HttpCallId> call;  // Once started.
+  };
+
+  void start_waiting();
+  void start(TransferId id);
+  void take_response(TransferId id, HttpClient::Response response);
+  void take_read(Moving moving, HttpClient::Response response);
+  void take_written(Moving moving,
+                    BlockGeneration generation,
+                    const HttpClient::Response& response);
+  void give_up(TransferId id);
+  Moving take(TransferId id);
+  static void end_without_block(Moving moving);
+
+  RpcLoop& loop_;
+  HttpClient& client_;
+  Metrics& metrics_;
+  Clock clock_;
+  StoreSelector selector_;
+  LinkScheduler links_;
+  GenerationSource generations_;
+  std::map<StoreId, Store> stores_;
+  std::map<std::string, StoreId, std::less<>> store_ids_;
+  std::uint64_t next_transfer_ = 1;
+  std::map<TransferId, Moving> transfers_;
+  std::shared_ptr<StoreClient*> self_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_SIDECAR_STORE_CLIENT_H_
