--- /dev/null
+++ b/standins/engine_command.cc
@@ -0,0 +1,69 @@
+// Options by name; the defaults are those of the option structures.
+
+#include "standins/engine_command.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace bluebellstep::standins {
+namespace {
+
+void add_models(CLI::App& command, EngineOptions& options) {
+  const auto read = [&options](const std::vector<std::string>& models) {
+    options.models.clear();
+    for (const std::string& model : models) {
+      const std::size_t equals = model.find('=');
+      if (equals == std::string::npos) {
+        throw CLI::ValidationError("--model", "found '" + model + "', expected NAME=VERSION");
+      }
+      options.models[model.substr(0, equals)] = model.substr(equals + 1);
+    }
+  };
+  command.add_option_function<std::vector<std::string>>("--model", read,
+                                                        "NAME=VERSION; may be repeated");
+}
+
+}  // namespace
+
+void add_engine_options(CLI::App& command, EngineOptions& options) {
+  add_models(command, options);
+  command.add_option("--start-id", options.start_id, "First part of the start id");
+  command.add_option("--max-running", options.max_running, "Running requests")
+      ->check(CLI::PositiveNumber);
+  command.add_option("--max-waiting", options.max_waiting, "Waiting requests");
+  command.add_option("--max-kv-tokens", options.max_kv_tokens, "KV memory in tokens");
+  command.add_option("--prefill-tokens-per-s", options.prefill_tokens_per_s, "Shared prefill rate")
+      ->check(CLI::PositiveNumber);
+  command.add_option("--decode-step-us", options.decode_step_us, "Decode step of an empty batch")
+      ->check(CLI::NonNegativeNumber);
+  command
+      .add_option("--decode-step-us-per-run", options.decode_step_us_per_run,
+                  "Growth of the decode step with each run")
+      ->check(CLI::NonNegativeNumber);
+  command.add_option("--cache-blocks", options.cache_blocks, "Blocks in the prefix cache");
+  command.add_option("--block-bytes", options.block_bytes, "Size of an exported block");
+  command.add_option("--warm-initial", options.warm_initial, "Requests that a cold engine bears");
+  command.add_option("--warm-per-completion", options.warm_per_completion,
+                     "Further requests borne for each completed one");
+  command.add_flag("--starts-warm", options.starts_warm, "Skip the first warm-up");
+  command.add_option("--events-lag-ms", options.events_lag.ms, "Age of visible cache events");
+  command.add_option("--load-lag-ms", options.load_lag.ms, "Age of load reports");
+  command.add_option("--load-time-ms", options.load_time.ms, "Time for one weight load");
+  command.add_flag("!--ignore-fencing-numbers", options.checks_fencing_numbers,
+                   "Execute commands with old fencing numbers");
+}
+
+void add_store_options(CLI::App& command, StoreOptions& options) {
+  command.add_option("--memory-bytes", options.memory.limit_bytes, "Size of the memory tier");
+  command
+      .add_option("--memory-link-bytes-per-s", options.memory.link_bytes_per_s,
+                  "Link of the memory tier")
+      ->check(CLI::PositiveNumber);
+  command.add_option("--disk-bytes", options.disk.limit_bytes, "Size of the disk tier");
+  command
+      .add_option("--disk-link-bytes-per-s", options.disk.link_bytes_per_s, "Link of the disk tier")
+      ->check(CLI::PositiveNumber);
+}
+
+}  // namespace bluebellstep::standins
--- /dev/null
+++ b/standins/engine_command.h
@@ -0,0 +1,23 @@
+// Command lines of the model engine and the cache store stand-ins.
+
+#ifndef BLUEBELLSTEP_STANDINS_ENGINE_COMMAND_H_
+#define BLUEBELLSTEP_STANDINS_ENGINE_COMMAND_H_
+
+#include <CLI/CLI.hpp>
+
+#include "standins/engine_types.h"
+#include "standins/store_model.h"
+
+namespace bluebellstep::standins {
+
+/** Adds the options of the model engine to `command`; parsing writes them to `options`, which the
+ * caller keeps alive. */
+void add_engine_options(CLI::App& command, EngineOptions& options);
+
+/** Adds the options of the cache store to `command`; parsing writes them to `options`, which the
+ * caller keeps alive. */
+void add_store_options(CLI::App& command, StoreOptions& options);
+
+}  // namespace bluebellstep::standins
+
+#endif  // BLUEBELLSTEP_STANDINS_ENGINE_COMMAND_H_
