Add the operator commands

Cause: operators need to check, sign, propose, sign off and roll out bundles, take zones out and in, and ask why a request is routed as it is. A conditional write whose answer is lost is read back and compared by digest, and repeated if it had no effect; a conflict prints both sides. sign-off needs the digest of the contents that the operator reviewed. roll-out refuses a change of order tables unless each owner in force reported within 10 s or is confirmed as terminated. Network and clock come from a CommandContext, so tests run the commands against an object store in memory that loses requests and answers.

--- /dev/null
+++ b/src/cli/bundle_platform_commands.cc
@@ -0,0 +1,333 @@
+// Bundle commands that work on the platform's objects: propose, sign-off, roll-out and status.
+
+#include <algorithm>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "base/ed25519.h"
+#include "base/overloaded.h"
+#include "bundle/bundle_parser.h"
+#include "bundle/bundle_signer.h"
+#include "cli/command_context.h"
+#include "settings/operator_settings.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr std::string_view kCurrentKey = "bundle/current";
+constexpr std::string_view kProposedPrefix = "bundle/proposed-";
+constexpr std::string_view kStatusPrefix = "status/";
+
+// An owner of orders that reported within this time knows the bundle that it works by.
+constexpr Duration kOwnerReportLimit = {10'000};
+
+// Clocks of machines are assumed to be within 1 s of each other; the margin is twice that.
+constexpr Duration kClockSkew = {2000};
+
+struct Options {
+  std::string settings;
+  std::string file;
+  std::uint64_t generation = 0;
+  std::string operator_name;
+  std::string key;
+  std::string digest;
+  std::vector<std::string> confirmed_terminated;
+};
+
+/** What a process last reported, from its object `status/<name>`. */
+struct ProcessStatus {
+  std::string name;
+  std::uint64_t generation = 0;
+  Instant at;
+};
+
+std::optional<ProcessStatus> parse_status(const PlatformObject& object) {
+  const auto json = nlohmann::json::parse(object.value, nullptr, false);
+  if (!json.is_object() || !json.contains("generation") || !json.contains("at_ms") ||
+      !json["generation"].is_number_unsigned() || !json["at_ms"].is_number_integer()) {
+    return std::nullopt;
+  }
+  return ProcessStatus{object.key.substr(kStatusPrefix.size()), json["generation"],
+                       Instant{json["at_ms"].get<std::int64_t>()}};
+}
+
+/** One run of a command against the platform. */
+class PlatformRun {
+ public:
+  PlatformRun(CommandContext& context, const OperatorSettings& settings)
+      : context_(context),
+        signer_(settings.operator_keys),
+        objects_(context.open_platform(settings.platform)) {}
+
+  boost::leaf::result<ExitCode> propose(const Options& options) {
+    BOOST_LEAF_AUTO(document, read_settings_file(options.file));
+    BOOST_LEAF_AUTO(proposed, signer_.open(options.file, document, SignOffNeed::kNotNeeded));
+    BOOST_LEAF_AUTO(current, read(kCurrentKey));
+    BOOST_LEAF_CHECK(check_against(current, proposed.bundle));
+    return store(proposed_key(proposed.bundle.generation), {}, document, "proposed");
+  }
+
+  boost::leaf::result<ExitCode> sign_off(const Options& options) {
+    BOOST_LEAF_AUTO(key, read_key_file(options.key));
+    BOOST_LEAF_AUTO(object, read_proposed(options.generation));
+    BOOST_LEAF_AUTO(proposed, signer_.open(object.key, object.value, SignOffNeed::kNotNeeded));
+    const std::string digest = sha256_hex(proposed.text);
+    // The operator consents to the contents seen, not to whatever is stored by now.
+    if (digest != options.digest) {
+      context_.err << "ours:   digest " << options.digest << "\n";
+      print_side("theirs", object);
+      return ExitCode::kConflict;
+    }
+    BOOST_LEAF_AUTO(document,
+                    signer_.sign_off(object.key, object.value, options.operator_name, key));
+    return store(object.key, object.version, document, "signed off");
+  }
+
+  boost::leaf::result<ExitCode> roll_out(const Options& options) {
+    BOOST_LEAF_AUTO(object, read_proposed(options.generation));
+    BOOST_LEAF_AUTO(proposed, signer_.open(object.key, object.value));
+    BOOST_LEAF_AUTO(current, read(kCurrentKey));
+    if (current && current->value == object.value) {
+      context_.out << "generation " << options.generation << " is rolled out already\n";
+      return ExitCode::kDone;
+    }
+    BOOST_LEAF_CHECK(check_against(current, proposed.bundle));
+    if (current) {
+      BOOST_LEAF_AUTO(previous, signer_.open(current->key, current->value));
+      BOOST_LEAF_CHECK(check_owners(previous.bundle, proposed.bundle, options));
+    }
+    const ObjectVersion expected = current ? current->version : ObjectVersion{};
+    return store(std::string(kCurrentKey), expected, object.value, "rolled out");
+  }
+
+  boost::leaf::result<ExitCode> status() {
+    BOOST_LEAF_AUTO(current, read(kCurrentKey));
+    BOOST_LEAF_AUTO(proposals, list(kProposedPrefix));
+    BOOST_LEAF_AUTO(reports, list(kStatusPrefix));
+    std::uint64_t generation = 0;
+    if (current) {
+      print_side("current", *current, context_.out);
+      generation = generation_of(*current);
+    } else {
+      context_.out << "current: none\n";
+    }
+    for (const PlatformObject& proposal : proposals) {
+      if (generation_of(proposal) > generation) {
+        print_side("proposed", proposal, context_.out);
+      }
+    }
+    print_reports(reports, generation);
+    return ExitCode::kDone;
+  }
+
+ private:
+  static std::string proposed_key(std::uint64_t generation) {
+    return std::string(kProposedPrefix) + std::to_string(generation);
+  }
+
+  boost::leaf::result<std::optional<PlatformObject>> read(std::string_view key) {
+    auto result = objects_.read(key);
+    if (auto* unavailable = std::get_if<PlatformUnavailable>(&result)) {
+      return boost::leaf::new_error(std::move(*unavailable));
+    }
+    return std::get<std::optional<PlatformObject>>(std::move(result));
+  }
+
+  boost::leaf::result<std::vector<PlatformObject>> list(std::string_view prefix) {
+    auto result = objects_.list(prefix);
+    if (auto* unavailable = std::get_if<PlatformUnavailable>(&result)) {
+      return boost::leaf::new_error(std::move(*unavailable));
+    }
+    return std::get<std::vector<PlatformObject>>(std::move(result));
+  }
+
+  boost::leaf::result<PlatformObject> read_proposed(std::uint64_t generation) {
+    BOOST_LEAF_AUTO(object, read(proposed_key(generation)));
+    if (!object) {
+      return boost::leaf::new_error(CommandFailure{
+          ExitCode::kBadInput, "no bundle of generation " + std::to_string(generation) +
+                                   " is proposed; see bundle status"});
+    }
+    return *std::move(object);
+  }
+
+  boost::leaf::result<void> check_against(const std::optional<PlatformObject>& current,
+                                          const Bundle& next) {
+    if (!current) {
+      return {};
+    }
+    BOOST_LEAF_AUTO(previous, signer_.open(current->key, current->value));
+    return BundleParser("proposed bundle")
+        .check_succession(previous.bundle, next, context_.clock.wall());
+  }
+
+  // A former owner that is cut off would go on to execute the orders of its old table. So each
+  // owner must have reported lately, or the operator must vouch that it is gone.
+  boost::leaf::result<void> check_owners(const Bundle& previous,
+                                         const Bundle& next,
+                                         const Options& options) {
+    if (!order_tables_differ(previous, next)) {
+      return {};
+    }
+    const Instant now = context_.clock.wall();
+    std::string missing;
+    for (const std::string& owner : owners_in_force(previous, now)) {
+      const auto& vouched = options.confirmed_terminated;
+      if (std::find(vouched.begin(), vouched.end(), owner) != vouched.end()) {
+        continue;
+      }
+      BOOST_LEAF_AUTO(object, read(std::string(kStatusPrefix) + owner));
+      const auto report = object ? parse_status(*object) : std::nullopt;
+      if (!report || now - report->at > kOwnerReportLimit || report->at > now + kClockSkew) {
+        missing += " " + owner;
+      }
+    }
+    if (!missing.empty()) {
+      return boost::leaf::new_error(CommandFailure{
+          ExitCode::kFailed,
+          "refused: the order tables change, and these owners have not reported within 10s:" +
+              missing + "; if they are terminated, use --confirm-terminated NAME for each"});
+    }
+    return {};
+  }
+
+  static std::set<std::string> owners_in_force(const Bundle& bundle, Instant now) {
+    std::set<std::string> owners;
+    for (const BundleService& service : bundle.services) {
+      const std::size_t first = order_table_at(service.order_tables, now).value_or(0);
+      for (std::size_t i = first; i < service.order_tables.size(); ++i) {
+        const auto& upstreams = service.order_tables[i].upstreams;
+        owners.insert(upstreams.begin(), upstreams.end());
+      }
+    }
+    return owners;
+  }
+
+  boost::leaf::result<ExitCode> store(const std::string& key,
+                                      ObjectVersion expected,
+                                      const std::string& document,
+                                      std::string_view verb) {
+    const PlatformObject ours{key, expected, document};
+    auto outcome = write_and_confirm(objects_, key, expected, document);
+    if (auto* unavailable = std::get_if<PlatformUnavailable>(&outcome)) {
+      unavailable->detail += "; the change may have taken effect, see bundle status";
+      return boost::leaf::new_error(std::move(*unavailable));
+    }
+    if (const auto* conflict = std::get_if<VersionConflict>(&outcome)) {
+      context_.err << "conflict on " << key << ", nothing was changed\n";
+      print_side("ours", ours);
+      print_side("theirs", conflict->current);
+      return ExitCode::kConflict;
+    }
+    print_side(std::string(verb), ours, context_.out);
+    if (std::get<Written>(outcome).read_back) {
+      context_.out << "an answer was lost; reading back showed that the change took effect\n";
+    }
+    return ExitCode::kDone;
+  }
+
+  std::optional<SignedBundle> try_open(const PlatformObject& object) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<SignedBundle>> {
+          BOOST_LEAF_AUTO(opened, signer_.open(object.key, object.value, SignOffNeed::kNotNeeded));
+          return opened;
+        },
+        [] { return std::optional<SignedBundle>(); });
+  }
+
+  std::uint64_t generation_of(const PlatformObject& object) {
+    const auto opened = try_open(object);
+    return opened ? opened->bundle.generation : 0;
+  }
+
+  void print_side(std::string_view label, const PlatformObject& object) {
+    print_side(label, object, context_.err);
+  }
+
+  void print_side(std::string_view label, const PlatformObject& object, std::ostream& out) {
+    out << label << ": " << object.key << " version " << object.version.value;
+    const auto opened = try_open(object);
+    if (!opened) {
+      out << (object.value.empty() ? ", no object\n" : ", not a valid document\n");
+      return;
+    }
+    out << ", generation " << opened->bundle.generation << " by " << opened->bundle.author
+        << ", digest " << sha256_hex(opened->text) << ", signed off by";
+    for (const SignOff& sign_off : opened->sign_offs) {
+      out << " " << sign_off.operator_name;
+    }
+    out << (opened->sign_offs.empty() ? " nobody\n" : "\n");
+  }
+
+  void print_reports(const std::vector<PlatformObject>& reports, std::uint64_t generation) {
+    const Instant now = context_.clock.wall();
+    std::size_t behind = 0;
+    for (const PlatformObject& object : reports) {
+      const auto report = parse_status(object);
+      if (!report) {
+        context_.out << object.key << ": not a status\n";
+        continue;
+      }
+      behind += report->generation < generation ? 1 : 0;
+      context_.out << report->name << ": generation " << report->generation << ", reported "
+                   << (now - report->at).ms << "ms ago\n";
+    }
+    context_.out << reports.size() << " processes, " << behind << " behind\n";
+  }
+
+  CommandContext& context_;
+  BundleSigner signer_;
+  ObjectAccess objects_;
+};
+
+using RunMethod = std::function<boost::leaf::result<ExitCode>(PlatformRun&)>;
+
+CLI::App* add_command(CLI::App& bundle,
+                      CommandContext& context,
+                      const std::shared_ptr<Options>& options,
+                      const std::string& name,
+                      const std::string& description,
+                      RunMethod run) {
+  CLI::App* const command = bundle.add_subcommand(name, description);
+  command->add_option("--settings", options->settings, "operator settings")->required();
+  command->callback([&context, options, run = std::move(run)] {
+    run_command(context, [&]() -> boost::leaf::result<ExitCode> {
+      BOOST_LEAF_AUTO(settings, load_operator_settings(options->settings));
+      PlatformRun platform(context, settings);
+      return run(platform);
+    });
+  });
+  return command;
+}
+
+}  // namespace
+
+void add_bundle_platform_commands(CLI::App& bundle, CommandContext& context) {
+  const auto options = std::make_shared<Options>();
+  CLI::App* const propose =
+      add_command(bundle, context, options, "propose", "store a signed bundle as a proposal",
+                  [options](PlatformRun& run) { return run.propose(*options); });
+  propose->add_option("file", options->file, "signed document")->required();
+
+  CLI::App* const sign_off =
+      add_command(bundle, context, options, "sign-off", "sign a proposal off as another operator",
+                  [options](PlatformRun& run) { return run.sign_off(*options); });
+  sign_off->add_option("generation", options->generation, "generation")->required();
+  sign_off->add_option("--operator", options->operator_name, "name of the operator")->required();
+  sign_off->add_option("--key", options->key, "file with the private key")->required();
+  sign_off->add_option("--digest", options->digest, "digest of the bundle that was reviewed")
+      ->required();
+
+  CLI::App* const roll_out =
+      add_command(bundle, context, options, "roll-out", "make a signed-off proposal current",
+                  [options](PlatformRun& run) { return run.roll_out(*options); });
+  roll_out->add_option("generation", options->generation, "generation")->required();
+  roll_out->add_option("--confirm-terminated", options->confirmed_terminated,
+                       "owner of orders that is certainly gone; may be repeated");
+
+  add_command(bundle, context, options, "status", "show current and proposed bundles and processes",
+              [](PlatformRun& run) { return run.status(); });
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/cli/network_access.h
@@ -0,0 +1,34 @@
+// The HTTP client that commands use in the program; tests may put their own in its place.
+
+#ifndef BLUEBELLSTEP_CLI_NETWORK_ACCESS_H_
+#define BLUEBELLSTEP_CLI_NETWORK_ACCESS_H_
+
+#include <memory>
+
+#include "cli/command_context.h"
+
+namespace bluebellstep {
+
+/** Owns the HTTP thread of a command, which starts with the first call. */
+class NetworkAccess {
+ public:
+  NetworkAccess();
+  NetworkAccess(const NetworkAccess&) = delete;
+  NetworkAccess& operator=(const NetworkAccess&) = delete;
+  ~NetworkAccess();
+
+  /** Sets `send` of `context`, which must not be used after this is gone. */
+  void connect(CommandContext& context);
+
+  /** The client, started if needed. */
+  HttpClient& client();
+
+ private:
+  struct Running;
+
+  std::unique_ptr<Running> running_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_CLI_NETWORK_ACCESS_H_
--- /dev/null
+++ b/src/cli/object_access.h
@@ -0,0 +1,46 @@
+// Blocking access to platform objects for operator commands, and the write that settles lost
+// answers.
+
+#ifndef BLUEBELLSTEP_CLI_OBJECT_ACCESS_H_
+#define BLUEBELLSTEP_CLI_OBJECT_ACCESS_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "platform/platform_client.h"
+
+namespace bluebellstep {
+
+/** Calls of the object API that return when the answer is there. */
+struct ObjectAccess {
+  std::function<PlatformClient::ReadResult(std::string_view key)> read;
+  std::function<PlatformClient::ListResult(std::string_view prefix)> list;
+  std::function<
+      PlatformClient::WriteResult(std::string_view key, ObjectVersion expected, std::string value)>
+      write;
+};
+
+/** The object holds the value that was written. */
+struct Written {
+  /** Whether this was learned by reading back after a lost answer. */
+  bool read_back = false;
+};
+
+/** Result of `write_and_confirm`. After `PlatformUnavailable` the write may have taken effect. */
+using WriteOutcome = std::variant<Written, VersionConflict, PlatformUnavailable>;
+
+/**
+ * Writes `value` if the object still has version `expected`. When the answer is lost, reads the
+ * object back and compares digests; if the write did not take effect it is repeated, which is safe
+ * because it is conditional.
+ */
+WriteOutcome write_and_confirm(const ObjectAccess& objects,
+                               std::string_view key,
+                               ObjectVersion expected,
+                               const std::string& value);
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_CLI_OBJECT_ACCESS_H_
--- a/src/settings/common_settings.cc
+++ b/src/settings/common_settings.cc
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kMaxFileBytes = 16u << 20;
 
+}  // namespace
+
 void read_operator_keys(SettingsReader::Section& root, OperatorKeys& keys) {
   const auto members = root.text_members("operator_keys");
   std::set<std::string> distinct;
@@ -35,7 +37,12 @@
   }
 }
 
-}  // namespace
+void read_platform_settings(SettingsReader::Section& root, PlatformSettings& settings) {
+  if (auto platform = root.section("platform")) {
+    platform->read("endpoint", settings.endpoint);
+    platform->read("timeout", settings.timeout, Presence::kOptional);
+  }
+}
 
 void read_process_settings(SettingsReader::Section& root, ProcessSettings& settings) {
   root.read("name", settings.name);
@@ -43,10 +50,7 @@
   root.read("region", settings.region);
   root.read("http_listen", settings.http_listen);
   root.read("rpc_listen", settings.rpc_listen);
-  if (auto platform = root.section("platform")) {
-    platform->read("endpoint", settings.platform.endpoint);
-    platform->read("timeout", settings.platform.timeout, Presence::kOptional);
-  }
+  read_platform_settings(root, settings.platform);
   if (auto tls = root.section("tls", Presence::kOptional)) {
     settings.tls.emplace();
     tls->read("certificate", settings.tls->certificate);
--- a/src/settings/common_settings.h
+++ b/src/settings/common_settings.h
@@ -50,6 +50,12 @@
 /** Reads the members of `ProcessSettings` from the top of a document. */
 void read_process_settings(SettingsReader::Section& root, ProcessSettings& settings);
 
+/** Reads the member `platform`. */
+void read_platform_settings(SettingsReader::Section& root, PlatformSettings& settings);
+
+/** Reads the member `operator_keys`, which must name at least two operators with distinct keys. */
+void read_operator_keys(SettingsReader::Section& root, OperatorKeys& keys);
+
 /** Reads a whole file. Fails with `SettingsErrors` if it cannot be read or is above 16 MB. */
 boost::leaf::result<std::string> read_settings_file(const std::string& path);
 
