--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -1,14 +1,15 @@
 // Client of the platform's object API, where everything that must last is kept.
 //
 // Protocol (HTTP with JSON):
-//   GET    /objects/{key}                        -> 200 {"key","version","value"} or 404
-//   GET    /objects?prefix={p}                   -> 200
-//   {"version","items":[{"key","version","value"}]} PUT    /objects/{key}?if_version={v}         ->
-//   200 {"version"}; v = 0 creates; 409 {"version","value"} on a conflict DELETE
-//   /objects/{key}?if_version={v}         -> 200; 409 on a conflict GET
-//   /objects/{key}?watch_after={v}&wait_ms={ms} -> 200 as for a get once version > v; 304 after the
-//   wait GET    /instances                            -> 200
-//   {"version","items":[{"name","role","zone","ip","port","state"}]}
+//   GET    /objects/{key}                 -> 200 {"key","version","value"}, or 404
+//   GET    /objects?prefix={p}            -> 200 {"version","items":[{"key","version","value"}]}
+//   PUT    /objects/{key}?if_version={v}  -> 200 {"version"}; v = 0 creates;
+//                                            409 {"version","value"} on a conflict
+//   DELETE /objects/{key}?if_version={v}  -> 200; 409 as above on a conflict
+//   GET    /objects/{key}?watch_after={v}&wait_ms={ms}
+//                                         -> 200 as for a get once version > v; 304 after the wait
+//   GET    /instances                     -> 200 {"version","items":[{"name","role","zone","ip",
+//                                            "port","state"}]}
 // Values are text of up to 1 MB. Each call is counted, a waiting watch too.
 
 #ifndef BLUEBELLSTEP_PLATFORM_PLATFORM_CLIENT_H_
