--- a/standins/main.cc
+++ b/standins/main.cc
@@ -3,11 +3,19 @@
 #include <CLI/CLI.hpp>
 
 #include "base/log_event.h"
+#include "standins/orders_standin.h"
+#include "standins/platform_standin.h"
+#include "standins/standin_options.h"
+#include "standins/weights_standin.h"
 
 int main(int argc, char** argv) {
   bluebellstep::start_logging(argv[0]);
+  bluebellstep::block_stop_signals();
   CLI::App app("bluebellstep-standins: stand-ins for the systems around bluebellstep");
   app.require_subcommand(1);
+  bluebellstep::add_platform_command(app);
+  bluebellstep::add_orders_command(app);
+  bluebellstep::add_weights_command(app);
   CLI11_PARSE(app, argc, argv);
   return 0;
 }
--- /dev/null
+++ b/standins/weights_standin.cc
@@ -0,0 +1,61 @@
+// Serves weights at a limited rate.
+
+#include "standins/weights_standin.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+#include "standins/standin_options.h"
+
+namespace bluebellstep {
+
+WeightsStandin::WeightsStandin(HttpLoop& loop, const WeightsStandinOptions& options)
+    : options_(options), tokens_(options.burst), refilled_at_(clock_.now()), server_(loop) {
+  server_.route("GET", "/weights/{}/{}", [this](const StandinRequest& r) { serve(r); });
+  server_.start({.listen = options.listen});
+}
+
+void WeightsStandin::serve(const StandinRequest& request) {
+  const Instant now = clock_.now();
+  const double refill =
+      static_cast<double>((now - refilled_at_).ms) * options_.requests_per_s / 1000;
+  tokens_ = std::min(options_.burst, tokens_ + refill);
+  refilled_at_ = now;
+  if (tokens_ < 1) {
+    server_.count("rate_limited");
+    const auto wait_s =
+        static_cast<std::int64_t>(std::ceil((1 - tokens_) / options_.requests_per_s));
+    server_.http().respond(request.exchange, 429, {{"retry-after", std::to_string(wait_s)}}, "");
+    return;
+  }
+  tokens_ -= 1;
+  server_.count("served");
+  const std::string seed = request.captures.at(0) + "/" + request.captures.at(1) + ";";
+  std::string weights;
+  weights.reserve(options_.weight_bytes + seed.size());
+  while (weights.size() < options_.weight_bytes) {
+    weights += seed;
+  }
+  weights.resize(options_.weight_bytes);
+  server_.http().respond(request.exchange, 200, {{"content-type", "application/octet-stream"}},
+                         std::move(weights));
+}
+
+void add_weights_command(CLI::App& app) {
+  CLI::App* command = app.add_subcommand("weights", "rate-limited weight store");
+  const auto options = std::make_shared<WeightsStandinOptions>();
+  add_listen_options(*command, options->listen);
+  command->add_option("--requests-per-s", options->requests_per_s, "rate limit")
+      ->check(CLI::PositiveNumber);
+  command->add_option("--burst", options->burst, "requests that may come at once")
+      ->check(CLI::PositiveNumber);
+  command->add_option("--weight-bytes", options->weight_bytes, "size of the weights");
+  command->callback([options] {
+    HttpLoop loop;
+    const WeightsStandin standin(loop, *options);
+    serve_until_stopped(standin.port());
+  });
+}
+
+}  // namespace bluebellstep
