--- a/standins/engine_command.cc
+++ b/standins/engine_command.cc
@@ -2,6 +2,12 @@
 
 #include "standins/engine_command.h"
 
+#include <memory>
+
+#include "standins/engine_standin.h"
+#include "standins/standin_options.h"
+#include "standins/store_standin.h"
+
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -66,4 +72,30 @@
       ->check(CLI::PositiveNumber);
 }
 
+void add_engine_command(CLI::App& app) {
+  CLI::App* const command = app.add_subcommand("engine", "model engine");
+  const auto listen = std::make_shared<Endpoint>();
+  const auto options = std::make_shared<EngineOptions>();
+  add_listen_options(*command, *listen);
+  add_engine_options(*command, *options);
+  command->callback([listen, options] {
+    HttpLoop loop;
+    const EngineStandin standin(loop, *options, *listen);
+    serve_until_stopped(standin.port());
+  });
+}
+
+void add_store_command(CLI::App& app) {
+  CLI::App* const command = app.add_subcommand("store", "cache store");
+  const auto listen = std::make_shared<Endpoint>();
+  const auto options = std::make_shared<StoreOptions>();
+  add_listen_options(*command, *listen);
+  add_store_options(*command, *options);
+  command->callback([listen, options] {
+    HttpLoop loop;
+    const StoreStandin standin(loop, *options, *listen);
+    serve_until_stopped(standin.port());
+  });
+}
+
 }  // namespace bluebellstep::standins
