Keep small accounts' first tokens short in a flood, and prompts at their homes

Change: a home keeps its prompts while a quarter of its slots is free (half before). FairQueue takes a burst by which an account returning from idleness may run ahead; it has is_within_share and charge. Admission lets requests of accounts within their share go ahead of the queue and past max_prefilling, still within all other limits. A full queue still takes an account's equal part, at most twice the bound in all, so that a flood does not get other accounts refused. Conclusion: the sidecar has to dispatch requests within their share with a high engine priority.

--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -58,20 +58,31 @@
 
 bool AdmissionController::has_room(const AdmissionRequest& request, Instant now) const {
   return running_ < limit(now) &&
-         (limits_.max_prefilling == 0 || prefilling_ < limits_.max_prefilling) &&
+         (limits_.max_prefilling == 0 || request.within_share ||
+          prefilling_ < limits_.max_prefilling) &&
          (limits_.kv_tokens == 0 || request.kv_tokens <= limits_.kv_tokens - kv_tokens_used_);
 }
 
+bool AdmissionController::may_wait(const AdmissionRequest& request, Instant now) const {
+  const std::uint64_t max_waiting = std::uint64_t{limits_.waiting_per_slot} * limit(now);
+  if (request.waiting < max_waiting) {
+    return true;
+  }
+  // At most doubles the bound, reached when every account has its part beside a full queue. An
+  // account that has none waiting is counted as one more.
+  const std::size_t accounts = request.waiting_accounts + (request.account_waiting == 0 ? 1 : 0);
+  return accounts > 1 && request.account_waiting < max_waiting / accounts;
+}
+
 Admission AdmissionController::try_admit(const AdmissionRequest& request, Instant now) {
   if (auto verdict = check_standing(request)) {
     return Refused{std::move(*verdict)};
   }
-  const bool may_overtake = request.from_queue || request.waiting == 0;
+  const bool may_overtake = request.from_queue || request.within_share || request.waiting == 0;
   if (may_overtake && has_room(request, now)) {
     return Admitted{take_slot(request, now)};
   }
-  const std::uint64_t max_waiting = std::uint64_t{limits_.waiting_per_slot} * limit(now);
-  if (request.from_queue || request.waiting < max_waiting) {
+  if (request.from_queue || may_wait(request, now)) {
     return Queue{};
   }
   if (is_cold(now)) {
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -35,7 +35,8 @@
   /** KV memory in tokens; 0 for no limit. */
   std::uint64_t kv_tokens = 0;
   /** Requests that may wait for each slot of the current limit. Waiting requests of a cold upstream
-   * are better served elsewhere, so the bound shrinks with the limit. */
+   * are better served elsewhere, so the bound shrinks with the limit. When the queue is full, an
+   * account still gets its equal part of the bound, so that a flood does not lock others out. */
   std::uint32_t waiting_per_slot = 4;
   SlowStartLimits slow_start;
 };
@@ -48,8 +49,15 @@
   std::string_view weight_version;
   /** KV tokens the request can use at most: prompt plus answer. */
   std::uint64_t kv_tokens = 0;
-  /** Requests that now wait in the fair queue. */
+  /** Requests that now wait in the fair queue: all, those of this account, and the number of
+   * accounts that have any. */
   std::size_t waiting = 0;
+  std::size_t account_waiting = 0;
+  std::size_t waiting_accounts = 0;
+  /** True if the account is within its share, see `FairQueue::is_within_share`. Such a request goes
+   * ahead of those waiting and is not held back by `max_prefilling`; it is to be dispatched with a
+   * high engine priority, so that the engine prefills it before the others. */
+  bool within_share = false;
   /** True for the request that the fair queue would give next, false for a new arrival. */
   bool from_queue = false;
 };
@@ -128,6 +136,7 @@
   };
 
   std::optional<Verdict> check_standing(const AdmissionRequest& request) const;
+  bool may_wait(const AdmissionRequest& request, Instant now) const;
   bool has_room(const AdmissionRequest& request, Instant now) const;
   SlotId take_slot(const AdmissionRequest& request, Instant now);
   Slot* find_slot(SlotId slot);
--- a/src/admission/admission_controller_test.cc
+++ b/src/admission/admission_controller_test.cc
@@ -120,6 +120,35 @@
   CHECK(std::holds_alternative<Queue>(controller.try_admit(request_of(10), now)));
   controller.first_token(second, now, {});
   CHECK(std::holds_alternative<Admitted>(controller.try_admit(request_of(10), now)));
+
+  AdmissionRequest within_share = request_of(10);
+  within_share.waiting = 5;
+  CHECK(std::holds_alternative<Queue>(controller.try_admit(within_share, now)));
+  within_share.within_share = true;
+  CHECK(std::holds_alternative<Admitted>(controller.try_admit(within_share, now)));
+  within_share.kv_tokens = 99'991;
+  CHECK(std::holds_alternative<Queue>(controller.try_admit(within_share, now)));
+}
+
+// Guards against a flood of one account that fills the queue and so locks out the others, and
+// against a queue without bound.
+TEST_CASE("a full queue still takes an account's equal part", "[admission]") {
+  AdmissionController controller(limits_with(10), {0});
+  controller.set_weight_version(kModel, "v1");
+  const Instant now = warm_up(controller, {0});
+  const auto may_wait = [&](std::size_t waiting, std::size_t of_account, std::size_t accounts) {
+    AdmissionRequest request = request_of(10);
+    request.waiting = waiting;
+    request.account_waiting = of_account;
+    request.waiting_accounts = accounts;
+    return std::holds_alternative<Queue>(controller.try_admit(request, now));
+  };
+  CHECK(may_wait(39, 39, 1));
+  CHECK_FALSE(may_wait(40, 40, 1));
+  CHECK(may_wait(40, 0, 1));
+  CHECK(may_wait(59, 19, 2));
+  CHECK_FALSE(may_wait(60, 20, 2));
+  CHECK_FALSE(may_wait(60, 40, 2));
 }
 
 // Guards against a count that drifts when an end is reported twice or late.
--- a/src/fairness/fair_queue.cc
+++ b/src/fairness/fair_queue.cc
@@ -38,15 +38,20 @@
   return account.value < accounts_.size() ? accounts_[account.value].waiting : 0;
 }
 
+double FairQueue::due_at(const Account& account) const {
+  return std::max(account.tag - static_cast<double>(burst_.tokens) / account.weight, virtual_time_);
+}
+
 void FairQueue::set_tag(AccountId id, Account& account, double tag) {
   if (account.waiting == 0) {
     account.tag = tag;
     return;
   }
   // The set's node is reused, so that no step allocates.
-  auto entry = backlogged_.extract({account.tag, id.value});
+  auto entry = backlogged_.extract({account.due, id.value});
   account.tag = tag;
-  entry.value() = {tag, id.value};
+  account.due = due_at(account);
+  entry.value() = {account.due, id.value};
   backlogged_.insert(std::move(entry));
 }
 
@@ -80,7 +85,8 @@
   append(lane, index);
   if (account.waiting == 0) {
     account.tag = std::max(account.tag, virtual_time_);
-    backlogged_.insert({account.tag, id.value});
+    account.due = due_at(account);
+    backlogged_.insert({account.due, id.value});
   }
   ++account.waiting;
 }
@@ -120,7 +126,7 @@
   const Node node = nodes_[index];
   Lane& lane = account.lanes.at(static_cast<std::size_t>(node.priority));
 
-  virtual_time_ = std::max(virtual_time_, account.tag);
+  virtual_time_ = std::max(virtual_time_, account.due);
   account.lane_time = std::max(account.lane_time, lane.tag);
   lane.tag += lane_charge(node.cost, node.priority);
   set_tag(id, account, account.tag + chargeable(node.cost) / account.weight);
@@ -135,7 +141,7 @@
   (node.previous == kNone ? lane.head : nodes_[node.previous].next) = node.next;
   (node.next == kNone ? lane.tail : nodes_[node.next].previous) = node.previous;
   if (--account.waiting == 0) {
-    backlogged_.erase({account.tag, node.account.value});
+    backlogged_.erase({account.due, node.account.value});
   }
   by_request_.erase(node.request);
   free_nodes_.push_back(index);
@@ -146,6 +152,20 @@
   set_tag(id, account, account.tag + static_cast<double>(delta.tokens) / account.weight);
 }
 
+void FairQueue::charge(AccountId id, Cost estimate) {
+  Account& account = account_at(id);
+  const double from = std::max(account.tag, virtual_time_);
+  set_tag(id, account, from + chargeable(estimate) / account.weight);
+}
+
+bool FairQueue::is_within_share(AccountId id) const {
+  if (id.value >= accounts_.size()) {
+    return true;
+  }
+  const Account& account = accounts_[id.value];
+  return account.waiting == 0 && due_at(account) <= virtual_time_;
+}
+
 bool FairQueue::cancel(RequestId request) {
   const auto found = by_request_.find(request);
   if (found == by_request_.end()) {
--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -29,6 +29,15 @@
 /** Queue of waiting requests. Work-conserving: `pop` gives a request whenever one waits. */
 class FairQueue {
  public:
+  /** Burst for sidecars: two prompts of 20 blocks. One long prompt costs an upstream several
+   * seconds of a small account's share; without the burst, the account's next short one waits as
+   * long. */
+  static constexpr Cost kPromptBurst = {40'000};
+
+  /** `burst` is the cost that an account returning from idleness may be served ahead of its share.
+   * Its later service makes up for it, so shares hold in the long run. */
+  explicit FairQueue(Cost burst = {}) : burst_(burst) {}
+
   /** Sets the weight of an account; 1 if never set. Must be above 0. Applies to what is served from
    * now on. */
   void set_weight(AccountId account, double weight);
@@ -47,6 +56,13 @@
    * counts only down to the present virtual time. */
   void correct(AccountId account, Cost delta);
 
+  /** Charges an account for a request that was dispatched without waiting here. */
+  void charge(AccountId account, Cost estimate);
+
+  /** True if the account has no request waiting and has been charged at most the burst more than
+   * the backlogged accounts: a request of it would be the next to be served. */
+  bool is_within_share(AccountId account) const;
+
   /** Removes a waiting request without charge. Returns false if it does not wait here. */
   bool cancel(RequestId request);
 
@@ -56,6 +72,9 @@
   /** Returns the number of waiting requests of one account. */
   std::size_t size(AccountId account) const;
 
+  /** Returns the number of accounts with waiting requests. */
+  std::size_t waiting_accounts() const { return backlogged_.size(); }
+
  private:
   static constexpr std::uint32_t kNone = 0xffffffff;
   static constexpr std::size_t kPriorities = 3;
@@ -82,6 +101,8 @@
   struct Account {
     double weight = 1;
     double tag = 0;
+    // Place in the order: the tag less the burst, at least the virtual time when it was set.
+    double due = 0;
     double lane_time = 0;
     std::size_t waiting = 0;
     std::array<Lane, kPriorities> lanes;
@@ -89,15 +110,17 @@
 
   Account& account_at(AccountId account);
   std::uint32_t next_node(const Account& account) const;
+  double due_at(const Account& account) const;
   void set_tag(AccountId id, Account& account, double tag);
   std::uint32_t take_node();
   void append(Lane& lane, std::uint32_t index);
   void remove(std::uint32_t index);
 
   std::vector<Account> accounts_;  // By account id, which is dense.
-  // Holds {tag, id} of exactly the accounts with waiting > 0.
+  // Holds {due, id} of exactly the accounts with waiting > 0.
   std::set<std::pair<double, std::uint32_t>> backlogged_;
-  double virtual_time_ = 0;
+  double virtual_time_ = 0;  // Greatest `due` served.
+  Cost burst_;
   std::vector<Node> nodes_;
   std::vector<std::uint32_t> free_nodes_;
   std::unordered_map<RequestId, std::uint32_t> by_request_;  // Index into nodes_.
--- a/src/fairness/fair_queue_test.cc
+++ b/src/fairness/fair_queue_test.cc
@@ -18,7 +18,7 @@
 // Keeps accounts backlogged and counts the cost served to each.
 class Backlog {
  public:
-  explicit Backlog(std::uint64_t seed) : random_(seed) {}
+  explicit Backlog(std::uint64_t seed, Cost burst = {}) : queue_(burst), random_(seed) {}
 
   FairQueue& queue() { return queue_; }
   Random& random() { return random_; }
@@ -250,6 +250,37 @@
   CHECK(low_served == Approx(10).margin(1));
 }
 
+// Guards against an account that goes ahead of the queue with more than its share and the burst.
+TEST_CASE("an account is within its share until it has had as much as the others", "[fairness]") {
+  constexpr std::int64_t kLarge = 10'000;
+  constexpr std::int64_t kSmall = 5'000;
+  Backlog backlog(1, FairQueue::kPromptBurst);
+  for (int i = 0; i < 300; ++i) {
+    backlog.push({0}, kLarge);
+  }
+  double ahead = 0;
+  for (int i = 0; i < 250; ++i) {
+    while (backlog.queue().is_within_share({1})) {
+      backlog.queue().charge({1}, {kSmall});
+      ahead += kSmall;
+    }
+    backlog.serve();
+    CHECK(ahead <= backlog.served({0}) + 2 * FairQueue::kPromptBurst.tokens + kSmall);
+  }
+  CHECK(ahead == Approx(backlog.served({0})).epsilon(0.05));
+  for (int i = 0; i < 300; ++i) {
+    backlog.push({2}, kSmall);
+  }
+  // An account that returns gets the burst ahead of the others, and equal shares after it.
+  const double before = backlog.served({0});
+  while (backlog.served({2}) < 500'000) {
+    backlog.serve();
+    CHECK(backlog.served({2}) - (backlog.served({0}) - before) <=
+          FairQueue::kPromptBurst.tokens + 2 * kLarge);
+  }
+  CHECK_FALSE(backlog.queue().is_within_share({0}));
+}
+
 TEST_CASE("cost counts what is not cached", "[fairness]") {
   CHECK(cost_of({.prompt_tokens = 9000,
                  .cached_tokens = 8000,
--- a/src/routing/route_chooser.h
+++ b/src/routing/route_chooser.h
@@ -67,9 +67,10 @@
   /** A home keeps its prompts up to this multiple of the mean load per slot. */
   static constexpr double kLoadBound = 1.25;
 
-  /** A home with half its slots free keeps its prompts however idle the others are: another
-   * upstream would start no sooner and would compute the prompt again. */
-  static constexpr double kFreeBound = 0.5;
+  /** A home with a quarter of its slots free keeps its prompts however idle the others are: another
+   * upstream would start no sooner and would compute the prompt again. The quarter is kept for
+   * what other entry instances send between two heartbeats. */
+  static constexpr double kFreeBound = 0.75;
 
   /** `seed` drives the random choices. */
   RouteChooser(const UpstreamTable& table, std::uint64_t seed) : table_(table), random_(seed) {}
