--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,93 @@
+// Seeded simulations of the policies under virtual time. Their bounds are targets of the design
+// page; each prints its figures.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <vector>
+
+#include "tests/support/policy_pool.h"
+
+namespace bluebellstep {
+namespace {
+
+double recomputed_share(const PolicyFigures& figures) {
+  return static_cast<double>(figures.recomputed) / static_cast<double>(figures.blocks);
+}
+
+// 99th percentile of the first token over accounts from `first` on, in milliseconds.
+double first_token_p99(const PolicyFigures& figures, std::size_t first) {
+  std::vector<std::int64_t> times;
+  for (std::size_t a = first; a < figures.first_tokens.size(); ++a) {
+    times.insert(times.end(), figures.first_tokens[a].begin(), figures.first_tokens[a].end());
+  }
+  REQUIRE(times.size() > 1000);
+  const auto at = times.begin() + static_cast<std::ptrdiff_t>(times.size() * 99 / 100);
+  std::ranges::nth_element(times, at);
+  return static_cast<double>(*at);
+}
+
+}  // namespace
+
+// Guards against returning prompts that are computed again although their blocks exist.
+TEST_CASE("returning prompts are recomputed little more than by an oracle", "[policy]") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    PolicyRun run;
+    run.seed = seed;
+    // A few accounts are large.
+    run.rates = {5, 4, 3, 1.5, 1.5, 1, 1, 1, 1, 1};
+    const PolicyFigures ours = PolicyPool(run).run();
+    run.route_by_prompt = false;
+    const PolicyFigures least_load = PolicyPool(run).run();
+    run.knows_every_block = true;
+    const double oracle = recomputed_share(PolicyPool(run).run());
+    std::printf(
+        "policy: seed %d: recomputed share %.4f, oracle %.4f, least load %.4f, never computed "
+        "before %.4f, %d requests, %d "
+        "refused\n",
+        static_cast<int>(seed), recomputed_share(ours), oracle, recomputed_share(least_load),
+        static_cast<double>(ours.new_blocks) / static_cast<double>(ours.blocks),
+        static_cast<int>(ours.requests), static_cast<int>(ours.refused));
+    CHECK(recomputed_share(ours) <= 1.1 * oracle);
+    CHECK(recomputed_share(ours) <= 0.5 * recomputed_share(least_load));
+    CHECK(ours.refused == 0);
+  }
+}
+
+// Guards against small accounts that wait behind a flood of large ones. Three large accounts send
+// ten times a tenth of the pool's capacity each, seven small ones half of a tenth.
+TEST_CASE("small accounts hardly notice a flood by large ones", "[policy]") {
+  constexpr std::size_t kFirstSmall = 3;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    // A request takes about 150 ms of prefill on the average, so 12 servers bear about 80 a second.
+    constexpr double kShare = 8;
+    PolicyRun run;
+    run.seed = seed;
+    run.max_running = 64;
+    run.max_prefilling = 1;
+    run.prompts_per_account = 100;
+    run.warm_up = 120_s;
+    run.measured = 120_s;
+    run.rates.assign(10, kShare / 2);
+    std::fill_n(run.rates.begin(), kFirstSmall, 0.0);
+    const double alone = first_token_p99(PolicyPool(run).run(), kFirstSmall);
+    std::fill_n(run.rates.begin(), kFirstSmall, 10 * kShare);
+    const PolicyFigures flood = PolicyPool(run).run();
+    const double flooded = first_token_p99(flood, kFirstSmall);
+    std::printf(
+        "policy: seed %d: small accounts' first token p99 alone %.0f ms, in a flood %.0f ms, ratio "
+        "%.2f, large accounts' p99 %.0f ms, %d of %d requests refused\n",
+        static_cast<int>(seed), alone, flooded, flooded / alone,
+        first_token_p99({.first_tokens = {flood.first_tokens.begin(),
+                                          flood.first_tokens.begin() + kFirstSmall}},
+                        0),
+        static_cast<int>(flood.refused), static_cast<int>(flood.requests));
+    CHECK(flooded <= 1.2 * alone);
+    for (std::size_t a = kFirstSmall; a < flood.refused_by_account.size(); ++a) {
+      CHECK(flood.refused_by_account[a] == 0);
+    }
+  }
+}
+
+}  // namespace bluebellstep
