--- a/src/cli/command_context.h
+++ b/src/cli/command_context.h
@@ -74,6 +74,9 @@
 void add_explain_command(CLI::App& app, CommandContext& context);
 void add_settings_commands(CLI::App& app, CommandContext& context);
 
+/** Adds `entry` and `sidecar`, which run until the process is told to stop. */
+void add_process_commands(CLI::App& app, CommandContext& context);
+
 /** Adds all operator commands to `app`. */
 void add_operator_commands(CLI::App& app, CommandContext& context);
 
--- /dev/null
+++ b/src/cli/platform_access.cc
@@ -0,0 +1,42 @@
+// Blocking calls over `PlatformClient`.
+
+#include "cli/platform_access.h"
+
+#include <future>
+#include <memory>
+
+namespace bluebellstep {
+namespace {
+
+// Starts a call whose result comes by a callback on the HTTP thread, and waits for it. The client
+// ends every call after its timeout at the latest.
+template <typename Result, typename Start>
+Result wait_for(Start&& start) {
+  const auto promise = std::make_shared<std::promise<Result>>();
+  std::future<Result> future = promise->get_future();
+  start([promise](Result result) { promise->set_value(std::move(result)); });
+  return future.get();
+}
+
+}  // namespace
+
+ObjectAccess open_platform_objects(HttpClient& http_client, const PlatformSettings& settings) {
+  const auto client =
+      std::make_shared<PlatformClient>(http_client, settings.endpoint, settings.timeout);
+  ObjectAccess access;
+  access.read = [client](std::string_view key) {
+    return wait_for<PlatformClient::ReadResult>(
+        [&](auto done) { client->read(key, std::move(done)); });
+  };
+  access.list = [client](std::string_view prefix) {
+    return wait_for<PlatformClient::ListResult>(
+        [&](auto done) { client->list(prefix, std::move(done)); });
+  };
+  access.write = [client](std::string_view key, ObjectVersion expected, std::string value) {
+    return wait_for<PlatformClient::WriteResult>(
+        [&](auto done) { client->write(key, expected, std::move(value), std::move(done)); });
+  };
+  return access;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/cli/platform_access.h
@@ -0,0 +1,18 @@
+// Blocking access to the platform for operator commands.
+
+#ifndef BLUEBELLSTEP_CLI_PLATFORM_ACCESS_H_
+#define BLUEBELLSTEP_CLI_PLATFORM_ACCESS_H_
+
+#include "cli/object_access.h"
+#include "http/http_client.h"
+#include "settings/common_settings.h"
+
+namespace bluebellstep {
+
+/** Returns calls that block until the platform answered or the timeout is over. `client` must
+ * outlive them; they must not be used on the HTTP thread. */
+ObjectAccess open_platform_objects(HttpClient& client, const PlatformSettings& settings);
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_CLI_PLATFORM_ACCESS_H_
--- /dev/null
+++ b/src/cli/platform_access_test.cc
@@ -0,0 +1,47 @@
+// Test of the blocking platform access against the platform stand-in.
+
+#include <catch2/catch.hpp>
+
+#include "cli/platform_access.h"
+#include "standins/platform_standin.h"
+
+namespace bluebellstep {
+
+// Guards against a lost answer of the real protocol being taken for a failed write.
+TEST_CASE("objects of the stand-in are written with lost answers", "[cli]") {
+  HttpLoop loop;
+  PlatformStandin standin(loop, {});
+  HttpClient client(loop);
+  const Endpoint endpoint{"127.0.0.1", standin.port()};
+  const ObjectAccess objects = open_platform_objects(client, {endpoint, 2_s});
+  const auto set_faults = [&](const std::string& faults) {
+    HttpCall call;
+    call.endpoint = endpoint;
+    call.method = "POST";
+    call.path = "/faults";
+    call.headers = {{"content-type", "application/json"}};
+    call.body = faults;
+    CHECK(client.send_and_wait(call).status == 200);
+  };
+  auto outcome = write_and_confirm(objects, "bundle/current", {}, "one");
+  REQUIRE(std::holds_alternative<Written>(outcome));
+  const auto read = objects.read("bundle/current");
+  const auto& object = std::get<std::optional<PlatformObject>>(read);
+  REQUIRE(object.has_value());
+  CHECK(object->value == "one");
+
+  set_faults(R"({"lose_answers":1})");
+  outcome = write_and_confirm(objects, "bundle/current", object->version, "two");
+  REQUIRE(std::holds_alternative<Written>(outcome));
+  CHECK(std::get<Written>(outcome).read_back);
+  // The version was used up by the write before.
+  outcome = write_and_confirm(objects, "bundle/current", object->version, "three");
+  REQUIRE(std::holds_alternative<VersionConflict>(outcome));
+  CHECK(std::get<VersionConflict>(outcome).current.value == "two");
+  CHECK(std::get<std::vector<PlatformObject>>(objects.list("bundle/")).size() == 1);
+  set_faults(R"({"down":true})");
+  CHECK(std::holds_alternative<PlatformUnavailable>(
+      write_and_confirm(objects, "bundle/current", {}, "four")));
+}
+
+}  // namespace bluebellstep
