--- a/standins/main.cc
+++ b/standins/main.cc
@@ -1,46 +1,38 @@
 // Command line of the stand-ins for the systems around the product.
 
-#include <pthread.h>
-
 #include <CLI/CLI.hpp>
-#include <csignal>
-#include <cstdint>
-#include <string_view>
+#include <memory>
 #include <system_error>
 
 #include "base/log_event.h"
 #include "http/http_loop.h"
 #include "standins/engine_command.h"
 #include "standins/engine_standin.h"
+#include "standins/orders_standin.h"
+#include "standins/platform_standin.h"
+#include "standins/standin_options.h"
 #include "standins/store_standin.h"
+#include "standins/weights_standin.h"
 
 namespace bluebellstep::standins {
 namespace {
 
-/** Address of a subcommand's `--ip` and `--port`. */
-void add_listen_options(CLI::App& command, Endpoint& listen) {
-  command.add_option("--ip", listen.ip, "Address to listen on");
-  command.add_option("--port", listen.port, "Port to listen on; 0 takes any free one");
-}
-
-/** Logs the port, then waits for SIGTERM or SIGINT. */
-void wait_for_stop(std::string_view standin, std::uint16_t port) {
-  LogEvent("standin_listening").field("standin", standin).field("port", static_cast<int>(port));
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  int signal = 0;
-  sigwait(&signals, &signal);
-}
-
-/** Leaves SIGTERM and SIGINT to `wait_for_stop`. Call before any thread starts. */
-void block_stop_signals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+/** Adds a subcommand that runs `Standin` with the options that `add_options` declares. */
+template <typename Standin, typename Options>
+void add_command(CLI::App& app,
+                 const char* name,
+                 const char* description,
+                 void (*add_options)(CLI::App&, Options&)) {
+  CLI::App* command = app.add_subcommand(name, description);
+  const auto listen = std::make_shared<Endpoint>();
+  const auto options = std::make_shared<Options>();
+  add_listen_options(*command, *listen);
+  add_options(*command, *options);
+  command->callback([listen, options] {
+    HttpLoop loop;
+    const Standin standin(loop, *options, *listen);
+    serve_until_stopped(standin.port());
+  });
 }
 
 }  // namespace
@@ -50,29 +42,17 @@
   using namespace bluebellstep;
   using namespace bluebellstep::standins;
   start_logging(argv[0]);
+  block_stop_signals();
   CLI::App app("bluebellstep-standins: stand-ins for the systems around bluebellstep");
   app.require_subcommand(1);
-  Endpoint listen{"127.0.0.1", 0};
-  EngineOptions engine_options;
-  StoreOptions store_options;
-  CLI::App* const engine = app.add_subcommand("engine", "Model engine");
-  add_listen_options(*engine, listen);
-  add_engine_options(*engine, engine_options);
-  CLI::App* const store = app.add_subcommand("store", "Cache store");
-  add_listen_options(*store, listen);
-  add_store_options(*store, store_options);
-  CLI11_PARSE(app, argc, argv);
-
-  block_stop_signals();
-  HttpLoop loop;
+  add_platform_command(app);
+  add_orders_command(app);
+  add_weights_command(app);
+  add_command<EngineStandin, EngineOptions>(app, "engine", "model engine", add_engine_options);
+  add_command<StoreStandin, StoreOptions>(app, "store", "cache store", add_store_options);
   try {
-    if (engine->parsed()) {
-      const EngineStandin standin(loop, engine_options, listen);
-      wait_for_stop("engine", standin.port());
-    } else if (store->parsed()) {
-      const StoreStandin standin(loop, store_options, listen);
-      wait_for_stop("store", standin.port());
-    }
+    // Runs the subcommand.
+    CLI11_PARSE(app, argc, argv);
   } catch (const std::system_error& error) {
     LogEvent("standin_failed", LogEvent::Severity::kError).field("error", error.what());
     return 1;
