--- a/standins/engine_command.h
+++ b/standins/engine_command.h
@@ -18,12 +18,6 @@
  * caller keeps alive. */
 void add_store_options(CLI::App& command, StoreOptions& options);
 
-/** Adds the subcommand `engine`, which runs a model engine until it is stopped. */
-void add_engine_command(CLI::App& app);
-
-/** Adds the subcommand `store`, which runs a cache store until it is stopped. */
-void add_store_command(CLI::App& app);
-
 }  // namespace bluebellstep::standins
 
 #endif  // BLUEBELLSTEP_STANDINS_ENGINE_COMMAND_H_
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -1,30 +1,60 @@
 // Command line of the stand-ins for the systems around the product.
 
 #include <CLI/CLI.hpp>
+#include <memory>
 #include <system_error>
 
 #include "base/log_event.h"
+#include "http/http_loop.h"
 #include "standins/engine_command.h"
+#include "standins/engine_standin.h"
 #include "standins/orders_standin.h"
 #include "standins/platform_standin.h"
 #include "standins/standin_options.h"
+#include "standins/store_standin.h"
 #include "standins/weights_standin.h"
 
+namespace bluebellstep::standins {
+namespace {
+
+/** Adds a subcommand that runs `Standin` with the options that `add_options` declares. */
+template <typename Standin, typename Options>
+void add_command(CLI::App& app,
+                 const char* name,
+                 const char* description,
+                 void (*add_options)(CLI::App&, Options&)) {
+  CLI::App* command = app.add_subcommand(name, description);
+  const auto listen = std::make_shared<Endpoint>();
+  const auto options = std::make_shared<Options>();
+  add_listen_options(*command, *listen);
+  add_options(*command, *options);
+  command->callback([listen, options] {
+    HttpLoop loop;
+    const Standin standin(loop, *options, *listen);
+    serve_until_stopped(standin.port());
+  });
+}
+
+}  // namespace
+}  // namespace bluebellstep::standins
+
 int main(int argc, char** argv) {
-  bluebellstep::start_logging(argv[0]);
-  bluebellstep::block_stop_signals();
+  using namespace bluebellstep;
+  using namespace bluebellstep::standins;
+  start_logging(argv[0]);
+  block_stop_signals();
   CLI::App app("bluebellstep-standins: stand-ins for the systems around bluebellstep");
   app.require_subcommand(1);
-  bluebellstep::add_platform_command(app);
-  bluebellstep::add_orders_command(app);
-  bluebellstep::add_weights_command(app);
-  bluebellstep::standins::add_engine_command(app);
-  bluebellstep::standins::add_store_command(app);
+  add_platform_command(app);
+  add_orders_command(app);
+  add_weights_command(app);
+  add_command<EngineStandin, EngineOptions>(app, "engine", "model engine", add_engine_options);
+  add_command<StoreStandin, StoreOptions>(app, "store", "cache store", add_store_options);
   try {
+    // Runs the subcommand.
     CLI11_PARSE(app, argc, argv);
   } catch (const std::system_error& error) {
-    bluebellstep::LogEvent("standin_failed", bluebellstep::LogEvent::Severity::kError)
-        .field("error", error.what());
+    LogEvent("standin_failed", LogEvent::Severity::kError).field("error", error.what());
     return 1;
   }
   return 0;
