Add the demo: a prompt, its return after eviction, and an order sent twice

Cause: nothing showed that the processes work together. Change: tools/demo.sh starts all stand-ins, four sidecars and two entry instances with mutual TLS, rolls out a bundle, and checks a streamed prompt, the same prompt by the other entry instance after eviction, and an order sent twice.

--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -43,15 +43,15 @@
   CLI::App* const command = app.add_subcommand(name, description);
   const auto file = std::make_shared<std::string>();
   command->add_option("--settings", *file, "settings file")->required();
-  command->callback(
-      [&context, file, run] { run_command(context, [&] { return run(*file); }); });
+  command->callback([&context, file, run] { run_command(context, [&] { return run(*file); }); });
 }
 
 }  // namespace
 
 void add_process_commands(CLI::App& app, CommandContext& context) {
   add_process_command(app, context, "entry", "run an entry instance", run_entry_command);
-  add_process_command(app, context, "sidecar", "run the sidecar of an upstream", run_sidecar_command);
+  add_process_command(app, context, "sidecar", "run the sidecar of an upstream",
+                      run_sidecar_command);
 }
 
 }  // namespace bluebellstep
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,208 @@
+#!/usr/bin/env bash
+# Runs the whole system on this machine with stand-ins for the systems around it, and shows a streamed prompt, the same
+# prompt after its blocks were evicted, and an order sent twice. Exits 0 only if all of it held.
+# Usage: demo.sh [--keep]      --keep leaves everything running until Enter or Ctrl-C.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+keep=0
+[ "${1:-}" = --keep ] && keep=1
+
+tools/setup.sh
+tools/build.sh >/dev/null
+build_dir=${BUILD_DIR:-build}
+product=$PWD/$build_dir/bluebellstep
+standins=$PWD/$build_dir/bluebellstep-standins
+work=$(mktemp -d)
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  [ -n "${DEMO_LOGS:-}" ] && cp -r "$work" "$DEMO_LOGS"
+  rm -rf "$work"
+}
+trap stop_all EXIT
+cd "$work"
+
+# Starts a process and waits for the line that names its ports.
+start() {
+  local name=$1
+  shift
+  "$@" >"$name.out" 2>"$name.log" &
+  pids+=($!)
+  for _ in $(seq 200); do
+    grep -q '^listening' "$name.out" && return 0
+    kill -0 "${pids[-1]}" 2>/dev/null || break
+    sleep 0.05
+  done
+  echo "$name did not start:"
+  tail -5 "$name.log"
+  exit 1
+}
+port() { sed -n "s/^listening.*\b$2=\([0-9]*\).*/\1/p" "$1.out"; }
+
+# Throw-away keys: one certificate for all processes, and two operators.
+openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes -days 2 -subj /CN=demo-authority \
+  -keyout authority.key -out authority.pem 2>/dev/null
+openssl req -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes -subj /CN=peer.bluebellstep \
+  -keyout peer.key -out peer.csr 2>/dev/null
+printf 'subjectAltName=DNS:peer.bluebellstep\n' >peer.ext
+openssl x509 -req -in peer.csr -CA authority.pem -CAkey authority.key -CAcreateserial -days 2 -extfile peer.ext \
+  -out peer.pem 2>/dev/null
+"$product" bundle keygen --out ana.key >ana.pub
+"$product" bundle keygen --out ben.key >ben.pub
+public_key() { grep -oE '[A-Za-z0-9+/]{43}=' "$1"; }
+
+start platform "$standins" platform
+for i in 1 2; do
+  start "engine-$i" "$standins" engine --model manual=v1 --cache-blocks 16 --prefill-tokens-per-s 20000 \
+    --decode-step-us 5000 --starts-warm
+  start "order-server-$i" "$standins" orders
+done
+start store "$standins" store --memory-bytes 64000000 --memory-link-bytes-per-s 200000000 \
+  --disk-bytes 256000000 --disk-link-bytes-per-s 50000000
+
+cat >operator.yaml <<YAML
+platform: {endpoint: 127.0.0.1:$(port platform port)}
+operator_keys:
+  ana: $(public_key ana.pub)
+  ben: $(public_key ben.pub)
+YAML
+process_settings() {
+  cat <<YAML
+name: $1
+zone: $2
+region: south
+http_listen: 127.0.0.1:0
+rpc_listen: 127.0.0.1:0
+tls: {certificate: $work/peer.pem, private_key: $work/peer.key, authority: $work/authority.pem}
+YAML
+  cat operator.yaml
+}
+for i in 1 2; do
+  zone=$([ "$i" = 1 ] && echo a || echo b)
+  {
+    process_settings "engine-$i" "$zone"
+    echo "upstream: {endpoint: 127.0.0.1:$(port "engine-$i" port), kind: engine}"
+    echo "limits: {max_concurrency: 8, kv_tokens: 200000, prefill_tokens_per_s: 20000}"
+  } >"sidecar-engine-$i.yaml"
+  start "sidecar-engine-$i" "$product" sidecar --settings "sidecar-engine-$i.yaml"
+  {
+    process_settings "order-server-$i" "$zone"
+    echo "upstream: {endpoint: 127.0.0.1:$(port "order-server-$i" port), kind: service}"
+    echo "limits: {max_concurrency: 16}"
+  } >"sidecar-order-server-$i.yaml"
+  start "sidecar-order-server-$i" "$product" sidecar --settings "sidecar-order-server-$i.yaml"
+done
+
+token=demo-token
+cat >bundle.yaml <<YAML
+generation: 1
+author: ana
+zones:
+  - {name: a, region: south, in_service: true, serial: 1}
+  - {name: b, region: south, in_service: true, serial: 1}
+accounts:
+  - {name: namsan, share: 1, priority: 0, credential_sha256: $(printf %s "$token" | sha256sum | cut -d' ' -f1), classes: [standard]}
+models:
+  - {name: manual, weight_version: v1}
+upstreams:
+  - {name: engine-1, zone: a, kind: engine, models: [manual], rpc: "127.0.0.1:$(port sidecar-engine-1 rpc)"}
+  - {name: engine-2, zone: b, kind: engine, models: [manual], rpc: "127.0.0.1:$(port sidecar-engine-2 rpc)"}
+  - {name: order-server-1, zone: a, kind: service, service: parts, rpc: "127.0.0.1:$(port sidecar-order-server-1 rpc)"}
+  - {name: order-server-2, zone: b, kind: service, service: parts, rpc: "127.0.0.1:$(port sidecar-order-server-2 rpc)"}
+services:
+  - name: parts
+    order_tables: [{effective_ms: 0, upstreams: [order-server-1, order-server-2]}]
+    idempotent_paths: [/stock]
+    non_idempotent_paths: [/orders]
+stores:
+  - {name: store, zone: a, endpoint: "127.0.0.1:$(port store port)", memory_link_bytes_per_s: 200MB, disk_link_bytes_per_s: 50MB}
+YAML
+"$product" bundle sign bundle.yaml --key ana.key --settings operator.yaml --out bundle.signed >sign.out
+digest=$(grep -oE '[0-9a-f]{64}' sign.out | head -1)
+"$product" bundle propose bundle.signed --settings operator.yaml >/dev/null
+"$product" bundle sign-off 1 --settings operator.yaml --operator ben --key ben.key --digest "$digest" >/dev/null
+"$product" bundle roll-out 1 --settings operator.yaml >/dev/null
+
+for i in 1 2; do
+  { process_settings "entry-$i" a; echo "balancer_delay: 200ms"; } >"entry-$i.yaml"
+  [ "$i" = 2 ] && echo "peers: [127.0.0.1:$(port entry-1 rpc)]" >>"entry-$i.yaml"
+  start "entry-$i" "$product" entry --settings "entry-$i.yaml"
+done
+entry=http://127.0.0.1:$(port entry-1 http)
+other_entry=http://127.0.0.1:$(port entry-2 http)
+auth="authorization: Bearer $token"
+
+wait_for() {
+  for _ in $(seq 200); do
+    "$@" >/dev/null 2>&1 && return 0
+    sleep 0.05
+  done
+  echo "gave up waiting for: $*"
+  exit 1
+}
+wait_for curl -sf "$entry/readyz"
+wait_for curl -sf "$other_entry/readyz"
+answers() { curl -sf -H "$auth" -d '{"model":"manual","prompt":"short","max_tokens":1}' "$1/v1/completions"; }
+wait_for answers "$entry"
+wait_for answers "$other_entry"
+
+failed=0
+check() {
+  if [ "$2" = 1 ]; then echo "ok    $1"; else echo "FAIL  $1"; failed=1; fi
+}
+number() { grep -oE "\"$1\":[0-9]+" "$2" | tail -1 | grep -oE '[0-9]+$' || echo -1; }
+
+# A manual of 10 blocks, and other prompts that push it out of the engines' memory.
+make_prompt() { for i in $(seq 1000); do printf '%s step %05d: set stave %d into the ring.    ' "$1" "$i" "$i"; done | head -c 41000; }
+request() { printf '{"model":"manual","prompt":"%s","max_tokens":40,"stream":true}' "$(make_prompt "$1")" >"$1.json"; }
+complete() {
+  curl -sN -H "$auth" -H 'content-type: application/json' -d "@$1.json" -o "$2" -w '%{time_starttransfer}' "$3/v1/completions"
+}
+request manual
+first=$(complete manual first.sse "$entry")
+check "prompt, first time: first token after ${first} s, $(number recomputed_blocks first.sse) blocks recomputed, $(grep -c '^data: {' first.sse) events" \
+  "$([ "$(number recomputed_blocks first.sse)" = 10 ] && [ "$(number completion_tokens first.sse)" = 40 ] && grep -q '^data: \[DONE\]' first.sse && echo 1 || echo 0)"
+
+stored_bytes() {
+  curl -s "http://127.0.0.1:$(port store port)/status" | sed 's/.*"memory"//' | grep -oE '"used":[0-9]+' | grep -oE '[0-9]+'
+}
+blocks_stored() { [ "$(stored_bytes)" -ge 655360 ]; }
+wait_for blocks_stored
+for filler in one two three four five six; do
+  request "$filler"
+  complete "$filler" filler.sse "$entry" >/dev/null
+done
+again=$(complete manual again.sse "$other_entry")
+check "same prompt after eviction, by the other entry instance: first token after ${again} s, $(number reused_blocks again.sse) blocks reused, $(number fetched_blocks again.sse) fetched, $(number recomputed_blocks again.sse) recomputed" \
+  "$([ "$(number recomputed_blocks again.sse)" = 0 ] && [ "$(number fetched_blocks again.sse)" -gt 0 ] && echo 1 || echo 0)"
+texts() { grep -oE '"text":"[^"]*"' "$1"; }
+check "both answers are the same text" "$([ "$(texts first.sse)" = "$(texts again.sse)" ] && echo 1 || echo 0)"
+
+# Keys are refused for the first seconds of a sidecar, since an earlier incarnation may have run them.
+key="$(date +%s%3N)-order-4711"
+order() { curl -s -H "$auth" -H "idempotency-key: $key" -d '{"kit":"barrel-210"}' -D "$1.head" -o "$1.body" "$2/v1/services/parts/orders"; }
+order order-1 "$entry"
+for _ in $(seq 100); do
+  grep -q 'owner_restarted' order-1.body || break
+  sleep 0.1
+  key="$(date +%s%3N)-order-4711"
+  order order-1 "$entry"
+done
+order order-2 "$other_entry"
+executions=0
+for i in 1 2; do
+  n=$(curl -s "http://127.0.0.1:$(port "order-server-$i" port)/executions/$key" | grep -oE '"executions":[0-9]+' | grep -oE '[0-9]+$')
+  executions=$((executions + n))
+done
+check "order: $(tr -d '\n' <order-1.body)" "$(grep -q '"execution":1' order-1.body && echo 1 || echo 0)"
+check "same order by the other entry instance: same answer, $executions execution(s)" \
+  "$([ "$executions" = 1 ] && cmp -s order-1.body order-2.body && grep -qi 'x-replayed: true' order-2.head && echo 1 || echo 0)"
+
+if [ "$keep" = 1 ]; then
+  echo
+  echo "entry instances: $entry $other_entry     bundle and keys: $work"
+  echo "try: curl -N -H '$auth' -d '{\"model\":\"manual\",\"prompt\":\"How wide is the stove clearance?\",\"max_tokens\":20,\"stream\":true}' $entry/v1/completions"
+  read -r -p "Press Enter to stop. " || true
+fi
+exit "$failed"
