--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -14,6 +14,7 @@
 #include "base/verdict.h"
 #include "entry/caller_api.h"
 #include "http/http_server.h"
+#include "orders/order_attempts.h"
 #include "routing/route_chooser.h"
 #include "rpc/peer.capnp.h"
 #include "streams/stream_assembler.h"
@@ -76,8 +77,8 @@
   std::uint32_t attempt = 0;
   std::vector<UpstreamId> excluded;  // Refused this request since the last pause.
   std::optional<Verdict> last_refusal;
-  // A sending whose fate is not known: no later refusal may say "not run".
-  bool may_have_run = false;
+  OrderAttempts
+      attempts;  // Of requests of every kind: no refusal says "not run" while one is open.
   StreamAssembler assembler;
   std::string text;        // The answer so far.
   bool head_sent = false;  // The response head of a stream is out.
--- a/src/entry/request_runner.cc
+++ b/src/entry/request_runner.cc
@@ -134,7 +134,7 @@
                                   "no connection to the upstream's sidecar", options_.retry_pause));
     return;
   }
-  ++request.attempt;
+  request.attempt = request.attempts.start();
   request.assembler.continue_with(request.attempt);
   request.phase = Submitting{upstream, clock_.now()};
   links_.request_opened(upstream);
@@ -196,7 +196,16 @@
     return;
   }
   leave_upstream(*request);
-  take_refusal(*request, upstream, read_verdict(result.getVerdict()));
+  take_attempt_verdict(*request, upstream, read_verdict(result.getVerdict()));
+}
+
+void RequestRunner::take_attempt_verdict(EntryRequest& request,
+                                         UpstreamId upstream,
+                                         const Verdict& verdict) {
+  if (verdict.run_state() == RunState::kNotRun) {
+    request.attempts.note_not_run(request.attempt);
+  }
+  take_refusal(request, upstream, verdict);
 }
 
 void RequestRunner::take_refusal(EntryRequest& request,
@@ -251,7 +260,6 @@
 }
 
 void RequestRunner::lose_upstream(EntryRequest& request, UpstreamId upstream) {
-  request.may_have_run = true;
   const bool was_running = std::holds_alternative<Running>(request.phase);
   if (is_order(request) || (is_prompt(request) && was_running)) {
     request.phase = Detached{upstream, clock_.now()};
@@ -468,13 +476,12 @@
       (verdict.reason() == Reason::kUpstreamFailed || verdict.reason() == Reason::kConnectionLost);
   if (!is_order(request) && is_lost_run && upstream.has_value()) {
     // Prompts and idempotent calls may run again; a prompt goes on after the last token received.
-    request.may_have_run = true;
     send_again_elsewhere(request, *upstream);
     return;
   }
   leave_upstream(request);
   if (upstream.has_value()) {
-    take_refusal(request, *upstream, verdict);
+    take_attempt_verdict(request, *upstream, verdict);
   } else {
     fail(request, verdict);
   }
@@ -511,10 +518,7 @@
 }
 
 void RequestRunner::fail(EntryRequest& request, const Verdict& verdict) {
-  // Another sending of this request may still reach an upstream.
-  const bool is_contradicted = verdict.run_state() == RunState::kNotRun && request.may_have_run;
-  const Verdict final_verdict =
-      is_contradicted ? Verdict::may_have_run(verdict.reason(), verdict.detail()) : verdict;
+  const Verdict final_verdict = request.attempts.conclude(verdict);
   metrics_.request_refused(request.spec.account, request.spec.service_class, final_verdict);
   LogEvent("request_failed", LogEvent::Severity::kWarning)
       .field("request", request.id.value)
--- a/src/entry/request_runner.h
+++ b/src/entry/request_runner.h
@@ -79,6 +79,7 @@
                           std::uint32_t attempt,
                           UpstreamId upstream,
                           wire::Sidecar::SubmitResults::Reader result);
+  void take_attempt_verdict(EntryRequest& request, UpstreamId upstream, const Verdict& verdict);
   void take_refusal(EntryRequest& request, UpstreamId upstream, const Verdict& verdict);
   void take_lost_call(RequestId id, std::uint32_t attempt);
   void take_failed_run(EntryRequest& request, const Verdict& verdict);
--- a/src/entry/upstream_links.cc
+++ b/src/entry/upstream_links.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "base/hash.h"
+#include "rpc/wire_service.h"
 
 namespace bluebellstep {
 
@@ -61,7 +62,7 @@
   PeerLinkOptions options;
   options.silence_limit = state_.settings().silence_limit;
   PeerLink::Listener listener;
-  listener.fill_state = [this](wire::PeerState::Builder state) { state_.fill_state(state); };
+  listener.fill_state = [this, id](wire::PeerState::Builder state) { fill_state(id, state); };
   listener.on_state = [this, id](wire::PeerState::Reader state) { take_state(id, state); };
   listener.on_up = [this, id] { listener_.on_up(id); };
   listener.on_down = [this, id, name = upstream.name](std::string_view) {
@@ -73,7 +74,15 @@
                                           std::move(listener));
 }
 
+void UpstreamLinks::fill_state(UpstreamId id, wire::PeerState::Builder state) {
+  state_.fill_state(state);
+  write_reports(state, next_reports(service_.totals(), kAccountsPerHeartbeat, last_told_[id]));
+}
+
 void UpstreamLinks::take_state(UpstreamId id, wire::PeerState::Reader state) {
+  for (const ServedAccount& report : read_reports(state)) {
+    service_.apply(name(id), report);
+  }
   apply_hint(id, state.getHint(), clock_.now());
   state_.apply_state(state, links_.at(id)->sidecar());
 }
--- a/src/entry/upstream_links.h
+++ b/src/entry/upstream_links.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "bundle/bundle.h"
+#include "fairness/service_totals.h"
 #include "process/process_state.h"
 #include "routing/route_chooser.h"
 #include "routing/upstream_table.h"
@@ -93,6 +94,7 @@
   static constexpr Duration kLongestInterval = {1500};
 
   void open_link(UpstreamId id, const BundleUpstream& upstream);
+  void fill_state(UpstreamId id, wire::PeerState::Builder state);
   void take_state(UpstreamId id, wire::PeerState::Reader state);
   Duration heartbeat_interval(UpstreamId id) const;
   std::vector<RouteTarget> targets_of(const BundleUpstream& upstream);
@@ -112,6 +114,8 @@
   // Links and upstreams in table_ are those of the last bundle.
   std::map<UpstreamId, std::unique_ptr<PeerLink>> links_;
   std::map<UpstreamId, std::size_t> open_requests_;
+  ServiceTotals service_;                        // Of all sidecars.
+  std::map<UpstreamId, std::string> last_told_;  // See `next_reports`.
 };
 
 }  // namespace bluebellstep
--- /dev/null
+++ b/src/fairness/service_totals_test.cc
@@ -0,0 +1,36 @@
+// Tests of the sums of served cost.
+
+#include "fairness/service_totals.h"
+
+#include <catch2/catch.hpp>
+
+namespace bluebellstep {
+
+// Guards against counting a sidecar's service twice, or losing it with a heartbeat or a restart.
+TEST_CASE("totals survive repeated, lost and restarted reports", "[fairness]") {
+  ServiceTotals totals;
+  totals.apply("engine-1", {"a", 100, true});
+  totals.apply("engine-1", {"a", 100, false});
+  totals.apply("engine-2", {"a", 50, false});
+  totals.apply("engine-1", {"a", 30, false});  // Restarted: its earlier 100 stay counted.
+  REQUIRE(totals.totals().size() == 1);
+  CHECK(totals.totals()[0].cost == 180);
+  CHECK_FALSE(totals.totals()[0].backlogged);
+  CHECK(totals.take_changes()[0].cost == 180);
+  CHECK(totals.take_changes().empty());
+}
+
+// Guards against accounts at the end of the list never being reported.
+TEST_CASE("all accounts come round in small reports", "[fairness]") {
+  const std::vector<ServedAccount> reports = {{"a", 1, false}, {"b", 2, false}, {"c", 3, false}};
+  std::string last_told;
+  std::string seen;
+  for (int i = 0; i < 3; ++i) {
+    for (const ServedAccount& report : next_reports(reports, 2, last_told)) {
+      seen += report.account;
+    }
+  }
+  CHECK(seen == "abcabc");
+}
+
+}  // namespace bluebellstep
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -81,7 +81,8 @@
 
 struct ServedCost {
   account @0 :Text;
-  cost @1 :UInt64;             # Tokens served since the sidecar started.
+  cost @1 :UInt64;             # Tokens served since the reporter started.
+  backlogged @2 :Bool;         # Requests of the account wait.
 }
 
 struct UpstreamHint {
@@ -101,7 +102,7 @@
   generation @3 :UInt64;
   confirmedAgeMs @4 :Int64;    # Since this process knew its generation to be the newest; -1: never.
   zoneNotices @5 :List(ZoneNotice);
-  servedCosts @6 :List(ServedCost);
+  servedCosts @6 :List(ServedCost);  # From sidecars their own, from entry instances the sums over all sidecars.
   hint @7 :UpstreamHint;       # Sidecars only.
   entryPeers @8 :List(Text);   # Entry instances heard from within 2 s.
 }
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -10,10 +10,10 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -21,7 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(91b64373a5dcb139);
 CAPNP_DECLARE_SCHEMA(f744b56c5df59007);
-enum class RequestKind_f744b56c5df59007 : uint16_t {
+enum class RequestKind_f744b56c5df59007: uint16_t {
   PROMPT,
   IDEMPOTENT_CALL,
   ORDER,
@@ -68,11 +68,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(91b64373a5dcb139, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -87,11 +85,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f43320d5075fd3d3, 7, 10)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -104,11 +100,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(826a20df0a77b6a5, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -118,7 +112,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     VERDICT,
     ANSWER,
   };
@@ -126,11 +120,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(af6671f9243b5a92, 4, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -143,11 +135,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a94b73f199627248, 4, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -164,12 +154,12 @@
   struct FinishParams;
   struct FinishResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(fcbe3911f9409b78)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct AnswerSink::PushParams {
@@ -181,11 +171,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f05a577e873c0aa7, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -198,11 +186,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c425bc18d5d84fdd, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -215,11 +201,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f98e1e4700aaf9fc, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -232,11 +216,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(912e5d3b8a43f44f, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -249,11 +231,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e32b93def55fe316, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -265,12 +245,10 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ab8fbd186ced537c, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(ab8fbd186ced537c, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -283,11 +261,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f2c27ed209bca7af, 3, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -300,11 +276,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ff9f77f0296f6a07, 3, 6)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -321,12 +295,12 @@
   struct FetchBundleParams;
   struct FetchBundleResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(fbe6e414367bbcde)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Peer::HeartbeatParams {
@@ -338,11 +312,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a08fb105fc21e797, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -355,11 +327,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a6dc73534133d288, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -372,11 +342,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(de7129bdbaee0b19, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -389,11 +357,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8dfd84a9658b7f4d, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -412,12 +378,12 @@
   struct CancelParams;
   struct CancelResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(f40812a4fadfba52)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Sidecar::SubmitParams {
@@ -429,11 +395,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fe73e766f9cc0793, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -446,11 +410,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b2938c3990922a3a, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -463,11 +425,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a99e49f0d6e0a4b6, 4, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -480,11 +440,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d47d0852328e1c5a, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -497,11 +455,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(95fb4d39fde5cdf4, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -514,24 +470,24 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9562b950019f4f9a, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class Verdict::Reader {
- public:
+public:
   typedef Verdict Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -539,16 +495,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint16_t getRunState() const;
+  inline  ::uint16_t getRunState() const;
 
-  inline ::uint16_t getReason() const;
+  inline  ::uint16_t getReason() const;
 
-  inline ::int64_t getRetryAfterMs() const;
+  inline  ::int64_t getRetryAfterMs() const;
 
   inline bool hasDetail() const;
-  inline ::capnp::Text::Reader getDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -561,40 +517,38 @@
 };
 
 class Verdict::Builder {
- public:
+public:
   typedef Verdict Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint16_t getRunState();
-  inline void setRunState(::uint16_t value);
+  inline  ::uint16_t getRunState();
+  inline void setRunState( ::uint16_t value);
 
-  inline ::uint16_t getReason();
-  inline void setReason(::uint16_t value);
+  inline  ::uint16_t getReason();
+  inline void setReason( ::uint16_t value);
 
-  inline ::int64_t getRetryAfterMs();
-  inline void setRetryAfterMs(::int64_t value);
+  inline  ::int64_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::int64_t value);
 
   inline bool hasDetail();
-  inline ::capnp::Text::Builder getDetail();
-  inline void setDetail(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDetail(unsigned int size);
-  inline void adoptDetail(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -605,14 +559,14 @@
 
 #if !CAPNP_LITE
 class Verdict::Pipeline {
- public:
+public:
   typedef Verdict Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -621,13 +575,15 @@
 #endif  // !CAPNP_LITE
 
 class Request::Reader {
- public:
+public:
   typedef Request Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -635,55 +591,55 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRequestId() const;
+  inline  ::uint64_t getRequestId() const;
 
-  inline ::uint64_t getEntryIncarnation() const;
+  inline  ::uint64_t getEntryIncarnation() const;
 
-  inline ::uint32_t getAttempt() const;
+  inline  ::uint32_t getAttempt() const;
 
-  inline ::bluebellstep::wire::RequestKind getKind() const;
+  inline  ::bluebellstep::wire::RequestKind getKind() const;
 
   inline bool hasAccount() const;
-  inline ::capnp::Text::Reader getAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
   inline bool hasServiceClass() const;
-  inline ::capnp::Text::Reader getServiceClass() const;
+  inline  ::capnp::Text::Reader getServiceClass() const;
 
   inline bool hasModel() const;
-  inline ::capnp::Text::Reader getModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
   inline bool hasWeightVersion() const;
-  inline ::capnp::Text::Reader getWeightVersion() const;
+  inline  ::capnp::Text::Reader getWeightVersion() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
-  inline ::uint32_t getMaxTokens() const;
+  inline  ::uint32_t getMaxTokens() const;
 
-  inline ::int32_t getPriority() const;
+  inline  ::int32_t getPriority() const;
 
   inline bool hasIdempotencyKey() const;
-  inline ::capnp::Text::Reader getIdempotencyKey() const;
+  inline  ::capnp::Text::Reader getIdempotencyKey() const;
 
   inline bool hasMethod() const;
-  inline ::capnp::Text::Reader getMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
 
   inline bool hasPath() const;
-  inline ::capnp::Text::Reader getPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
 
-  inline ::uint64_t getGeneration() const;
+  inline  ::uint64_t getGeneration() const;
 
-  inline ::uint32_t getDeadlineMs() const;
+  inline  ::uint32_t getDeadlineMs() const;
 
   inline bool hasResumeText() const;
-  inline ::capnp::Text::Reader getResumeText() const;
+  inline  ::capnp::Text::Reader getResumeText() const;
 
-  inline ::uint64_t getFirstIndex() const;
+  inline  ::uint64_t getFirstIndex() const;
 
   inline bool hasContentType() const;
-  inline ::capnp::Text::Reader getContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -696,121 +652,119 @@
 };
 
 class Request::Builder {
- public:
+public:
   typedef Request Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRequestId();
-  inline void setRequestId(::uint64_t value);
+  inline  ::uint64_t getRequestId();
+  inline void setRequestId( ::uint64_t value);
 
-  inline ::uint64_t getEntryIncarnation();
-  inline void setEntryIncarnation(::uint64_t value);
+  inline  ::uint64_t getEntryIncarnation();
+  inline void setEntryIncarnation( ::uint64_t value);
 
-  inline ::uint32_t getAttempt();
-  inline void setAttempt(::uint32_t value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
-  inline ::bluebellstep::wire::RequestKind getKind();
-  inline void setKind(::bluebellstep::wire::RequestKind value);
+  inline  ::bluebellstep::wire::RequestKind getKind();
+  inline void setKind( ::bluebellstep::wire::RequestKind value);
 
   inline bool hasAccount();
-  inline ::capnp::Text::Builder getAccount();
-  inline void setAccount(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
   inline bool hasServiceClass();
-  inline ::capnp::Text::Builder getServiceClass();
-  inline void setServiceClass(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initServiceClass(unsigned int size);
-  inline void adoptServiceClass(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownServiceClass();
+  inline  ::capnp::Text::Builder getServiceClass();
+  inline void setServiceClass( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServiceClass(unsigned int size);
+  inline void adoptServiceClass(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServiceClass();
 
   inline bool hasModel();
-  inline ::capnp::Text::Builder getModel();
-  inline void setModel(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
   inline bool hasWeightVersion();
-  inline ::capnp::Text::Builder getWeightVersion();
-  inline void setWeightVersion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initWeightVersion(unsigned int size);
-  inline void adoptWeightVersion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownWeightVersion();
+  inline  ::capnp::Text::Builder getWeightVersion();
+  inline void setWeightVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWeightVersion(unsigned int size);
+  inline void adoptWeightVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWeightVersion();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
-  inline ::uint32_t getMaxTokens();
-  inline void setMaxTokens(::uint32_t value);
+  inline  ::uint32_t getMaxTokens();
+  inline void setMaxTokens( ::uint32_t value);
 
-  inline ::int32_t getPriority();
-  inline void setPriority(::int32_t value);
+  inline  ::int32_t getPriority();
+  inline void setPriority( ::int32_t value);
 
   inline bool hasIdempotencyKey();
-  inline ::capnp::Text::Builder getIdempotencyKey();
-  inline void setIdempotencyKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initIdempotencyKey(unsigned int size);
-  inline void adoptIdempotencyKey(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownIdempotencyKey();
+  inline  ::capnp::Text::Builder getIdempotencyKey();
+  inline void setIdempotencyKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIdempotencyKey(unsigned int size);
+  inline void adoptIdempotencyKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIdempotencyKey();
 
   inline bool hasMethod();
-  inline ::capnp::Text::Builder getMethod();
-  inline void setMethod(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
 
   inline bool hasPath();
-  inline ::capnp::Text::Builder getPath();
-  inline void setPath(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
 
-  inline ::uint64_t getGeneration();
-  inline void setGeneration(::uint64_t value);
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
-  inline ::uint32_t getDeadlineMs();
-  inline void setDeadlineMs(::uint32_t value);
+  inline  ::uint32_t getDeadlineMs();
+  inline void setDeadlineMs( ::uint32_t value);
 
   inline bool hasResumeText();
-  inline ::capnp::Text::Builder getResumeText();
-  inline void setResumeText(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initResumeText(unsigned int size);
-  inline void adoptResumeText(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownResumeText();
+  inline  ::capnp::Text::Builder getResumeText();
+  inline void setResumeText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initResumeText(unsigned int size);
+  inline void adoptResumeText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownResumeText();
 
-  inline ::uint64_t getFirstIndex();
-  inline void setFirstIndex(::uint64_t value);
+  inline  ::uint64_t getFirstIndex();
+  inline void setFirstIndex( ::uint64_t value);
 
   inline bool hasContentType();
-  inline ::capnp::Text::Builder getContentType();
-  inline void setContentType(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -821,14 +775,14 @@
 
 #if !CAPNP_LITE
 class Request::Pipeline {
- public:
+public:
   typedef Request Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -837,13 +791,15 @@
 #endif  // !CAPNP_LITE
 
 class Event::Reader {
- public:
+public:
   typedef Event Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -852,11 +808,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasText() const;
-  inline ::capnp::Data::Reader getText() const;
+  inline  ::capnp::Data::Reader getText() const;
 
-  inline ::uint32_t getTokens() const;
+  inline  ::uint32_t getTokens() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -869,34 +825,32 @@
 };
 
 class Event::Builder {
- public:
+public:
   typedef Event Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasText();
-  inline ::capnp::Data::Builder getText();
-  inline void setText(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownText();
+  inline  ::capnp::Data::Builder getText();
+  inline void setText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownText();
 
-  inline ::uint32_t getTokens();
-  inline void setTokens(::uint32_t value);
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -907,14 +861,14 @@
 
 #if !CAPNP_LITE
 class Event::Pipeline {
- public:
+public:
   typedef Event Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -923,13 +877,15 @@
 #endif  // !CAPNP_LITE
 
 class Completion::Reader {
- public:
+public:
   typedef Completion Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -940,12 +896,12 @@
   inline Which which() const;
   inline bool isVerdict() const;
   inline bool hasVerdict() const;
-  inline ::bluebellstep::wire::Verdict::Reader getVerdict() const;
+  inline  ::bluebellstep::wire::Verdict::Reader getVerdict() const;
 
   inline bool isAnswer() const;
   inline typename Answer::Reader getAnswer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -958,37 +914,35 @@
 };
 
 class Completion::Builder {
- public:
+public:
   typedef Completion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isVerdict();
   inline bool hasVerdict();
-  inline ::bluebellstep::wire::Verdict::Builder getVerdict();
-  inline void setVerdict(::bluebellstep::wire::Verdict::Reader value);
-  inline ::bluebellstep::wire::Verdict::Builder initVerdict();
-  inline void adoptVerdict(::capnp::Orphan<::bluebellstep::wire::Verdict>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::Verdict> disownVerdict();
+  inline  ::bluebellstep::wire::Verdict::Builder getVerdict();
+  inline void setVerdict( ::bluebellstep::wire::Verdict::Reader value);
+  inline  ::bluebellstep::wire::Verdict::Builder initVerdict();
+  inline void adoptVerdict(::capnp::Orphan< ::bluebellstep::wire::Verdict>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::Verdict> disownVerdict();
 
   inline bool isAnswer();
   inline typename Answer::Builder getAnswer();
   inline typename Answer::Builder initAnswer();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -999,14 +953,14 @@
 
 #if !CAPNP_LITE
 class Completion::Pipeline {
- public:
+public:
   typedef Completion Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1015,13 +969,15 @@
 #endif  // !CAPNP_LITE
 
 class Completion::Answer::Reader {
- public:
+public:
   typedef Answer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1029,27 +985,27 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTotalEvents() const;
+  inline  ::uint64_t getTotalEvents() const;
 
-  inline ::uint16_t getStatus() const;
+  inline  ::uint16_t getStatus() const;
 
   inline bool hasFinishReason() const;
-  inline ::capnp::Text::Reader getFinishReason() const;
+  inline  ::capnp::Text::Reader getFinishReason() const;
 
-  inline ::uint32_t getPromptTokens() const;
+  inline  ::uint32_t getPromptTokens() const;
 
-  inline ::uint32_t getReusedBlocks() const;
+  inline  ::uint32_t getReusedBlocks() const;
 
-  inline ::uint32_t getFetchedBlocks() const;
+  inline  ::uint32_t getFetchedBlocks() const;
 
-  inline ::uint32_t getRecomputedBlocks() const;
+  inline  ::uint32_t getRecomputedBlocks() const;
 
   inline bool getReplayed() const;
 
   inline bool hasContentType() const;
-  inline ::capnp::Text::Reader getContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1062,59 +1018,57 @@
 };
 
 class Completion::Answer::Builder {
- public:
+public:
   typedef Answer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTotalEvents();
-  inline void setTotalEvents(::uint64_t value);
+  inline  ::uint64_t getTotalEvents();
+  inline void setTotalEvents( ::uint64_t value);
 
-  inline ::uint16_t getStatus();
-  inline void setStatus(::uint16_t value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
   inline bool hasFinishReason();
-  inline ::capnp::Text::Builder getFinishReason();
-  inline void setFinishReason(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initFinishReason(unsigned int size);
-  inline void adoptFinishReason(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownFinishReason();
+  inline  ::capnp::Text::Builder getFinishReason();
+  inline void setFinishReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFinishReason(unsigned int size);
+  inline void adoptFinishReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFinishReason();
 
-  inline ::uint32_t getPromptTokens();
-  inline void setPromptTokens(::uint32_t value);
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
 
-  inline ::uint32_t getReusedBlocks();
-  inline void setReusedBlocks(::uint32_t value);
+  inline  ::uint32_t getReusedBlocks();
+  inline void setReusedBlocks( ::uint32_t value);
 
-  inline ::uint32_t getFetchedBlocks();
-  inline void setFetchedBlocks(::uint32_t value);
+  inline  ::uint32_t getFetchedBlocks();
+  inline void setFetchedBlocks( ::uint32_t value);
 
-  inline ::uint32_t getRecomputedBlocks();
-  inline void setRecomputedBlocks(::uint32_t value);
+  inline  ::uint32_t getRecomputedBlocks();
+  inline void setRecomputedBlocks( ::uint32_t value);
 
   inline bool getReplayed();
   inline void setReplayed(bool value);
 
   inline bool hasContentType();
-  inline ::capnp::Text::Builder getContentType();
-  inline void setContentType(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1125,14 +1079,14 @@
 
 #if !CAPNP_LITE
 class Completion::Answer::Pipeline {
- public:
+public:
   typedef Answer Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1141,16 +1095,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class AnswerSink::Client : public virtual ::capnp::Capability::Client {
- public:
+class AnswerSink::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef AnswerSink Calls;
   typedef AnswerSink Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1158,55 +1113,56 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::bluebellstep::wire::AnswerSink::PushParams,
-                   ::bluebellstep::wire::AnswerSink::PushResults>
-  pushRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::bluebellstep::wire::AnswerSink::FinishParams,
-                   ::bluebellstep::wire::AnswerSink::FinishResults>
-  finishRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bluebellstep::wire::AnswerSink::PushParams,  ::bluebellstep::wire::AnswerSink::PushResults> pushRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bluebellstep::wire::AnswerSink::FinishParams,  ::bluebellstep::wire::AnswerSink::FinishResults> finishRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class AnswerSink::Server : public virtual ::capnp::Capability::Server {
- public:
+class AnswerSink::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef AnswerSink Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::bluebellstep::wire::AnswerSink::PushParams PushParams;
-  typedef ::bluebellstep::wire::AnswerSink::PushResults PushResults;
+protected:
+  typedef  ::bluebellstep::wire::AnswerSink::PushParams PushParams;
+  typedef  ::bluebellstep::wire::AnswerSink::PushResults PushResults;
   typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
   virtual ::kj::Promise<void> push(PushContext context);
-  typedef ::bluebellstep::wire::AnswerSink::FinishParams FinishParams;
-  typedef ::bluebellstep::wire::AnswerSink::FinishResults FinishResults;
+  typedef  ::bluebellstep::wire::AnswerSink::FinishParams FinishParams;
+  typedef  ::bluebellstep::wire::AnswerSink::FinishResults FinishResults;
   typedef ::capnp::CallContext<FinishParams, FinishResults> FinishContext;
   virtual ::kj::Promise<void> finish(FinishContext context);
 
-  inline ::bluebellstep::wire::AnswerSink::Client thisCap() {
+  inline  ::bluebellstep::wire::AnswerSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::bluebellstep::wire::AnswerSink>();
+        .template castAs< ::bluebellstep::wire::AnswerSink>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class AnswerSink::PushParams::Reader {
- public:
+public:
   typedef PushParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1214,13 +1170,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getFirstIndex() const;
+  inline  ::uint64_t getFirstIndex() const;
 
   inline bool hasEvents() const;
-  inline ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Reader getEvents()
-      const;
+  inline  ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1233,38 +1188,32 @@
 };
 
 class AnswerSink::PushParams::Builder {
- public:
+public:
   typedef PushParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getFirstIndex();
-  inline void setFirstIndex(::uint64_t value);
+  inline  ::uint64_t getFirstIndex();
+  inline void setFirstIndex( ::uint64_t value);
 
   inline bool hasEvents();
-  inline ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Builder getEvents();
-  inline void setEvents(
-      ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Builder initEvents(
-      unsigned int size);
-  inline void adoptEvents(
-      ::capnp::Orphan<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>
-  disownEvents();
-
- private:
+  inline  ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEvents();
+  inline void setEvents( ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
+  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>> disownEvents();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1275,14 +1224,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::PushParams::Pipeline {
- public:
+public:
   typedef PushParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1291,13 +1240,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::PushResults::Reader {
- public:
+public:
   typedef PushResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1305,9 +1256,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNextIndex() const;
+  inline  ::uint64_t getNextIndex() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1320,27 +1271,25 @@
 };
 
 class AnswerSink::PushResults::Builder {
- public:
+public:
   typedef PushResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNextIndex();
-  inline void setNextIndex(::uint64_t value);
+  inline  ::uint64_t getNextIndex();
+  inline void setNextIndex( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1351,14 +1300,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::PushResults::Pipeline {
- public:
+public:
   typedef PushResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1367,13 +1316,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::FinishParams::Reader {
- public:
+public:
   typedef FinishParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1382,9 +1333,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCompletion() const;
-  inline ::bluebellstep::wire::Completion::Reader getCompletion() const;
+  inline  ::bluebellstep::wire::Completion::Reader getCompletion() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1397,31 +1348,29 @@
 };
 
 class AnswerSink::FinishParams::Builder {
- public:
+public:
   typedef FinishParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasCompletion();
-  inline ::bluebellstep::wire::Completion::Builder getCompletion();
-  inline void setCompletion(::bluebellstep::wire::Completion::Reader value);
-  inline ::bluebellstep::wire::Completion::Builder initCompletion();
-  inline void adoptCompletion(::capnp::Orphan<::bluebellstep::wire::Completion>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::Completion> disownCompletion();
+  inline  ::bluebellstep::wire::Completion::Builder getCompletion();
+  inline void setCompletion( ::bluebellstep::wire::Completion::Reader value);
+  inline  ::bluebellstep::wire::Completion::Builder initCompletion();
+  inline void adoptCompletion(::capnp::Orphan< ::bluebellstep::wire::Completion>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::Completion> disownCompletion();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1432,16 +1381,15 @@
 
 #if !CAPNP_LITE
 class AnswerSink::FinishParams::Pipeline {
- public:
+public:
   typedef FinishParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::bluebellstep::wire::Completion::Pipeline getCompletion();
-
- private:
+  inline  ::bluebellstep::wire::Completion::Pipeline getCompletion();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1450,13 +1398,15 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::FinishResults::Reader {
- public:
+public:
   typedef FinishResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1464,7 +1414,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1477,24 +1427,22 @@
 };
 
 class AnswerSink::FinishResults::Builder {
- public:
+public:
   typedef FinishResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1505,14 +1453,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::FinishResults::Pipeline {
- public:
+public:
   typedef FinishResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1521,13 +1469,15 @@
 #endif  // !CAPNP_LITE
 
 class ZoneNotice::Reader {
- public:
+public:
   typedef ZoneNotice Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1536,19 +1486,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasZone() const;
-  inline ::capnp::Text::Reader getZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
   inline bool getInService() const;
 
-  inline ::uint64_t getSerial() const;
+  inline  ::uint64_t getSerial() const;
 
   inline bool hasSigner() const;
-  inline ::capnp::Text::Reader getSigner() const;
+  inline  ::capnp::Text::Reader getSigner() const;
 
   inline bool hasSignature() const;
-  inline ::capnp::Data::Reader getSignature() const;
+  inline  ::capnp::Data::Reader getSignature() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1561,51 +1511,49 @@
 };
 
 class ZoneNotice::Builder {
- public:
+public:
   typedef ZoneNotice Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasZone();
-  inline ::capnp::Text::Builder getZone();
-  inline void setZone(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
   inline bool getInService();
   inline void setInService(bool value);
 
-  inline ::uint64_t getSerial();
-  inline void setSerial(::uint64_t value);
+  inline  ::uint64_t getSerial();
+  inline void setSerial( ::uint64_t value);
 
   inline bool hasSigner();
-  inline ::capnp::Text::Builder getSigner();
-  inline void setSigner(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initSigner(unsigned int size);
-  inline void adoptSigner(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownSigner();
+  inline  ::capnp::Text::Builder getSigner();
+  inline void setSigner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSigner(unsigned int size);
+  inline void adoptSigner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSigner();
 
   inline bool hasSignature();
-  inline ::capnp::Data::Builder getSignature();
-  inline void setSignature(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initSignature(unsigned int size);
-  inline void adoptSignature(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownSignature();
+  inline  ::capnp::Data::Builder getSignature();
+  inline void setSignature( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initSignature(unsigned int size);
+  inline void adoptSignature(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownSignature();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1616,14 +1564,14 @@
 
 #if !CAPNP_LITE
 class ZoneNotice::Pipeline {
- public:
+public:
   typedef ZoneNotice Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1632,13 +1580,15 @@
 #endif  // !CAPNP_LITE
 
 class ServedCost::Reader {
- public:
+public:
   typedef ServedCost Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1647,11 +1597,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAccount() const;
-  inline ::capnp::Text::Reader getAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline ::uint64_t getCost() const;
+  inline  ::uint64_t getCost() const;
 
- private:
+  inline bool getBacklogged() const;
+
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1664,34 +1616,35 @@
 };
 
 class ServedCost::Builder {
- public:
+public:
   typedef ServedCost Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasAccount();
-  inline ::capnp::Text::Builder getAccount();
-  inline void setAccount(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline ::uint64_t getCost();
-  inline void setCost(::uint64_t value);
+  inline  ::uint64_t getCost();
+  inline void setCost( ::uint64_t value);
 
- private:
+  inline bool getBacklogged();
+  inline void setBacklogged(bool value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1702,14 +1655,14 @@
 
 #if !CAPNP_LITE
 class ServedCost::Pipeline {
- public:
+public:
   typedef ServedCost Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1718,13 +1671,15 @@
 #endif  // !CAPNP_LITE
 
 class UpstreamHint::Reader {
- public:
+public:
   typedef UpstreamHint Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1732,22 +1687,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getLoad() const;
+  inline  ::uint32_t getLoad() const;
 
-  inline ::uint32_t getLimit() const;
+  inline  ::uint32_t getLimit() const;
 
   inline bool getLeaving() const;
 
   inline bool getCold() const;
 
   inline bool hasWeightVersions() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getWeightVersions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWeightVersions() const;
 
-  inline ::uint64_t getKvTokensFree() const;
+  inline  ::uint64_t getKvTokensFree() const;
 
-  inline ::uint32_t getQueueWaitMs() const;
+  inline  ::uint32_t getQueueWaitMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1760,28 +1715,26 @@
 };
 
 class UpstreamHint::Builder {
- public:
+public:
   typedef UpstreamHint Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getLoad();
-  inline void setLoad(::uint32_t value);
+  inline  ::uint32_t getLoad();
+  inline void setLoad( ::uint32_t value);
 
-  inline ::uint32_t getLimit();
-  inline void setLimit(::uint32_t value);
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
 
   inline bool getLeaving();
   inline void setLeaving(bool value);
@@ -1790,22 +1743,20 @@
   inline void setCold(bool value);
 
   inline bool hasWeightVersions();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getWeightVersions();
-  inline void setWeightVersions(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setWeightVersions(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initWeightVersions(
-      unsigned int size);
-  inline void adoptWeightVersions(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownWeightVersions();
-
-  inline ::uint64_t getKvTokensFree();
-  inline void setKvTokensFree(::uint64_t value);
-
-  inline ::uint32_t getQueueWaitMs();
-  inline void setQueueWaitMs(::uint32_t value);
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWeightVersions();
+  inline void setWeightVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setWeightVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWeightVersions(unsigned int size);
+  inline void adoptWeightVersions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWeightVersions();
+
+  inline  ::uint64_t getKvTokensFree();
+  inline void setKvTokensFree( ::uint64_t value);
+
+  inline  ::uint32_t getQueueWaitMs();
+  inline void setQueueWaitMs( ::uint32_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1816,14 +1767,14 @@
 
 #if !CAPNP_LITE
 class UpstreamHint::Pipeline {
- public:
+public:
   typedef UpstreamHint Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1832,13 +1783,15 @@
 #endif  // !CAPNP_LITE
 
 class PeerState::Reader {
- public:
+public:
   typedef PeerState Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1847,32 +1800,30 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline ::capnp::Text::Reader getName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool hasZone() const;
-  inline ::capnp::Text::Reader getZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
-  inline ::uint64_t getGeneration() const;
+  inline  ::uint64_t getGeneration() const;
 
-  inline ::int64_t getConfirmedAgeMs() const;
+  inline  ::int64_t getConfirmedAgeMs() const;
 
   inline bool hasZoneNotices() const;
-  inline ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Reader
-  getZoneNotices() const;
+  inline  ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Reader getZoneNotices() const;
 
   inline bool hasServedCosts() const;
-  inline ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Reader
-  getServedCosts() const;
+  inline  ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Reader getServedCosts() const;
 
   inline bool hasHint() const;
-  inline ::bluebellstep::wire::UpstreamHint::Reader getHint() const;
+  inline  ::bluebellstep::wire::UpstreamHint::Reader getHint() const;
 
   inline bool hasEntryPeers() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEntryPeers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntryPeers() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1885,90 +1836,74 @@
 };
 
 class PeerState::Builder {
- public:
+public:
   typedef PeerState Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline ::capnp::Text::Builder getName();
-  inline void setName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool hasZone();
-  inline ::capnp::Text::Builder getZone();
-  inline void setZone(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
-  inline ::uint64_t getGeneration();
-  inline void setGeneration(::uint64_t value);
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
-  inline ::int64_t getConfirmedAgeMs();
-  inline void setConfirmedAgeMs(::int64_t value);
+  inline  ::int64_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::int64_t value);
 
   inline bool hasZoneNotices();
-  inline ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Builder
-  getZoneNotices();
-  inline void setZoneNotices(
-      ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Builder
-  initZoneNotices(unsigned int size);
-  inline void adoptZoneNotices(
-      ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>
-  disownZoneNotices();
+  inline  ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Builder getZoneNotices();
+  inline void setZoneNotices( ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Builder initZoneNotices(unsigned int size);
+  inline void adoptZoneNotices(::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>> disownZoneNotices();
 
   inline bool hasServedCosts();
-  inline ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Builder
-  getServedCosts();
-  inline void setServedCosts(
-      ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Builder
-  initServedCosts(unsigned int size);
-  inline void adoptServedCosts(
-      ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>
-  disownServedCosts();
+  inline  ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Builder getServedCosts();
+  inline void setServedCosts( ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Builder initServedCosts(unsigned int size);
+  inline void adoptServedCosts(::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>> disownServedCosts();
 
   inline bool hasHint();
-  inline ::bluebellstep::wire::UpstreamHint::Builder getHint();
-  inline void setHint(::bluebellstep::wire::UpstreamHint::Reader value);
-  inline ::bluebellstep::wire::UpstreamHint::Builder initHint();
-  inline void adoptHint(::capnp::Orphan<::bluebellstep::wire::UpstreamHint>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::UpstreamHint> disownHint();
+  inline  ::bluebellstep::wire::UpstreamHint::Builder getHint();
+  inline void setHint( ::bluebellstep::wire::UpstreamHint::Reader value);
+  inline  ::bluebellstep::wire::UpstreamHint::Builder initHint();
+  inline void adoptHint(::capnp::Orphan< ::bluebellstep::wire::UpstreamHint>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint> disownHint();
 
   inline bool hasEntryPeers();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getEntryPeers();
-  inline void setEntryPeers(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntryPeers(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initEntryPeers(
-      unsigned int size);
-  inline void adoptEntryPeers(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownEntryPeers();
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntryPeers();
+  inline void setEntryPeers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntryPeers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntryPeers(unsigned int size);
+  inline void adoptEntryPeers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntryPeers();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1979,16 +1914,15 @@
 
 #if !CAPNP_LITE
 class PeerState::Pipeline {
- public:
+public:
   typedef PeerState Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::bluebellstep::wire::UpstreamHint::Pipeline getHint();
-
- private:
+  inline  ::bluebellstep::wire::UpstreamHint::Pipeline getHint();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1997,16 +1931,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client : public virtual ::capnp::Capability::Client {
- public:
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef Peer Calls;
   typedef Peer Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -2014,54 +1949,56 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::bluebellstep::wire::Peer::HeartbeatParams,
-                   ::bluebellstep::wire::Peer::HeartbeatResults>
-  heartbeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::bluebellstep::wire::Peer::FetchBundleParams,
-                   ::bluebellstep::wire::Peer::FetchBundleResults>
-  fetchBundleRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bluebellstep::wire::Peer::HeartbeatParams,  ::bluebellstep::wire::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bluebellstep::wire::Peer::FetchBundleParams,  ::bluebellstep::wire::Peer::FetchBundleResults> fetchBundleRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class Peer::Server : public virtual ::capnp::Capability::Server {
- public:
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef Peer Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::bluebellstep::wire::Peer::HeartbeatParams HeartbeatParams;
-  typedef ::bluebellstep::wire::Peer::HeartbeatResults HeartbeatResults;
+protected:
+  typedef  ::bluebellstep::wire::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::bluebellstep::wire::Peer::HeartbeatResults HeartbeatResults;
   typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
   virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef ::bluebellstep::wire::Peer::FetchBundleParams FetchBundleParams;
-  typedef ::bluebellstep::wire::Peer::FetchBundleResults FetchBundleResults;
+  typedef  ::bluebellstep::wire::Peer::FetchBundleParams FetchBundleParams;
+  typedef  ::bluebellstep::wire::Peer::FetchBundleResults FetchBundleResults;
   typedef ::capnp::CallContext<FetchBundleParams, FetchBundleResults> FetchBundleContext;
   virtual ::kj::Promise<void> fetchBundle(FetchBundleContext context);
 
-  inline ::bluebellstep::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap().template castAs<::bluebellstep::wire::Peer>();
+  inline  ::bluebellstep::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::bluebellstep::wire::Peer>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Peer::HeartbeatParams::Reader {
- public:
+public:
   typedef HeartbeatParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2070,14 +2007,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasState() const;
-  inline ::bluebellstep::wire::PeerState::Reader getState() const;
+  inline  ::bluebellstep::wire::PeerState::Reader getState() const;
 
   inline bool hasFrom() const;
 #if !CAPNP_LITE
-  inline ::bluebellstep::wire::Peer::Client getFrom() const;
+  inline  ::bluebellstep::wire::Peer::Client getFrom() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2090,40 +2027,38 @@
 };
 
 class Peer::HeartbeatParams::Builder {
- public:
+public:
   typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasState();
-  inline ::bluebellstep::wire::PeerState::Builder getState();
-  inline void setState(::bluebellstep::wire::PeerState::Reader value);
-  inline ::bluebellstep::wire::PeerState::Builder initState();
-  inline void adoptState(::capnp::Orphan<::bluebellstep::wire::PeerState>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::PeerState> disownState();
+  inline  ::bluebellstep::wire::PeerState::Builder getState();
+  inline void setState( ::bluebellstep::wire::PeerState::Reader value);
+  inline  ::bluebellstep::wire::PeerState::Builder initState();
+  inline void adoptState(::capnp::Orphan< ::bluebellstep::wire::PeerState>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::PeerState> disownState();
 
   inline bool hasFrom();
 #if !CAPNP_LITE
-  inline ::bluebellstep::wire::Peer::Client getFrom();
-  inline void setFrom(::bluebellstep::wire::Peer::Client&& value);
-  inline void setFrom(::bluebellstep::wire::Peer::Client& value);
-  inline void adoptFrom(::capnp::Orphan<::bluebellstep::wire::Peer>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::Peer> disownFrom();
+  inline  ::bluebellstep::wire::Peer::Client getFrom();
+  inline void setFrom( ::bluebellstep::wire::Peer::Client&& value);
+  inline void setFrom( ::bluebellstep::wire::Peer::Client& value);
+  inline void adoptFrom(::capnp::Orphan< ::bluebellstep::wire::Peer>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::Peer> disownFrom();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2134,17 +2069,16 @@
 
 #if !CAPNP_LITE
 class Peer::HeartbeatParams::Pipeline {
- public:
+public:
   typedef HeartbeatParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::bluebellstep::wire::PeerState::Pipeline getState();
-  inline ::bluebellstep::wire::Peer::Client getFrom();
-
- private:
+  inline  ::bluebellstep::wire::PeerState::Pipeline getState();
+  inline  ::bluebellstep::wire::Peer::Client getFrom();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2153,13 +2087,15 @@
 #endif  // !CAPNP_LITE
 
 class Peer::HeartbeatResults::Reader {
- public:
+public:
   typedef HeartbeatResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2168,9 +2104,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasState() const;
-  inline ::bluebellstep::wire::PeerState::Reader getState() const;
+  inline  ::bluebellstep::wire::PeerState::Reader getState() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2183,31 +2119,29 @@
 };
 
 class Peer::HeartbeatResults::Builder {
- public:
+public:
   typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasState();
-  inline ::bluebellstep::wire::PeerState::Builder getState();
-  inline void setState(::bluebellstep::wire::PeerState::Reader value);
-  inline ::bluebellstep::wire::PeerState::Builder initState();
-  inline void adoptState(::capnp::Orphan<::bluebellstep::wire::PeerState>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::PeerState> disownState();
+  inline  ::bluebellstep::wire::PeerState::Builder getState();
+  inline void setState( ::bluebellstep::wire::PeerState::Reader value);
+  inline  ::bluebellstep::wire::PeerState::Builder initState();
+  inline void adoptState(::capnp::Orphan< ::bluebellstep::wire::PeerState>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::PeerState> disownState();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2218,16 +2152,15 @@
 
 #if !CAPNP_LITE
 class Peer::HeartbeatResults::Pipeline {
- public:
+public:
   typedef HeartbeatResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::bluebellstep::wire::PeerState::Pipeline getState();
-
- private:
+  inline  ::bluebellstep::wire::PeerState::Pipeline getState();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2236,13 +2169,15 @@
 #endif  // !CAPNP_LITE
 
 class Peer::FetchBundleParams::Reader {
- public:
+public:
   typedef FetchBundleParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2250,7 +2185,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2263,24 +2198,22 @@
 };
 
 class Peer::FetchBundleParams::Builder {
- public:
+public:
   typedef FetchBundleParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2291,14 +2224,14 @@
 
 #if !CAPNP_LITE
 class Peer::FetchBundleParams::Pipeline {
- public:
+public:
   typedef FetchBundleParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2307,13 +2240,15 @@
 #endif  // !CAPNP_LITE
 
 class Peer::FetchBundleResults::Reader {
- public:
+public:
   typedef FetchBundleResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2321,12 +2256,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getGeneration() const;
+  inline  ::uint64_t getGeneration() const;
 
   inline bool hasDocument() const;
-  inline ::capnp::Data::Reader getDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2339,34 +2274,32 @@
 };
 
 class Peer::FetchBundleResults::Builder {
- public:
+public:
   typedef FetchBundleResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getGeneration();
-  inline void setGeneration(::uint64_t value);
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
   inline bool hasDocument();
-  inline ::capnp::Data::Builder getDocument();
-  inline void setDocument(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2377,14 +2310,14 @@
 
 #if !CAPNP_LITE
 class Peer::FetchBundleResults::Pipeline {
- public:
+public:
   typedef FetchBundleResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2393,17 +2326,18 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Sidecar::Client : public virtual ::capnp::Capability::Client,
-                        public virtual ::bluebellstep::wire::Peer::Client {
- public:
+class Sidecar::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::bluebellstep::wire::Peer::Client {
+public:
   typedef Sidecar Calls;
   typedef Sidecar Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -2411,62 +2345,63 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::bluebellstep::wire::Sidecar::SubmitParams,
-                   ::bluebellstep::wire::Sidecar::SubmitResults>
-  submitRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::bluebellstep::wire::Sidecar::ResumeParams,
-                   ::bluebellstep::wire::Sidecar::ResumeResults>
-  resumeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::bluebellstep::wire::Sidecar::CancelParams,
-                   ::bluebellstep::wire::Sidecar::CancelResults>
-  cancelRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-
- protected:
+  ::capnp::Request< ::bluebellstep::wire::Sidecar::SubmitParams,  ::bluebellstep::wire::Sidecar::SubmitResults> submitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bluebellstep::wire::Sidecar::ResumeParams,  ::bluebellstep::wire::Sidecar::ResumeResults> resumeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bluebellstep::wire::Sidecar::CancelParams,  ::bluebellstep::wire::Sidecar::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
   Client() = default;
 };
 
-class Sidecar::Server : public virtual ::capnp::Capability::Server,
-                        public virtual ::bluebellstep::wire::Peer::Server {
- public:
+class Sidecar::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::bluebellstep::wire::Peer::Server {
+public:
   typedef Sidecar Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::bluebellstep::wire::Sidecar::SubmitParams SubmitParams;
-  typedef ::bluebellstep::wire::Sidecar::SubmitResults SubmitResults;
+protected:
+  typedef  ::bluebellstep::wire::Sidecar::SubmitParams SubmitParams;
+  typedef  ::bluebellstep::wire::Sidecar::SubmitResults SubmitResults;
   typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
   virtual ::kj::Promise<void> submit(SubmitContext context);
-  typedef ::bluebellstep::wire::Sidecar::ResumeParams ResumeParams;
-  typedef ::bluebellstep::wire::Sidecar::ResumeResults ResumeResults;
+  typedef  ::bluebellstep::wire::Sidecar::ResumeParams ResumeParams;
+  typedef  ::bluebellstep::wire::Sidecar::ResumeResults ResumeResults;
   typedef ::capnp::CallContext<ResumeParams, ResumeResults> ResumeContext;
   virtual ::kj::Promise<void> resume(ResumeContext context);
-  typedef ::bluebellstep::wire::Sidecar::CancelParams CancelParams;
-  typedef ::bluebellstep::wire::Sidecar::CancelResults CancelResults;
+  typedef  ::bluebellstep::wire::Sidecar::CancelParams CancelParams;
+  typedef  ::bluebellstep::wire::Sidecar::CancelResults CancelResults;
   typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
   virtual ::kj::Promise<void> cancel(CancelContext context);
 
-  inline ::bluebellstep::wire::Sidecar::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap().template castAs<::bluebellstep::wire::Sidecar>();
+  inline  ::bluebellstep::wire::Sidecar::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::bluebellstep::wire::Sidecar>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Sidecar::SubmitParams::Reader {
- public:
+public:
   typedef SubmitParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2475,14 +2410,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline ::bluebellstep::wire::Request::Reader getRequest() const;
+  inline  ::bluebellstep::wire::Request::Reader getRequest() const;
 
   inline bool hasSink() const;
 #if !CAPNP_LITE
-  inline ::bluebellstep::wire::AnswerSink::Client getSink() const;
+  inline  ::bluebellstep::wire::AnswerSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2495,40 +2430,38 @@
 };
 
 class Sidecar::SubmitParams::Builder {
- public:
+public:
   typedef SubmitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline ::bluebellstep::wire::Request::Builder getRequest();
-  inline void setRequest(::bluebellstep::wire::Request::Reader value);
-  inline ::bluebellstep::wire::Request::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan<::bluebellstep::wire::Request>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::Request> disownRequest();
+  inline  ::bluebellstep::wire::Request::Builder getRequest();
+  inline void setRequest( ::bluebellstep::wire::Request::Reader value);
+  inline  ::bluebellstep::wire::Request::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::bluebellstep::wire::Request>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::Request> disownRequest();
 
   inline bool hasSink();
 #if !CAPNP_LITE
-  inline ::bluebellstep::wire::AnswerSink::Client getSink();
-  inline void setSink(::bluebellstep::wire::AnswerSink::Client&& value);
-  inline void setSink(::bluebellstep::wire::AnswerSink::Client& value);
-  inline void adoptSink(::capnp::Orphan<::bluebellstep::wire::AnswerSink>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::AnswerSink> disownSink();
+  inline  ::bluebellstep::wire::AnswerSink::Client getSink();
+  inline void setSink( ::bluebellstep::wire::AnswerSink::Client&& value);
+  inline void setSink( ::bluebellstep::wire::AnswerSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::bluebellstep::wire::AnswerSink>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::AnswerSink> disownSink();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2539,17 +2472,16 @@
 
 #if !CAPNP_LITE
 class Sidecar::SubmitParams::Pipeline {
- public:
+public:
   typedef SubmitParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::bluebellstep::wire::Request::Pipeline getRequest();
-  inline ::bluebellstep::wire::AnswerSink::Client getSink();
-
- private:
+  inline  ::bluebellstep::wire::Request::Pipeline getRequest();
+  inline  ::bluebellstep::wire::AnswerSink::Client getSink();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2558,13 +2490,15 @@
 #endif  // !CAPNP_LITE
 
 class Sidecar::SubmitResults::Reader {
- public:
+public:
   typedef SubmitResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2575,12 +2509,12 @@
   inline bool getAccepted() const;
 
   inline bool hasVerdict() const;
-  inline ::bluebellstep::wire::Verdict::Reader getVerdict() const;
+  inline  ::bluebellstep::wire::Verdict::Reader getVerdict() const;
 
   inline bool hasHint() const;
-  inline ::bluebellstep::wire::UpstreamHint::Reader getHint() const;
+  inline  ::bluebellstep::wire::UpstreamHint::Reader getHint() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2593,41 +2527,39 @@
 };
 
 class Sidecar::SubmitResults::Builder {
- public:
+public:
   typedef SubmitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool getAccepted();
   inline void setAccepted(bool value);
 
   inline bool hasVerdict();
-  inline ::bluebellstep::wire::Verdict::Builder getVerdict();
-  inline void setVerdict(::bluebellstep::wire::Verdict::Reader value);
-  inline ::bluebellstep::wire::Verdict::Builder initVerdict();
-  inline void adoptVerdict(::capnp::Orphan<::bluebellstep::wire::Verdict>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::Verdict> disownVerdict();
+  inline  ::bluebellstep::wire::Verdict::Builder getVerdict();
+  inline void setVerdict( ::bluebellstep::wire::Verdict::Reader value);
+  inline  ::bluebellstep::wire::Verdict::Builder initVerdict();
+  inline void adoptVerdict(::capnp::Orphan< ::bluebellstep::wire::Verdict>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::Verdict> disownVerdict();
 
   inline bool hasHint();
-  inline ::bluebellstep::wire::UpstreamHint::Builder getHint();
-  inline void setHint(::bluebellstep::wire::UpstreamHint::Reader value);
-  inline ::bluebellstep::wire::UpstreamHint::Builder initHint();
-  inline void adoptHint(::capnp::Orphan<::bluebellstep::wire::UpstreamHint>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::UpstreamHint> disownHint();
+  inline  ::bluebellstep::wire::UpstreamHint::Builder getHint();
+  inline void setHint( ::bluebellstep::wire::UpstreamHint::Reader value);
+  inline  ::bluebellstep::wire::UpstreamHint::Builder initHint();
+  inline void adoptHint(::capnp::Orphan< ::bluebellstep::wire::UpstreamHint>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint> disownHint();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2638,17 +2570,16 @@
 
 #if !CAPNP_LITE
 class Sidecar::SubmitResults::Pipeline {
- public:
+public:
   typedef SubmitResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::bluebellstep::wire::Verdict::Pipeline getVerdict();
-  inline ::bluebellstep::wire::UpstreamHint::Pipeline getHint();
-
- private:
+  inline  ::bluebellstep::wire::Verdict::Pipeline getVerdict();
+  inline  ::bluebellstep::wire::UpstreamHint::Pipeline getHint();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2657,13 +2588,15 @@
 #endif  // !CAPNP_LITE
 
 class Sidecar::ResumeParams::Reader {
- public:
+public:
   typedef ResumeParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2671,20 +2604,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getEntryIncarnation() const;
+  inline  ::uint64_t getEntryIncarnation() const;
 
-  inline ::uint64_t getRequestId() const;
+  inline  ::uint64_t getRequestId() const;
 
-  inline ::uint32_t getAttempt() const;
+  inline  ::uint32_t getAttempt() const;
 
-  inline ::uint64_t getNextIndex() const;
+  inline  ::uint64_t getNextIndex() const;
 
   inline bool hasSink() const;
 #if !CAPNP_LITE
-  inline ::bluebellstep::wire::AnswerSink::Client getSink() const;
+  inline  ::bluebellstep::wire::AnswerSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2697,45 +2630,43 @@
 };
 
 class Sidecar::ResumeParams::Builder {
- public:
+public:
   typedef ResumeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getEntryIncarnation();
-  inline void setEntryIncarnation(::uint64_t value);
+  inline  ::uint64_t getEntryIncarnation();
+  inline void setEntryIncarnation( ::uint64_t value);
 
-  inline ::uint64_t getRequestId();
-  inline void setRequestId(::uint64_t value);
+  inline  ::uint64_t getRequestId();
+  inline void setRequestId( ::uint64_t value);
 
-  inline ::uint32_t getAttempt();
-  inline void setAttempt(::uint32_t value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
-  inline ::uint64_t getNextIndex();
-  inline void setNextIndex(::uint64_t value);
+  inline  ::uint64_t getNextIndex();
+  inline void setNextIndex( ::uint64_t value);
 
   inline bool hasSink();
 #if !CAPNP_LITE
-  inline ::bluebellstep::wire::AnswerSink::Client getSink();
-  inline void setSink(::bluebellstep::wire::AnswerSink::Client&& value);
-  inline void setSink(::bluebellstep::wire::AnswerSink::Client& value);
-  inline void adoptSink(::capnp::Orphan<::bluebellstep::wire::AnswerSink>&& value);
-  inline ::capnp::Orphan<::bluebellstep::wire::AnswerSink> disownSink();
+  inline  ::bluebellstep::wire::AnswerSink::Client getSink();
+  inline void setSink( ::bluebellstep::wire::AnswerSink::Client&& value);
+  inline void setSink( ::bluebellstep::wire::AnswerSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::bluebellstep::wire::AnswerSink>&& value);
+  inline ::capnp::Orphan< ::bluebellstep::wire::AnswerSink> disownSink();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2746,16 +2677,15 @@
 
 #if !CAPNP_LITE
 class Sidecar::ResumeParams::Pipeline {
- public:
+public:
   typedef ResumeParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::bluebellstep::wire::AnswerSink::Client getSink();
-
- private:
+  inline  ::bluebellstep::wire::AnswerSink::Client getSink();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2764,13 +2694,15 @@
 #endif  // !CAPNP_LITE
 
 class Sidecar::ResumeResults::Reader {
- public:
+public:
   typedef ResumeResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2780,7 +2712,7 @@
 
   inline bool getKnown() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2793,27 +2725,25 @@
 };
 
 class Sidecar::ResumeResults::Builder {
- public:
+public:
   typedef ResumeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool getKnown();
   inline void setKnown(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2824,14 +2754,14 @@
 
 #if !CAPNP_LITE
 class Sidecar::ResumeResults::Pipeline {
- public:
+public:
   typedef ResumeResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2840,13 +2770,15 @@
 #endif  // !CAPNP_LITE
 
 class Sidecar::CancelParams::Reader {
- public:
+public:
   typedef CancelParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2854,11 +2786,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getEntryIncarnation() const;
+  inline  ::uint64_t getEntryIncarnation() const;
 
-  inline ::uint64_t getRequestId() const;
+  inline  ::uint64_t getRequestId() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2871,30 +2803,28 @@
 };
 
 class Sidecar::CancelParams::Builder {
- public:
+public:
   typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getEntryIncarnation();
-  inline void setEntryIncarnation(::uint64_t value);
+  inline  ::uint64_t getEntryIncarnation();
+  inline void setEntryIncarnation( ::uint64_t value);
 
-  inline ::uint64_t getRequestId();
-  inline void setRequestId(::uint64_t value);
+  inline  ::uint64_t getRequestId();
+  inline void setRequestId( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2905,14 +2835,14 @@
 
 #if !CAPNP_LITE
 class Sidecar::CancelParams::Pipeline {
- public:
+public:
   typedef CancelParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2921,13 +2851,15 @@
 #endif  // !CAPNP_LITE
 
 class Sidecar::CancelResults::Reader {
- public:
+public:
   typedef CancelResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2935,7 +2867,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2948,24 +2880,22 @@
 };
 
 class Sidecar::CancelResults::Builder {
- public:
+public:
   typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2976,14 +2906,14 @@
 
 #if !CAPNP_LITE
 class Sidecar::CancelResults::Pipeline {
- public:
+public:
   typedef CancelResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2993,529 +2923,603 @@
 
 // =======================================================================================
 
-inline ::uint16_t Verdict::Reader::getRunState() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Verdict::Reader::getRunState() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Verdict::Builder::getRunState() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Verdict::Builder::getRunState() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setRunState(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setRunState( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Verdict::Reader::getReason() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Verdict::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Verdict::Builder::getReason() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Verdict::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setReason(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Verdict::Reader::getRetryAfterMs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t Verdict::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Verdict::Builder::getRetryAfterMs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t Verdict::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setRetryAfterMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setRetryAfterMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Verdict::Reader::hasDetail() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Verdict::Builder::hasDetail() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Verdict::Reader::getDetail() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Verdict::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Verdict::Builder::getDetail() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Verdict::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Verdict::Builder::setDetail(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Verdict::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Verdict::Builder::initDetail(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Verdict::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Verdict::Builder::adoptDetail(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Verdict::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Verdict::Builder::disownDetail() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Verdict::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Request::Reader::getRequestId() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Reader::getRequestId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Request::Builder::getRequestId() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Builder::getRequestId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setRequestId(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setRequestId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Request::Reader::getEntryIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Reader::getEntryIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Request::Builder::getEntryIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Builder::getEntryIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setEntryIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setEntryIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Request::Reader::getAttempt() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Request::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Request::Builder::getAttempt() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Request::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setAttempt(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::bluebellstep::wire::RequestKind Request::Reader::getKind() const {
-  return _reader.getDataField<::bluebellstep::wire::RequestKind>(::capnp::bounded<10>() *
-                                                                 ::capnp::ELEMENTS);
+inline  ::bluebellstep::wire::RequestKind Request::Reader::getKind() const {
+  return _reader.getDataField< ::bluebellstep::wire::RequestKind>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline ::bluebellstep::wire::RequestKind Request::Builder::getKind() {
-  return _builder.getDataField<::bluebellstep::wire::RequestKind>(::capnp::bounded<10>() *
-                                                                  ::capnp::ELEMENTS);
+inline  ::bluebellstep::wire::RequestKind Request::Builder::getKind() {
+  return _builder.getDataField< ::bluebellstep::wire::RequestKind>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setKind(::bluebellstep::wire::RequestKind value) {
-  _builder.setDataField<::bluebellstep::wire::RequestKind>(
+inline void Request::Builder::setKind( ::bluebellstep::wire::RequestKind value) {
+  _builder.setDataField< ::bluebellstep::wire::RequestKind>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Request::Reader::hasAccount() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasAccount() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setAccount(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptAccount(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasServiceClass() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasServiceClass() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getServiceClass() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getServiceClass() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getServiceClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getServiceClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setServiceClass(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setServiceClass( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initServiceClass(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initServiceClass(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptServiceClass(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptServiceClass(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownServiceClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownServiceClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasModel() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasModel() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getModel() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setModel(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initModel(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptModel(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasWeightVersion() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasWeightVersion() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getWeightVersion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getWeightVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getWeightVersion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getWeightVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setWeightVersion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setWeightVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initWeightVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initWeightVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptWeightVersion(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptWeightVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownWeightVersion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownWeightVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Request::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Request::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Request::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Request::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Request::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Request::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Request::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Request::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Request::Reader::getMaxTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Request::Reader::getMaxTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Request::Builder::getMaxTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Request::Builder::getMaxTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setMaxTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setMaxTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int32_t Request::Reader::getPriority() const {
-  return _reader.getDataField<::int32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::int32_t Request::Reader::getPriority() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t Request::Builder::getPriority() {
-  return _builder.getDataField<::int32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::int32_t Request::Builder::getPriority() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setPriority(::int32_t value) {
-  _builder.setDataField<::int32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setPriority( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Request::Reader::hasIdempotencyKey() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasIdempotencyKey() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getIdempotencyKey() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getIdempotencyKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getIdempotencyKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getIdempotencyKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setIdempotencyKey(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setIdempotencyKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initIdempotencyKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initIdempotencyKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptIdempotencyKey(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptIdempotencyKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownIdempotencyKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownIdempotencyKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasMethod() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasMethod() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getMethod() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getMethod() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setMethod(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initMethod(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptMethod(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownMethod() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasPath() const {
-  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasPath() {
-  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getPath() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setPath(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initPath(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptPath(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Request::Reader::getGeneration() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Request::Builder::getGeneration() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setGeneration(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Request::Reader::getDeadlineMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Request::Reader::getDeadlineMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Request::Builder::getDeadlineMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Request::Builder::getDeadlineMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setDeadlineMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setDeadlineMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Request::Reader::hasResumeText() const {
-  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasResumeText() {
-  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getResumeText() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getResumeText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getResumeText() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getResumeText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setResumeText(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setResumeText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initResumeText(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initResumeText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptResumeText(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptResumeText(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownResumeText() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownResumeText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Request::Reader::getFirstIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Reader::getFirstIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Request::Builder::getFirstIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Request::Builder::getFirstIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setFirstIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setFirstIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Request::Reader::hasContentType() const {
-  return !_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasContentType() {
-  return !_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Request::Reader::getContentType() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Request::Builder::getContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setContentType(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Request::Builder::initContentType(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptContentType(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Request::Builder::disownContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
 inline bool Event::Reader::hasText() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Event::Builder::hasText() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Event::Reader::getText() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Event::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Event::Builder::getText() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Event::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setText(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Event::Builder::setText( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Event::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Event::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptText(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Event::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Event::Builder::disownText() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Event::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Event::Reader::getTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Event::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Event::Builder::getTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Event::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Event::Builder::setTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Event::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::bluebellstep::wire::Completion::Which Completion::Reader::which() const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::bluebellstep::wire::Completion::Which Completion::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::bluebellstep::wire::Completion::Which Completion::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::bluebellstep::wire::Completion::Which Completion::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Completion::Reader::isVerdict() const {
@@ -3525,51 +3529,51 @@
   return which() == Completion::VERDICT;
 }
 inline bool Completion::Reader::hasVerdict() const {
-  if (which() != Completion::VERDICT)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  if (which() != Completion::VERDICT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Completion::Builder::hasVerdict() {
-  if (which() != Completion::VERDICT)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  if (which() != Completion::VERDICT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::Verdict::Reader Completion::Reader::getVerdict() const {
+inline  ::bluebellstep::wire::Verdict::Reader Completion::Reader::getVerdict() const {
   KJ_IREQUIRE((which() == Completion::VERDICT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::Verdict::Builder Completion::Builder::getVerdict() {
+inline  ::bluebellstep::wire::Verdict::Builder Completion::Builder::getVerdict() {
   KJ_IREQUIRE((which() == Completion::VERDICT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Completion::Builder::setVerdict(::bluebellstep::wire::Verdict::Reader value) {
-  _builder.setDataField<Completion::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                           Completion::VERDICT);
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Completion::Builder::setVerdict( ::bluebellstep::wire::Verdict::Reader value) {
+  _builder.setDataField<Completion::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Completion::VERDICT);
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::Verdict::Builder Completion::Builder::initVerdict() {
-  _builder.setDataField<Completion::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                           Completion::VERDICT);
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Verdict::Builder Completion::Builder::initVerdict() {
+  _builder.setDataField<Completion::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Completion::VERDICT);
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Completion::Builder::adoptVerdict(
-    ::capnp::Orphan<::bluebellstep::wire::Verdict>&& value) {
-  _builder.setDataField<Completion::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                           Completion::VERDICT);
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::Verdict>&& value) {
+  _builder.setDataField<Completion::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Completion::VERDICT);
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::Verdict> Completion::Builder::disownVerdict() {
+inline ::capnp::Orphan< ::bluebellstep::wire::Verdict> Completion::Builder::disownVerdict() {
   KJ_IREQUIRE((which() == Completion::VERDICT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Completion::Reader::isAnswer() const {
