@@ -3589,161 +3593,190 @@
   return typename Completion::Answer::Builder(_builder);
 }
 inline typename Completion::Answer::Builder Completion::Builder::initAnswer() {
-  _builder.setDataField<Completion::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                           Completion::ANSWER);
-  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<Completion::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Completion::ANSWER);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename Completion::Answer::Builder(_builder);
 }
-inline ::uint64_t Completion::Answer::Reader::getTotalEvents() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Completion::Answer::Reader::getTotalEvents() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Completion::Answer::Builder::getTotalEvents() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Completion::Answer::Builder::getTotalEvents() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Completion::Answer::Builder::setTotalEvents(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Completion::Answer::Builder::setTotalEvents( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Completion::Answer::Reader::getStatus() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Completion::Answer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Completion::Answer::Builder::getStatus() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Completion::Answer::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Completion::Answer::Builder::setStatus(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Completion::Answer::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Completion::Answer::Reader::hasFinishReason() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Completion::Answer::Builder::hasFinishReason() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Completion::Answer::Reader::getFinishReason() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Completion::Answer::Reader::getFinishReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Completion::Answer::Builder::getFinishReason() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Completion::Answer::Builder::getFinishReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Completion::Answer::Builder::setFinishReason(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Completion::Answer::Builder::setFinishReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Completion::Answer::Builder::initFinishReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Completion::Answer::Builder::initFinishReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Completion::Answer::Builder::adoptFinishReason(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Completion::Answer::Builder::adoptFinishReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Completion::Answer::Builder::disownFinishReason() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Completion::Answer::Builder::disownFinishReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Completion::Answer::Reader::getPromptTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Completion::Answer::Builder::getPromptTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Completion::Answer::Builder::setPromptTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Completion::Answer::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Completion::Answer::Reader::getReusedBlocks() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Reader::getReusedBlocks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Completion::Answer::Builder::getReusedBlocks() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Builder::getReusedBlocks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Completion::Answer::Builder::setReusedBlocks(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Completion::Answer::Builder::setReusedBlocks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Completion::Answer::Reader::getFetchedBlocks() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Reader::getFetchedBlocks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Completion::Answer::Builder::getFetchedBlocks() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Builder::getFetchedBlocks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Completion::Answer::Builder::setFetchedBlocks(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void Completion::Answer::Builder::setFetchedBlocks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Completion::Answer::Reader::getRecomputedBlocks() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Reader::getRecomputedBlocks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Completion::Answer::Builder::getRecomputedBlocks() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Completion::Answer::Builder::getRecomputedBlocks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Completion::Answer::Builder::setRecomputedBlocks(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Completion::Answer::Builder::setRecomputedBlocks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Completion::Answer::Reader::getReplayed() const {
-  return _reader.getDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
 }
 
 inline bool Completion::Answer::Builder::getReplayed() {
-  return _builder.getDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
 }
 inline void Completion::Answer::Builder::setReplayed(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Completion::Answer::Reader::hasContentType() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Completion::Answer::Builder::hasContentType() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Completion::Answer::Reader::getContentType() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Completion::Answer::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Completion::Answer::Builder::getContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Completion::Answer::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Completion::Answer::Builder::setContentType(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Completion::Answer::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Completion::Answer::Builder::initContentType(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Completion::Answer::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Completion::Answer::Builder::adoptContentType(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Completion::Answer::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Completion::Answer::Builder::disownContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Completion::Answer::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline AnswerSink::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline AnswerSink::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline AnswerSink::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline AnswerSink::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline AnswerSink::Client::Client(::kj::Own<_t>&& server)
@@ -3753,651 +3786,691 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline AnswerSink::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::bluebellstep::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
+inline  ::bluebellstep::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::bluebellstep::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
+inline  ::bluebellstep::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
-inline ::uint64_t AnswerSink::PushParams::Reader::getFirstIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerSink::PushParams::Reader::getFirstIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AnswerSink::PushParams::Builder::getFirstIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerSink::PushParams::Builder::getFirstIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerSink::PushParams::Builder::setFirstIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerSink::PushParams::Builder::setFirstIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AnswerSink::PushParams::Reader::hasEvents() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::PushParams::Builder::hasEvents() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Reader
-AnswerSink::PushParams::Reader::getEvents() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Builder
-AnswerSink::PushParams::Builder::getEvents() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AnswerSink::PushParams::Builder::setEvents(
-    ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>::Builder
-AnswerSink::PushParams::Builder::initEvents(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Reader AnswerSink::PushParams::Reader::getEvents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Builder AnswerSink::PushParams::Builder::getEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnswerSink::PushParams::Builder::setEvents( ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>::Builder AnswerSink::PushParams::Builder::initEvents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AnswerSink::PushParams::Builder::adoptEvents(
-    ::capnp::Orphan<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>
-AnswerSink::PushParams::Builder::disownEvents() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::Event, ::capnp::Kind::STRUCT>>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>> AnswerSink::PushParams::Builder::disownEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::Event,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AnswerSink::PushResults::Reader::getNextIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerSink::PushResults::Reader::getNextIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AnswerSink::PushResults::Builder::getNextIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerSink::PushResults::Builder::getNextIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerSink::PushResults::Builder::setNextIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerSink::PushResults::Builder::setNextIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AnswerSink::FinishParams::Reader::hasCompletion() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::FinishParams::Builder::hasCompletion() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::Completion::Reader AnswerSink::FinishParams::Reader::getCompletion()
-    const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Completion>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Completion::Reader AnswerSink::FinishParams::Reader::getCompletion() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Completion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::Completion::Builder
-AnswerSink::FinishParams::Builder::getCompletion() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Completion>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Completion::Builder AnswerSink::FinishParams::Builder::getCompletion() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Completion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::Completion::Pipeline
-AnswerSink::FinishParams::Pipeline::getCompletion() {
-  return ::bluebellstep::wire::Completion::Pipeline(_typeless.getPointerField(0));
+inline  ::bluebellstep::wire::Completion::Pipeline AnswerSink::FinishParams::Pipeline::getCompletion() {
+  return  ::bluebellstep::wire::Completion::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AnswerSink::FinishParams::Builder::setCompletion(
-    ::bluebellstep::wire::Completion::Reader value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Completion>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AnswerSink::FinishParams::Builder::setCompletion( ::bluebellstep::wire::Completion::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Completion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::Completion::Builder
-AnswerSink::FinishParams::Builder::initCompletion() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Completion>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Completion::Builder AnswerSink::FinishParams::Builder::initCompletion() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Completion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AnswerSink::FinishParams::Builder::adoptCompletion(
-    ::capnp::Orphan<::bluebellstep::wire::Completion>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Completion>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::Completion>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Completion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::Completion>
-AnswerSink::FinishParams::Builder::disownCompletion() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Completion>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::Completion> AnswerSink::FinishParams::Builder::disownCompletion() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Completion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ZoneNotice::Reader::hasZone() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ZoneNotice::Builder::hasZone() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ZoneNotice::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ZoneNotice::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ZoneNotice::Builder::getZone() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ZoneNotice::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ZoneNotice::Builder::setZone(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ZoneNotice::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ZoneNotice::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ZoneNotice::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ZoneNotice::Builder::adoptZone(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ZoneNotice::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ZoneNotice::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ZoneNotice::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ZoneNotice::Reader::getInService() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool ZoneNotice::Builder::getInService() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void ZoneNotice::Builder::setInService(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t ZoneNotice::Reader::getSerial() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ZoneNotice::Reader::getSerial() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ZoneNotice::Builder::getSerial() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ZoneNotice::Builder::getSerial() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ZoneNotice::Builder::setSerial(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ZoneNotice::Builder::setSerial( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ZoneNotice::Reader::hasSigner() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ZoneNotice::Builder::hasSigner() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ZoneNotice::Reader::getSigner() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ZoneNotice::Reader::getSigner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ZoneNotice::Builder::getSigner() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ZoneNotice::Builder::getSigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ZoneNotice::Builder::setSigner(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ZoneNotice::Builder::setSigner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ZoneNotice::Builder::initSigner(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ZoneNotice::Builder::initSigner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ZoneNotice::Builder::adoptSigner(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ZoneNotice::Builder::adoptSigner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ZoneNotice::Builder::disownSigner() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ZoneNotice::Builder::disownSigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ZoneNotice::Reader::hasSignature() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ZoneNotice::Builder::hasSignature() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ZoneNotice::Reader::getSignature() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ZoneNotice::Reader::getSignature() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ZoneNotice::Builder::getSignature() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ZoneNotice::Builder::getSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ZoneNotice::Builder::setSignature(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ZoneNotice::Builder::setSignature( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ZoneNotice::Builder::initSignature(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder ZoneNotice::Builder::initSignature(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ZoneNotice::Builder::adoptSignature(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ZoneNotice::Builder::adoptSignature(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ZoneNotice::Builder::disownSignature() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ZoneNotice::Builder::disownSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ServedCost::Reader::hasAccount() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServedCost::Builder::hasAccount() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServedCost::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServedCost::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServedCost::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Reader ServedCost::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServedCost::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Text::Builder ServedCost::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void ServedCost::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ServedCost::Builder::setAccount(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline ::capnp::Orphan< ::capnp::Text> ServedCost::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServedCost::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t ServedCost::Reader::getCost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServedCost::Builder::adoptAccount(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t ServedCost::Builder::getCost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> ServedCost::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void ServedCost::Builder::setCost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t ServedCost::Reader::getCost() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ServedCost::Reader::getBacklogged() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ServedCost::Builder::getCost() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ServedCost::Builder::getBacklogged() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void ServedCost::Builder::setCost(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ServedCost::Builder::setBacklogged(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t UpstreamHint::Reader::getLoad() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamHint::Reader::getLoad() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t UpstreamHint::Builder::getLoad() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamHint::Builder::getLoad() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void UpstreamHint::Builder::setLoad(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void UpstreamHint::Builder::setLoad( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t UpstreamHint::Reader::getLimit() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamHint::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t UpstreamHint::Builder::getLimit() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamHint::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void UpstreamHint::Builder::setLimit(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void UpstreamHint::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool UpstreamHint::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool UpstreamHint::Builder::getLeaving() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void UpstreamHint::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool UpstreamHint::Reader::getCold() const {
-  return _reader.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 
 inline bool UpstreamHint::Builder::getCold() {
-  return _builder.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 inline void UpstreamHint::Builder::setCold(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool UpstreamHint::Reader::hasWeightVersions() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool UpstreamHint::Builder::hasWeightVersions() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-UpstreamHint::Reader::getWeightVersions() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader UpstreamHint::Reader::getWeightVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-UpstreamHint::Builder::getWeightVersions() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder UpstreamHint::Builder::getWeightVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void UpstreamHint::Builder::setWeightVersions(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void UpstreamHint::Builder::setWeightVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void UpstreamHint::Builder::setWeightVersions(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void UpstreamHint::Builder::setWeightVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-UpstreamHint::Builder::initWeightVersions(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder UpstreamHint::Builder::initWeightVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void UpstreamHint::Builder::adoptWeightVersions(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-UpstreamHint::Builder::disownWeightVersions() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> UpstreamHint::Builder::disownWeightVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t UpstreamHint::Reader::getKvTokensFree() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t UpstreamHint::Reader::getKvTokensFree() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t UpstreamHint::Builder::getKvTokensFree() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t UpstreamHint::Builder::getKvTokensFree() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void UpstreamHint::Builder::setKvTokensFree(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void UpstreamHint::Builder::setKvTokensFree( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t UpstreamHint::Reader::getQueueWaitMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamHint::Reader::getQueueWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t UpstreamHint::Builder::getQueueWaitMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamHint::Builder::getQueueWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void UpstreamHint::Builder::setQueueWaitMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void UpstreamHint::Builder::setQueueWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerState::Reader::hasName() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerState::Builder::hasName() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PeerState::Reader::getName() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader PeerState::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PeerState::Builder::getName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PeerState::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerState::Builder::setName(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PeerState::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder PeerState::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder PeerState::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerState::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerState::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> PeerState::Builder::disownName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> PeerState::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerState::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerState::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PeerState::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerState::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerState::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PeerState::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerState::Reader::hasZone() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerState::Builder::hasZone() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PeerState::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader PeerState::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PeerState::Builder::getZone() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PeerState::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerState::Builder::setZone(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PeerState::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder PeerState::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder PeerState::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PeerState::Builder::adoptZone(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerState::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> PeerState::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> PeerState::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t PeerState::Reader::getGeneration() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerState::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PeerState::Builder::getGeneration() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PeerState::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerState::Builder::setGeneration(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PeerState::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t PeerState::Reader::getConfirmedAgeMs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t PeerState::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t PeerState::Builder::getConfirmedAgeMs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t PeerState::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PeerState::Builder::setConfirmedAgeMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PeerState::Builder::setConfirmedAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerState::Reader::hasZoneNotices() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerState::Builder::hasZoneNotices() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Reader
-PeerState::Reader::getZoneNotices() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Builder
-PeerState::Builder::getZoneNotices() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void PeerState::Builder::setZoneNotices(
-    ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>::Builder
-PeerState::Builder::initZoneNotices(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>::init(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Reader PeerState::Reader::getZoneNotices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Builder PeerState::Builder::getZoneNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerState::Builder::setZoneNotices( ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>::Builder PeerState::Builder::initZoneNotices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void PeerState::Builder::adoptZoneNotices(
-    ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>::adopt(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>
-PeerState::Builder::disownZoneNotices() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::bluebellstep::wire::ZoneNotice, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>> PeerState::Builder::disownZoneNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ZoneNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool PeerState::Reader::hasServedCosts() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerState::Builder::hasServedCosts() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Reader
-PeerState::Reader::getServedCosts() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Builder
-PeerState::Builder::getServedCosts() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void PeerState::Builder::setServedCosts(
-    ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>::Builder
-PeerState::Builder::initServedCosts(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>::init(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Reader PeerState::Reader::getServedCosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Builder PeerState::Builder::getServedCosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerState::Builder::setServedCosts( ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>::Builder PeerState::Builder::initServedCosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void PeerState::Builder::adoptServedCosts(
-    ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>::adopt(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>
-PeerState::Builder::disownServedCosts() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::bluebellstep::wire::ServedCost, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>> PeerState::Builder::disownServedCosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bluebellstep::wire::ServedCost,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool PeerState::Reader::hasHint() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerState::Builder::hasHint() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::UpstreamHint::Reader PeerState::Reader::getHint() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::UpstreamHint::Reader PeerState::Reader::getHint() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::UpstreamHint::Builder PeerState::Builder::getHint() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::UpstreamHint::Builder PeerState::Builder::getHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::UpstreamHint::Pipeline PeerState::Pipeline::getHint() {
-  return ::bluebellstep::wire::UpstreamHint::Pipeline(_typeless.getPointerField(4));
+inline  ::bluebellstep::wire::UpstreamHint::Pipeline PeerState::Pipeline::getHint() {
+  return  ::bluebellstep::wire::UpstreamHint::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void PeerState::Builder::setHint(::bluebellstep::wire::UpstreamHint::Reader value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void PeerState::Builder::setHint( ::bluebellstep::wire::UpstreamHint::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::UpstreamHint::Builder PeerState::Builder::initHint() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::UpstreamHint::Builder PeerState::Builder::initHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void PeerState::Builder::adoptHint(
-    ::capnp::Orphan<::bluebellstep::wire::UpstreamHint>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::UpstreamHint> PeerState::Builder::disownHint() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint> PeerState::Builder::disownHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool PeerState::Reader::hasEntryPeers() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerState::Builder::hasEntryPeers() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader PeerState::Reader::getEntryPeers()
-    const {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PeerState::Reader::getEntryPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PeerState::Builder::getEntryPeers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerState::Builder::getEntryPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void PeerState::Builder::setEntryPeers(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void PeerState::Builder::setEntryPeers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void PeerState::Builder::setEntryPeers(::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void PeerState::Builder::setEntryPeers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PeerState::Builder::initEntryPeers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerState::Builder::initEntryPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void PeerState::Builder::adoptEntryPeers(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-PeerState::Builder::disownEntryPeers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PeerState::Builder::disownEntryPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Peer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Peer::Client::Client(::kj::Own<_t>&& server)
@@ -4407,177 +4480,186 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Peer::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::bluebellstep::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+inline  ::bluebellstep::wire::Peer::Client& Peer::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::bluebellstep::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+inline  ::bluebellstep::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Peer::HeartbeatParams::Reader::hasState() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::HeartbeatParams::Builder::hasState() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::PeerState::Reader Peer::HeartbeatParams::Reader::getState() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::PeerState::Reader Peer::HeartbeatParams::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatParams::Builder::getState() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatParams::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::PeerState::Pipeline Peer::HeartbeatParams::Pipeline::getState() {
-  return ::bluebellstep::wire::PeerState::Pipeline(_typeless.getPointerField(0));
+inline  ::bluebellstep::wire::PeerState::Pipeline Peer::HeartbeatParams::Pipeline::getState() {
+  return  ::bluebellstep::wire::PeerState::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::HeartbeatParams::Builder::setState(
-    ::bluebellstep::wire::PeerState::Reader value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::HeartbeatParams::Builder::setState( ::bluebellstep::wire::PeerState::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatParams::Builder::initState() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatParams::Builder::initState() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatParams::Builder::adoptState(
-    ::capnp::Orphan<::bluebellstep::wire::PeerState>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::PeerState>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::PeerState>
-Peer::HeartbeatParams::Builder::disownState() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::PeerState> Peer::HeartbeatParams::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::HeartbeatParams::Reader::hasFrom() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::HeartbeatParams::Builder::hasFrom() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Peer>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Peer>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Pipeline::getFrom() {
-  return ::bluebellstep::wire::Peer::Client(_typeless.getPointerField(1).asCap());
+inline  ::bluebellstep::wire::Peer::Client Peer::HeartbeatParams::Pipeline::getFrom() {
+  return  ::bluebellstep::wire::Peer::Client(_typeless.getPointerField(1).asCap());
 }
-inline void Peer::HeartbeatParams::Builder::setFrom(::bluebellstep::wire::Peer::Client&& cap) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Peer>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Peer::HeartbeatParams::Builder::setFrom( ::bluebellstep::wire::Peer::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Peer::HeartbeatParams::Builder::setFrom(::bluebellstep::wire::Peer::Client& cap) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Peer>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline void Peer::HeartbeatParams::Builder::setFrom( ::bluebellstep::wire::Peer::Client& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void Peer::HeartbeatParams::Builder::adoptFrom(
-    ::capnp::Orphan<::bluebellstep::wire::Peer>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Peer>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::Peer>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::Peer> Peer::HeartbeatParams::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Peer>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::Peer> Peer::HeartbeatParams::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Peer>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool Peer::HeartbeatResults::Reader::hasState() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::HeartbeatResults::Builder::hasState() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::PeerState::Reader Peer::HeartbeatResults::Reader::getState() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::PeerState::Reader Peer::HeartbeatResults::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatResults::Builder::getState() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatResults::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::PeerState::Pipeline Peer::HeartbeatResults::Pipeline::getState() {
-  return ::bluebellstep::wire::PeerState::Pipeline(_typeless.getPointerField(0));
+inline  ::bluebellstep::wire::PeerState::Pipeline Peer::HeartbeatResults::Pipeline::getState() {
+  return  ::bluebellstep::wire::PeerState::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::HeartbeatResults::Builder::setState(
-    ::bluebellstep::wire::PeerState::Reader value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::HeartbeatResults::Builder::setState( ::bluebellstep::wire::PeerState::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatResults::Builder::initState() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::PeerState::Builder Peer::HeartbeatResults::Builder::initState() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatResults::Builder::adoptState(
-    ::capnp::Orphan<::bluebellstep::wire::PeerState>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::PeerState>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::PeerState>
-Peer::HeartbeatResults::Builder::disownState() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::PeerState>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::PeerState> Peer::HeartbeatResults::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::PeerState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Peer::FetchBundleResults::Reader::getGeneration() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Peer::FetchBundleResults::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Peer::FetchBundleResults::Builder::getGeneration() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Peer::FetchBundleResults::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::FetchBundleResults::Builder::setGeneration(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::FetchBundleResults::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Peer::FetchBundleResults::Reader::hasDocument() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::FetchBundleResults::Builder::hasDocument() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Peer::FetchBundleResults::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Peer::FetchBundleResults::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::FetchBundleResults::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Peer::FetchBundleResults::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::FetchBundleResults::Builder::setDocument(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::FetchBundleResults::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Peer::FetchBundleResults::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Peer::FetchBundleResults::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::FetchBundleResults::Builder::adoptDocument(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Peer::FetchBundleResults::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Peer::FetchBundleResults::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline Sidecar::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline Sidecar::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Sidecar::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Sidecar::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Sidecar::Client::Client(::kj::Own<_t>&& server)
@@ -4587,300 +4669,325 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Sidecar::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::bluebellstep::wire::Sidecar::Client& Sidecar::Client::operator=(Client& other) {
+inline  ::bluebellstep::wire::Sidecar::Client& Sidecar::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::bluebellstep::wire::Sidecar::Client& Sidecar::Client::operator=(Client&& other) {
+inline  ::bluebellstep::wire::Sidecar::Client& Sidecar::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Sidecar::SubmitParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Sidecar::SubmitParams::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::Request::Reader Sidecar::SubmitParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Request>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Request::Reader Sidecar::SubmitParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Request>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::Request::Builder Sidecar::SubmitParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Request>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Request::Builder Sidecar::SubmitParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Request>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::Request::Pipeline Sidecar::SubmitParams::Pipeline::getRequest() {
-  return ::bluebellstep::wire::Request::Pipeline(_typeless.getPointerField(0));
+inline  ::bluebellstep::wire::Request::Pipeline Sidecar::SubmitParams::Pipeline::getRequest() {
+  return  ::bluebellstep::wire::Request::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Sidecar::SubmitParams::Builder::setRequest(
-    ::bluebellstep::wire::Request::Reader value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Request>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Sidecar::SubmitParams::Builder::setRequest( ::bluebellstep::wire::Request::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Request>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::Request::Builder Sidecar::SubmitParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Request>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Request::Builder Sidecar::SubmitParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Request>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Sidecar::SubmitParams::Builder::adoptRequest(
-    ::capnp::Orphan<::bluebellstep::wire::Request>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Request>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::Request>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Request>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::Request>
-Sidecar::SubmitParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Request>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::Request> Sidecar::SubmitParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Request>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Sidecar::SubmitParams::Reader::hasSink() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Sidecar::SubmitParams::Builder::hasSink() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::AnswerSink::Client Sidecar::SubmitParams::Reader::getSink() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::AnswerSink::Client Sidecar::SubmitParams::Reader::getSink() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::AnswerSink::Client Sidecar::SubmitParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::AnswerSink::Client Sidecar::SubmitParams::Builder::getSink() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::AnswerSink::Client Sidecar::SubmitParams::Pipeline::getSink() {
-  return ::bluebellstep::wire::AnswerSink::Client(_typeless.getPointerField(1).asCap());
+inline  ::bluebellstep::wire::AnswerSink::Client Sidecar::SubmitParams::Pipeline::getSink() {
+  return  ::bluebellstep::wire::AnswerSink::Client(_typeless.getPointerField(1).asCap());
 }
-inline void Sidecar::SubmitParams::Builder::setSink(
-    ::bluebellstep::wire::AnswerSink::Client&& cap) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Sidecar::SubmitParams::Builder::setSink( ::bluebellstep::wire::AnswerSink::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Sidecar::SubmitParams::Builder::setSink(::bluebellstep::wire::AnswerSink::Client& cap) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline void Sidecar::SubmitParams::Builder::setSink( ::bluebellstep::wire::AnswerSink::Client& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void Sidecar::SubmitParams::Builder::adoptSink(
-    ::capnp::Orphan<::bluebellstep::wire::AnswerSink>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::AnswerSink>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::AnswerSink>
-Sidecar::SubmitParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::AnswerSink> Sidecar::SubmitParams::Builder::disownSink() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool Sidecar::SubmitResults::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Sidecar::SubmitResults::Builder::getAccepted() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Sidecar::SubmitResults::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Sidecar::SubmitResults::Reader::hasVerdict() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Sidecar::SubmitResults::Builder::hasVerdict() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::Verdict::Reader Sidecar::SubmitResults::Reader::getVerdict() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Verdict::Reader Sidecar::SubmitResults::Reader::getVerdict() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::Verdict::Builder Sidecar::SubmitResults::Builder::getVerdict() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Verdict::Builder Sidecar::SubmitResults::Builder::getVerdict() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::Verdict::Pipeline Sidecar::SubmitResults::Pipeline::getVerdict() {
-  return ::bluebellstep::wire::Verdict::Pipeline(_typeless.getPointerField(0));
+inline  ::bluebellstep::wire::Verdict::Pipeline Sidecar::SubmitResults::Pipeline::getVerdict() {
+  return  ::bluebellstep::wire::Verdict::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Sidecar::SubmitResults::Builder::setVerdict(
-    ::bluebellstep::wire::Verdict::Reader value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Sidecar::SubmitResults::Builder::setVerdict( ::bluebellstep::wire::Verdict::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::Verdict::Builder Sidecar::SubmitResults::Builder::initVerdict() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::Verdict::Builder Sidecar::SubmitResults::Builder::initVerdict() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Sidecar::SubmitResults::Builder::adoptVerdict(
-    ::capnp::Orphan<::bluebellstep::wire::Verdict>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::Verdict>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::Verdict>
-Sidecar::SubmitResults::Builder::disownVerdict() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::Verdict>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::Verdict> Sidecar::SubmitResults::Builder::disownVerdict() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::Verdict>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Sidecar::SubmitResults::Reader::hasHint() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Sidecar::SubmitResults::Builder::hasHint() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::bluebellstep::wire::UpstreamHint::Reader Sidecar::SubmitResults::Reader::getHint() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::UpstreamHint::Reader Sidecar::SubmitResults::Reader::getHint() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::UpstreamHint::Builder Sidecar::SubmitResults::Builder::getHint() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::UpstreamHint::Builder Sidecar::SubmitResults::Builder::getHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::UpstreamHint::Pipeline Sidecar::SubmitResults::Pipeline::getHint() {
-  return ::bluebellstep::wire::UpstreamHint::Pipeline(_typeless.getPointerField(1));
+inline  ::bluebellstep::wire::UpstreamHint::Pipeline Sidecar::SubmitResults::Pipeline::getHint() {
+  return  ::bluebellstep::wire::UpstreamHint::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Sidecar::SubmitResults::Builder::setHint(
-    ::bluebellstep::wire::UpstreamHint::Reader value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Sidecar::SubmitResults::Builder::setHint( ::bluebellstep::wire::UpstreamHint::Reader value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::bluebellstep::wire::UpstreamHint::Builder Sidecar::SubmitResults::Builder::initHint() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::UpstreamHint::Builder Sidecar::SubmitResults::Builder::initHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Sidecar::SubmitResults::Builder::adoptHint(
-    ::capnp::Orphan<::bluebellstep::wire::UpstreamHint>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::UpstreamHint>
-Sidecar::SubmitResults::Builder::disownHint() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::UpstreamHint>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::UpstreamHint> Sidecar::SubmitResults::Builder::disownHint() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::UpstreamHint>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Sidecar::ResumeParams::Reader::getEntryIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::ResumeParams::Reader::getEntryIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Sidecar::ResumeParams::Builder::getEntryIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::ResumeParams::Builder::getEntryIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Sidecar::ResumeParams::Builder::setEntryIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Sidecar::ResumeParams::Builder::setEntryIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Sidecar::ResumeParams::Reader::getRequestId() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::ResumeParams::Reader::getRequestId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Sidecar::ResumeParams::Builder::getRequestId() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::ResumeParams::Builder::getRequestId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Sidecar::ResumeParams::Builder::setRequestId(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Sidecar::ResumeParams::Builder::setRequestId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Sidecar::ResumeParams::Reader::getAttempt() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Sidecar::ResumeParams::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Sidecar::ResumeParams::Builder::getAttempt() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Sidecar::ResumeParams::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Sidecar::ResumeParams::Builder::setAttempt(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Sidecar::ResumeParams::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Sidecar::ResumeParams::Reader::getNextIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::ResumeParams::Reader::getNextIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Sidecar::ResumeParams::Builder::getNextIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::ResumeParams::Builder::getNextIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Sidecar::ResumeParams::Builder::setNextIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Sidecar::ResumeParams::Builder::setNextIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Sidecar::ResumeParams::Reader::hasSink() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Sidecar::ResumeParams::Builder::hasSink() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::bluebellstep::wire::AnswerSink::Client Sidecar::ResumeParams::Reader::getSink() const {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::AnswerSink::Client Sidecar::ResumeParams::Reader::getSink() const {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::AnswerSink::Client Sidecar::ResumeParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::bluebellstep::wire::AnswerSink::Client Sidecar::ResumeParams::Builder::getSink() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::bluebellstep::wire::AnswerSink::Client Sidecar::ResumeParams::Pipeline::getSink() {
-  return ::bluebellstep::wire::AnswerSink::Client(_typeless.getPointerField(0).asCap());
+inline  ::bluebellstep::wire::AnswerSink::Client Sidecar::ResumeParams::Pipeline::getSink() {
+  return  ::bluebellstep::wire::AnswerSink::Client(_typeless.getPointerField(0).asCap());
 }
-inline void Sidecar::ResumeParams::Builder::setSink(
-    ::bluebellstep::wire::AnswerSink::Client&& cap) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Sidecar::ResumeParams::Builder::setSink( ::bluebellstep::wire::AnswerSink::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Sidecar::ResumeParams::Builder::setSink(::bluebellstep::wire::AnswerSink::Client& cap) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline void Sidecar::ResumeParams::Builder::setSink( ::bluebellstep::wire::AnswerSink::Client& cap) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
 }
 inline void Sidecar::ResumeParams::Builder::adoptSink(
-    ::capnp::Orphan<::bluebellstep::wire::AnswerSink>&& value) {
-  ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::bluebellstep::wire::AnswerSink>&& value) {
+  ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::bluebellstep::wire::AnswerSink>
-Sidecar::ResumeParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers<::bluebellstep::wire::AnswerSink>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bluebellstep::wire::AnswerSink> Sidecar::ResumeParams::Builder::disownSink() {
+  return ::capnp::_::PointerHelpers< ::bluebellstep::wire::AnswerSink>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool Sidecar::ResumeResults::Reader::getKnown() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Sidecar::ResumeResults::Builder::getKnown() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Sidecar::ResumeResults::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Sidecar::CancelParams::Reader::getEntryIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::CancelParams::Reader::getEntryIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Sidecar::CancelParams::Builder::getEntryIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::CancelParams::Builder::getEntryIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Sidecar::CancelParams::Builder::setEntryIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Sidecar::CancelParams::Builder::setEntryIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Sidecar::CancelParams::Reader::getRequestId() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::CancelParams::Reader::getRequestId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Sidecar::CancelParams::Builder::getRequestId() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Sidecar::CancelParams::Builder::getRequestId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Sidecar::CancelParams::Builder::setRequestId(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Sidecar::CancelParams::Builder::setRequestId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-}  // namespace wire
-}  // namespace bluebellstep
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/src/sidecar/prompt_runner.cc
+++ b/src/sidecar/prompt_runner.cc
@@ -14,6 +14,9 @@
 
 constexpr Duration kRefusedRetry = {100};
 
+constexpr std::int32_t kWithinSharePriority = 10;
+constexpr std::int32_t kOverSharePriority = 0;
+
 // The engine's own silence is watched here; this only bounds a connection that is lost altogether.
 constexpr Duration kStreamIdleLimit = {60'000};
 
@@ -69,7 +72,8 @@
   request.model = run.spec.target;
   request.prompt = run.spec.body;
   request.max_tokens = run.spec.max_tokens;
-  request.priority = run.spec.priority;
+  // Priorities order the requests of one account; across accounts only the share counts.
+  request.priority = run.within_share ? kWithinSharePriority : kOverSharePriority;
   request.cache_salt = cache_seed(run.spec.account, run.spec.target, run.spec.weight_version);
   request.resume_text = run.spec.resume_text;
   request.first_index = run.spec.first_index;
--- a/src/sidecar/run.h
+++ b/src/sidecar/run.h
@@ -99,6 +99,7 @@
   RunPhase phase = RunPhase::kQueued;
   std::optional<SlotId> slot;  // While admitted.
   Cost estimate;
+  bool within_share = false;  // Of its account, at arrival; such a run goes ahead in the engine.
   std::optional<HttpCallId> call;  // To the upstream, while one is open.
   Instant finished_at;
   PromptProgress prompt;
--- a/src/sidecar/sidecar_core.cc
+++ b/src/sidecar/sidecar_core.cc
@@ -19,6 +19,9 @@
 
 constexpr Duration kNoConfigurationRetry = {500};
 
+// Shares are averaged over 5 s, so a second between corrections is short enough.
+constexpr Duration kCorrectionInterval = {1000};
+
 std::string text_of(capnp::Text::Reader text) {
   return {text.cStr(), text.size()};
 }
@@ -89,6 +92,7 @@
       settings_(settings),
       metrics_(metrics),
       admission_(admission_limits(settings), clock_.now()),
+      queue_(FairQueue::kPromptBurst),
       cache_(loop, client, cache_options(settings), metrics),
       prompts_(
           loop,
@@ -225,34 +229,34 @@
     request.weight_version = run.spec.weight_version;
     request.kv_tokens = kv_tokens(run.spec);
   }
-  request.waiting = from_queue ? queue_.size() - 1 : queue_.size();
+  const auto account = accounts_.find(run.spec.account);
+  request.waiting = queue_.size();
+  request.account_waiting = account.has_value() ? queue_.size(*account) : 0;
+  request.waiting_accounts = queue_.waiting_accounts();
+  request.within_share = run.within_share;
   request.from_queue = from_queue;
   return request;
 }
 
 std::optional<Verdict> SidecarCore::admit(Run& run) {
+  const AccountId account = accounts_.intern(run.spec.account);
+  const std::uint64_t prompt_tokens = run.spec.body.size() / kBytesPerToken;
+  run.estimate =
+      cost_of({.prompt_tokens = prompt_tokens, .decode_tokens = std::max(1u, run.spec.max_tokens)});
+  run.within_share = queue_.is_within_share(account);
   Admission admission =
       admission_.try_admit(admission_request(run, /*from_queue=*/false), clock_.now());
   if (auto* refused = std::get_if<Refused>(&admission)) {
     return std::move(refused->verdict);
   }
-  // Counted for all, so that the fair queue charges requests that did not have to wait, too.
-  enqueue(run);
   if (const auto* admitted = std::get_if<Admitted>(&admission)) {
-    const auto next = queue_.pop();
-    assert(next == run.id);
+    queue_.charge(account, run.estimate);
     start(run, admitted->slot);
+    return std::nullopt;
   }
-  return std::nullopt;
-}
-
-void SidecarCore::enqueue(Run& run) {
   run.phase = RunPhase::kQueued;
-  const std::uint64_t prompt_tokens = run.spec.body.size() / kBytesPerToken;
-  run.estimate =
-      cost_of({.prompt_tokens = prompt_tokens, .decode_tokens = std::max(1u, run.spec.max_tokens)});
-  queue_.push(accounts_.intern(run.spec.account), run.id, run.estimate,
-              queue_priority(run.spec.priority));
+  queue_.push(account, run.id, run.estimate, queue_priority(run.spec.priority));
+  return std::nullopt;
 }
 
 void SidecarCore::start_queued() {
@@ -403,8 +407,9 @@
 void SidecarCore::apply_bundle(const Bundle& bundle) {
   bundle_ = std::make_shared<const Bundle>(bundle);
   for (const BundleAccount& account : bundle.accounts) {
-    queue_.set_weight(accounts_.intern(account.name), account.share);
+    share_corrector_.set_weight(accounts_.intern(account.name), account.share);
   }
+  apply_weights();
   for (const BundleModel& model : bundle.models) {
     admission_.set_weight_version(models_.intern(model.name), model.weight_version);
   }
@@ -470,6 +475,7 @@
     due[care_for(run, now)].push_back(id);
   }
   cache_.tick();
+  correct_shares(now);
   for (const RequestId id : due[RunCare::kWatch]) {
     prompts_.check_silence(runs_.at(id));
   }
@@ -504,6 +510,36 @@
   }
 }
 
+void SidecarCore::correct_shares(Instant now) {
+  if (now < next_correction_ || bundle_ == nullptr) {
+    return;
+  }
+  next_correction_ = now + kCorrectionInterval;
+  std::vector<AccountService> services;
+  for (const ServedAccount& change : pool_service_.take_changes()) {
+    services.push_back({accounts_.intern(change.account),
+                        Cost{static_cast<std::int64_t>(change.cost)}, change.backlogged});
+  }
+  share_corrector_.observe(services, now);
+  apply_weights();
+}
+
+void SidecarCore::apply_weights() {
+  for (const BundleAccount& account : bundle_->accounts) {
+    const AccountId id = accounts_.intern(account.name);
+    queue_.set_weight(id, account.share * share_corrector_.factor(id));
+  }
+}
+
+std::vector<ServedAccount> SidecarCore::served_accounts() const {
+  std::vector<ServedAccount> accounts;
+  for (const auto& [name, cost] : served_) {
+    const auto id = accounts_.find(name);
+    accounts.push_back({name, cost, id.has_value() && queue_.size(*id) > 0});
+  }
+  return accounts;
+}
+
 std::size_t SidecarCore::open_runs() const {
   return static_cast<std::size_t>(std::count_if(runs_.begin(), runs_.end(), [](const auto& entry) {
     return !entry.second.outbox.is_delivered();
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -7,12 +7,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 #include "admission/admission_controller.h"
 #include "bundle/bundle.h"
 #include "fairness/fair_queue.h"
+#include "fairness/service_totals.h"
+#include "fairness/share_corrector.h"
 #include "metrics/metrics.h"
 #include "orders/order_tables.h"
 #include "process/process_state.h"
@@ -75,8 +78,13 @@
   /** Starts due runs, cancels and forgets old ones; call it every few milliseconds. */
   void tick();
 
-  /** Cost served since the start, by client account. */
-  const std::map<std::string, std::uint64_t, std::less<>>& served_costs() const { return served_; }
+  /** Cost served since the start and whether requests wait, by client account. */
+  std::vector<ServedAccount> served_accounts() const;
+
+  /** Takes in what an entry instance knows of the service of the whole pool. */
+  void apply_pool_report(std::string_view entry, const ServedAccount& report) {
+    pool_service_.apply(entry, report);
+  }
 
   /** Runs whose answer is not delivered yet. */
   std::size_t open_runs() const;
@@ -96,7 +104,6 @@
   std::optional<Verdict> admit(Run& run);
   AdmissionRequest admission_request(const Run& run, bool from_queue) const;
   std::uint64_t kv_tokens(const RunSpec& spec) const;
-  void enqueue(Run& run);
   void start_queued();
   void start(Run& run, SlotId slot);
   void refuse_queued(Run& run, const Verdict& verdict);
@@ -104,6 +111,8 @@
   void take_finished(Run& run, RunResult result, Outcome outcome);
   void note_cold(std::optional<ColdSign> sign);
   void charge(const Run& run);
+  void correct_shares(Instant now);
+  void apply_weights();
   void cancel_run(Run& run);
   void forget(RequestId id);
   Run* find(RequestId id);
@@ -118,6 +127,11 @@
   NameTable<ModelId> models_;
   AdmissionController admission_;
   FairQueue queue_;
+  // Every entry instance reports the sums of the whole pool, so these are a multiple of them; only
+  // shares are used.
+  ServiceTotals pool_service_;
+  ShareCorrector share_corrector_;
+  Instant next_correction_;
   bool zone_in_service_ = true;
   bool leaving_ = false;
   std::uint64_t next_id_ = 1;
--- a/src/sidecar/sidecar_server.cc
+++ b/src/sidecar/sidecar_server.cc
@@ -2,40 +2,25 @@
 
 #include "sidecar/sidecar_server.h"
 
-#include <algorithm>
-#include <utility>
-#include <vector>
-
+#include "rpc/wire_service.h"
 #include "rpc/wire_verdict.h"
 
 namespace bluebellstep {
 
 kj::Promise<void> SidecarServer::heartbeat(HeartbeatContext context) {
   on_heartbeat_();
-  state_.apply_state(context.getParams().getState(), context.getParams().getFrom());
+  const auto peer_state = context.getParams().getState();
+  state_.apply_state(peer_state, context.getParams().getFrom());
+  for (const ServedAccount& report : read_reports(peer_state)) {
+    core_.apply_pool_report(peer_state.getName().cStr(), report);
+  }
   auto state = context.getResults().initState();
   state_.fill_state(state);
   core_.fill_hint(state.initHint());
-  fill_costs(state);
+  write_reports(state, next_reports(core_.served_accounts(), kAccountsPerHeartbeat, last_told_));
   return kj::READY_NOW;
 }
 
-void SidecarServer::fill_costs(wire::PeerState::Builder state) {
-  const auto& served = core_.served_costs();
-  const auto count = std::min(kCostsPerHeartbeat, served.size());
-  auto out = state.initServedCosts(static_cast<unsigned>(count));
-  auto next = served.upper_bound(last_cost_told_);
-  for (unsigned i = 0; i < count; ++i) {
-    if (next == served.end()) {
-      next = served.begin();
-    }
-    out[i].setAccount(next->first);
-    out[i].setCost(next->second);
-    last_cost_told_ = next->first;
-    ++next;
-  }
-}
-
 kj::Promise<void> SidecarServer::fetchBundle(FetchBundleContext context) {
   state_.fill_bundle(context.getResults());
   return kj::READY_NOW;
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -3,7 +3,6 @@
 #ifndef BLUEBELLSTEP_SIDECAR_SIDECAR_SERVER_H_
 #define BLUEBELLSTEP_SIDECAR_SIDECAR_SERVER_H_
 
-#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -16,10 +15,6 @@
 /** Serves one connection from a `ProcessState` and a `SidecarCore`, which must outlive it. */
 class SidecarServer final : public wire::Sidecar::Server {
  public:
-  /** Accounts whose served cost is told in one heartbeat, at most. The others follow in later ones.
-   */
-  static constexpr std::size_t kCostsPerHeartbeat = 16;
-
   /** `on_heartbeat` is called for each heartbeat received. */
   SidecarServer(ProcessState& state, SidecarCore& core, std::function<void()> on_heartbeat)
       : state_(state), core_(core), on_heartbeat_(std::move(on_heartbeat)) {}
@@ -31,12 +26,10 @@
   kj::Promise<void> cancel(CancelContext context) override;
 
  private:
-  void fill_costs(wire::PeerState::Builder state);
-
   ProcessState& state_;
   SidecarCore& core_;
   std::function<void()> on_heartbeat_;
-  std::string last_cost_told_;  // Account name; the next heartbeat goes on after it.
+  std::string last_told_;  // Account of the last report sent; the next heartbeat goes on after it.
 };
 
 }  // namespace bluebellstep
