--- a/src/cli/bundle_platform_commands.cc
+++ b/src/cli/bundle_platform_commands.cc
@@ -220,8 +220,9 @@
       print_side("theirs", conflict->current);
       return ExitCode::kConflict;
     }
-    print_side(std::string(verb), ours, context_.out);
-    if (std::get<Written>(outcome).read_back) {
+    const Written& written = std::get<Written>(outcome);
+    print_side(verb, {key, written.version, document}, context_.out);
+    if (written.read_back) {
       context_.out << "an answer was lost; reading back showed that the change took effect\n";
     }
     return ExitCode::kDone;
--- a/src/cli/object_access.cc
+++ b/src/cli/object_access.cc
@@ -25,13 +25,13 @@
   bool answer_lost = false;
   for (int round = 0; round < kRounds; ++round) {
     const auto written = objects.write(key, expected, value);
-    if (std::holds_alternative<ObjectVersion>(written)) {
-      return Written{answer_lost};
+    if (const auto* stored = std::get_if<ObjectVersion>(&written)) {
+      return Written{*stored, answer_lost};
     }
     if (const auto* conflict = std::get_if<VersionConflict>(&written)) {
       // After a lost answer the conflict may be with our own earlier write.
       if (answer_lost && same_digest(conflict->current, value)) {
-        return Written{true};
+        return Written{conflict->current.version, true};
       }
       return *conflict;
     }
@@ -41,7 +41,7 @@
     if (const auto* object = std::get_if<std::optional<PlatformObject>>(&read)) {
       const ObjectVersion version = *object ? (*object)->version : ObjectVersion{};
       if (*object && same_digest(**object, value)) {
-        return Written{true};
+        return Written{version, true};
       }
       if (version != expected) {
         return VersionConflict{object->value_or(PlatformObject{std::string(key), {}, ""})};
--- a/src/cli/object_access.h
+++ b/src/cli/object_access.h
@@ -24,6 +24,9 @@
 
 /** The object holds the value that was written. */
 struct Written {
+  /** Version of the object after the write. */
+  ObjectVersion version;
+
   /** Whether this was learned by reading back after a lost answer. */
   bool read_back = false;
 };
--- a/src/entry/caller_routes.cc
+++ b/src/entry/caller_routes.cc
@@ -20,21 +20,40 @@
   return mark == std::string_view::npos ? std::string_view() : path.substr(mark + 1);
 }
 
-// Returns the value of a parameter of a query string. Values are names, which need no decoding.
-std::string_view query_parameter(std::string_view query, std::string_view name) {
+// Replaces each `%` with two hexadecimal digits by the byte; other text is left as it is.
+std::string decode_percent(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned value = 0;
+    const bool is_escape =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16).ptr ==
+            text.data() + i + 3;
+    decoded += is_escape ? static_cast<char>(value) : text[i];
+    i += is_escape ? 2 : 0;
+  }
+  return decoded;
+}
+
+// Returns the value of a parameter of a query string; empty if it is missing.
+std::string query_parameter(std::string_view query, std::string_view name) {
   while (!query.empty()) {
     const auto end = query.find('&');
     const std::string_view item = query.substr(0, end);
     if (item.size() > name.size() && item.starts_with(name) && item[name.size()] == '=') {
-      return item.substr(name.size() + 1);
+      return decode_percent(item.substr(name.size() + 1));
     }
     query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
   }
   return {};
 }
 
-std::uint64_t root_key_of(const RequestSpec& spec, const BlockKey& seed) {
-  return next_block_key(seed, std::string_view(spec.body).substr(0, kBlockTextBytes)).low;
+// Key that leads a prompt to its home; nothing for a prompt without a whole block.
+std::optional<std::uint64_t> root_key_of(std::string_view prompt, const BlockKey& seed) {
+  if (prompt.size() < kBlockTextBytes) {
+    return std::nullopt;
+  }
+  return next_block_key(seed, prompt.substr(0, kBlockTextBytes)).low;
 }
 
 std::variant<Duration, Verdict> read_deadline(std::span<const HttpHeader> headers,
@@ -168,10 +187,8 @@
   // account.
   spec->priority += completion.priority;
   spec->stream = completion.stream;
-  if (spec->body.size() >= kBlockTextBytes) {
-    spec->root_key =
-        root_key_of(*spec, cache_seed(spec->account, spec->target_name, spec->weight_version));
-  }
+  spec->root_key =
+      root_key_of(spec->body, cache_seed(spec->account, spec->target_name, spec->weight_version));
   return base;
 }
 
@@ -262,10 +279,10 @@
 }
 
 void CallerRoutes::handle_explain(ExchangeId exchange, std::string_view query) {
-  const std::string_view model = query_parameter(query, "model");
-  const std::string_view service = query_parameter(query, "service");
+  const std::string model = query_parameter(query, "model");
+  const std::string service = query_parameter(query, "service");
   const auto target = model.empty() ? links_.service_target(service) : links_.model_target(model);
-  if (!target.has_value()) {
+  if (!target.has_value() || bundle_ == nullptr) {
     respond_verdict(server_, exchange,
                     Verdict::not_run(Reason::kBadRequest,
                                      "give a parameter \"model\" or \"service\" that is on offer"));
@@ -273,18 +290,20 @@
   }
   RouteQuery route;
   route.target = *target;
-  const std::string_view account = query_parameter(query, "account");
-  const std::string_view key = query_parameter(query, "key");
-  if (!model.empty() && bundle_ != nullptr) {
-    const BundleModel* const found = find_named(bundle_->models, model);
-    route.weight_version = found == nullptr ? std::string_view() : found->weight_version;
-  } else if (!key.empty()) {
-    const auto parsed = OrderKey::parse(service, account, key);
-    const auto owner = parsed.has_value() ? order_tables_.owner(service, *parsed) : std::nullopt;
-    route.owner = owner.has_value() ? links_.find(*owner) : std::nullopt;
+  const std::string account = query_parameter(query, "account");
+  const BundleModel* const found = find_named(bundle_->models, model);
+  if (found != nullptr) {
+    route.weight_version = found->weight_version;
+    route.root_key = root_key_of(query_parameter(query, "prompt"),
+                                 cache_seed(account, model, found->weight_version));
+  }
+  const auto key = OrderKey::parse(service, account, query_parameter(query, "idempotency_key"));
+  const auto owner = key.has_value() ? order_tables_.owner(service, *key) : std::nullopt;
+  if (owner.has_value()) {
+    route.owner = links_.find(*owner);
   }
   server_.respond(exchange, 200, {{"content-type", "text/plain"}},
-                  links_.explain(route, clock_.now()) + "\n");
+                  links_.explain(route, clock_.now()));
 }
 
 }  // namespace bluebellstep
