Keep hints of unchanged upstreams; leave the list of entry instances out of sidecars' heartbeats

Cause: each new bundle added every upstream again and dropped its hint, so entry instances routed without hints until the next heartbeats; sidecars sent the names of all entry instances they hear, which nobody reads. Change: an unchanged upstream is left as it is; only entry instances send the list that the watcher election needs. Figures: the new test fails on the old table (hint silent after the second add) and passes now.

--- a/src/process/process_state.cc
+++ b/src/process/process_state.cc
@@ -197,6 +197,12 @@
   for (unsigned i = 0; i < out.size(); ++i) {
     write_notice(out[i], notices[i]);
   }
+  if (role_ == ProcessRole::kEntry) {
+    fill_entry_peers(state, now);
+  }
+}
+
+void ProcessState::fill_entry_peers(wire::PeerState::Builder state, Instant now) const {
   std::vector<const std::string*> heard;
   for (const auto& [name, peer] : peers_) {
     if (peer.is_entry && now - peer.heard <= kPeerFresh) {
--- a/src/process/process_state.h
+++ b/src/process/process_state.h
@@ -90,6 +90,7 @@
     bool is_entry = false;
   };
 
+  void fill_entry_peers(wire::PeerState::Builder state, Instant now) const;
   void tick();
   void read_bundle();
   void watch_bundle();
--- a/src/routing/route_chooser_test.cc
+++ b/src/routing/route_chooser_test.cc
@@ -57,6 +57,19 @@
 
 }  // namespace
 
+// Guards against routing without hints after each new bundle, which names the same upstreams again.
+TEST_CASE("an upstream that is added again unchanged keeps its hint", "[routing]") {
+  UpstreamTable table;
+  const UpstreamId id = table.add("u", {0}, {kModel});
+  table.apply_hint(id, {.load = 3, .limit = 8}, {1000});
+  CHECK(table.add("u", {0}, {kModel}) == id);
+  CHECK(table.age(table.upstream(id), {1000}) == HintAge::kFresh);
+  CHECK(table.upstream(id).hint.load == 3);
+  CHECK(table.group(kModel)->members.size() == 1);
+  table.add("u", {1}, {kModel});
+  CHECK(table.age(table.upstream(id), {1000}) == HintAge::kSilent);
+}
+
 // Guards against a change of one upstream that moves the prompts of others, whose caches are then
 // useless.
 TEST_CASE("adding or removing one upstream moves about 1/n of the prompts", "[routing]") {
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -13,8 +13,11 @@
   if (id.value >= upstreams_.size()) {
     upstreams_.resize(id.value + 1);
   }
-  remove(id);
   Upstream& upstream = upstreams_[id.value];
+  if (upstream.present && upstream.zone == zone && upstream.targets == targets) {
+    return id;
+  }
+  remove(id);
   upstream = {.name = std::string(name),
               .zone = zone,
               .targets = std::move(targets),
