Run scenario files against the decision classes

Promises 3, 4, 5, 9 and 10 had tests of single decisions, but none that joins entry instances, sidecars and engines under message loss, pauses, kills and platform outages. Scenario files in tests/scenarios describe such runs; the runner plays them under a virtual clock with seeds and shows for each file that leaving out a mechanism violates its checks.

A fall over of an engine before any answer could show that it turned cold is counted apart and does not violate promise 4.

--- /dev/null
+++ b/tests/support/scenario_runner.cc
@@ -0,0 +1,381 @@
+// Runs a scenario file under a virtual clock.
+
+#include "tests/support/scenario_runner.h"
+
+#include <algorithm>
+
+#include "bundle/bundle_parser.h"
+
+namespace bluebellstep::scenario {
+namespace {
+
+constexpr Duration kHeartbeat = 500_ms;
+constexpr Duration kTick = 5_ms;
+// A process that starts reads its bundle from the platform in this time.
+constexpr Duration kPlatformRead = 5_ms;
+constexpr Duration kPlatformRetry = 1_s;
+constexpr std::size_t kPrompts = 8;
+
+}  // namespace
+
+ScenarioRunner::ScenarioRunner(const Scenario& scenario,
+                               const TestOperators& operators,
+                               std::uint64_t seed,
+                               Mechanism omitted)
+    : scenario_(scenario),
+      operators_(operators),
+      omitted_(omitted),
+      queue_(seed, Instant{0}),
+      bundle_(BundleParser("b").parse(test_bundle_text(1)).value()) {}
+
+Report ScenarioRunner::run() {
+  start_processes();
+  for (const Step& step : scenario_.steps) {
+    queue_.after(step.at - Instant{0} + queue_.span(0, scenario_.jitter.ms),
+                 [this, &step] { apply(step); });
+  }
+  tick();
+  queue_.run_until(Instant{0} + scenario_.run_time);
+  final_checks();
+  return report_;
+}
+
+void ScenarioRunner::start_processes() {
+  for (std::size_t i = 0; i < scenario_.sidecars.size(); ++i) {
+    sidecars_.push_back(std::make_unique<SimulatedSidecar>(scenario_.sidecars[i], omitted_,
+                                                           operators_.keys(), queue_.now()));
+    listen(i);
+    sidecars_[i]->start(bundle_, queue_.now());
+  }
+  entries_.resize(scenario_.entries);
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    start(entry_name(i));
+    queue_.after(queue_.span(0, kHeartbeat.ms), [this, i] { beat(i); });
+  }
+}
+
+void ScenarioRunner::listen(std::size_t sidecar) {
+  const std::string name = sidecars_[sidecar]->spec().name;
+  sidecars_[sidecar]->set_listener(
+      {.on_end =
+           [this](const Request&, Ending ending) {
+             report_.answered += ending == Ending::kAnswered ? 1 : 0;
+             report_.refused += ending == Ending::kRefused ? 1 : 0;
+             report_.broken += ending == Ending::kBroken || ending == Ending::kCut ? 1 : 0;
+           },
+       .on_violation = [this](const std::string& what) { violate(what); },
+       .on_mixed_versions =
+           [this](const std::string& what) {
+             if (scenario_.checks.versions_apart) {
+               violate(what);
+             }
+           },
+       .on_admitted = [this, sidecar] { admitted(sidecar); },
+       .on_exit =
+           [this, sidecar, name](int code) {
+             if (scenario_.checks.graceful &&
+                 (code != 0 || sidecars_[sidecar]->open_requests() > 0)) {
+               violate(name + " exits with code " + std::to_string(code) + " and " +
+                       std::to_string(sidecars_[sidecar]->open_requests()) + " open requests");
+             }
+           }});
+}
+
+void ScenarioRunner::apply(const Step& step) {
+  switch (step.action) {
+    case Action::kLoad:
+      return start_load(step.load);
+    case Action::kZoneNotice:
+      return give_notice(step);
+    case Action::kPause:
+      processes_[step.target].paused = true;
+      return;
+    case Action::kResume:
+      return resume(step.target);
+    case Action::kKill:
+      return kill(step.target);
+    case Action::kStart:
+      return start(step.target);
+    case Action::kDrain:
+      return drain(step.target);
+    case Action::kCut:
+      cuts_.insert(std::minmax(step.target, step.other));
+      return;
+    case Action::kHeal:
+      cuts_.erase(std::minmax(step.target, step.other));
+      return;
+    case Action::kGoCold:
+      return sidecars_[sidecar_index(step.target)]->go_cold(queue_.now());
+    case Action::kSwap:
+      return sidecars_[sidecar_index(step.target)]->swap(step.value, queue_.now());
+    case Action::kPlatform:
+      platform_up_ = step.value == "up";
+      return;
+  }
+}
+
+void ScenarioRunner::start_load(const LoadSpec& load) {
+  load_ = load;
+  for (auto& sidecar : sidecars_) {
+    sidecar->set_load(load);
+  }
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    queue_.after(queue_.span(0, load.every.ms), [=, this] { push(i, load.every); });
+  }
+}
+
+void ScenarioRunner::give_notice(const Step& step) {
+  const auto entry = entry_index(step.other);
+  const bool alive = entry ? entries_[*entry].zones != nullptr
+                           : sidecars_[sidecar_index(step.other)]->is_running();
+  if (!alive) {
+    return violate("line " + std::to_string(step.line) + ": " + step.other + " is not running");
+  }
+  ZoneNotice notice{step.target, step.value == "in", ++serial_, "ana", ""};
+  if (!sign_zone_notice(notice, operators_.ana.private_key)) {
+    return violate("the notice cannot be signed");
+  }
+  ZoneBoard& board =
+      entry ? *entries_[*entry].zones : sidecars_[sidecar_index(step.other)]->zones();
+  take_notices(board, {notice});
+  if (entry) {
+    for (std::size_t i = 0; i < sidecars_.size(); ++i) {
+      exchange(*entry, i);
+    }
+  } else {
+    sidecars_[sidecar_index(step.other)]->zones_changed();
+  }
+  if (notice.in_service) {
+    out_since_.erase(step.target);
+  } else {
+    out_since_.try_emplace(step.target, queue_.now());
+  }
+}
+
+void ScenarioRunner::kill(const std::string& name) {
+  processes_[name] = {};
+  if (const auto entry = entry_index(name)) {
+    entries_[*entry].zones.reset();
+    entries_[*entry].hints.clear();
+    return;
+  }
+  sidecars_[sidecar_index(name)]->kill();
+}
+
+void ScenarioRunner::start(const std::string& name) {
+  const auto index = entry_index(name);
+  if (!index) {
+    return start_sidecar(sidecar_index(name));
+  }
+  Entry& entry = entries_[*index];
+  if (entry.zones == nullptr) {
+    ++entry.incarnation;
+    entry.zones = std::make_unique<ZoneBoard>(operators_.keys());
+    entry.zones->apply_bundle(bundle_, queue_.now());
+  }
+}
+
+void ScenarioRunner::start_sidecar(std::size_t index) {
+  if (!platform_up_) {
+    queue_.after(kPlatformRetry, [=, this] { start_sidecar(index); });
+    return;
+  }
+  queue_.after(kPlatformRead, [=, this] { sidecars_[index]->start(bundle_, queue_.now()); });
+}
+
+void ScenarioRunner::resume(const std::string& name) {
+  Process& process = processes_[name];
+  process.paused = false;
+  for (const auto& message : std::exchange(process.backlog, {})) {
+    message();
+  }
+}
+
+void ScenarioRunner::drain(const std::string& name) {
+  const std::size_t index = sidecar_index(name);
+  if (!sidecars_[index]->is_running()) {
+    return violate(name + " is to drain, but is not running");
+  }
+  leaving_since_.emplace(index, queue_.now());
+  sidecars_[index]->drain(queue_.now());
+}
+
+void ScenarioRunner::tick() {
+  for (auto& sidecar : sidecars_) {
+    sidecar->tick(processes_[sidecar->spec().name].paused, queue_.now());
+  }
+  queue_.after(kTick, [this] { tick(); });
+}
+
+void ScenarioRunner::send(const std::string& from,
+                          const std::string& to,
+                          bool may_lose,
+                          std::function<void()> deliver) {
+  if (cuts_.contains(std::minmax(from, to)) ||
+      (may_lose && queue_.random().chance(scenario_.network.loss))) {
+    return;
+  }
+  const NetworkSpec& network = scenario_.network;
+  queue_.after(queue_.span(network.min_delay.ms, network.max_delay.ms),
+               [this, to, deliver = std::move(deliver)] {
+                 Process& target = processes_[to];
+                 if (target.paused) {
+                   target.backlog.push_back(deliver);
+                 } else {
+                   deliver();
+                 }
+               });
+}
+
+void ScenarioRunner::push(std::size_t entry, Duration every) {
+  if (entries_[entry].zones != nullptr && !processes_[entry_name(entry)].paused) {
+    send_request(entry);
+  }
+  queue_.after(every, [=, this] { push(entry, every); });
+}
+
+void ScenarioRunner::send_request(std::size_t index) {
+  Entry& entry = entries_[index];
+  std::vector<std::size_t> fit;
+  for (const auto& [sidecar, hint] : entry.hints) {
+    if (!hint.leaving && entry.zones->in_service(sidecars_[sidecar]->spec().zone)) {
+      fit.push_back(sidecar);
+    }
+  }
+  if (fit.empty()) {
+    return;
+  }
+  const std::size_t chosen = fit[queue_.random().below(fit.size())];
+  const Request request{++request_ids_, index, queue_.random().below(kPrompts),
+                        entry.hints.at(chosen).version};
+  const std::uint64_t linked = entry.linked.at(chosen);
+  ++report_.sent;
+  send(entry_name(index), sidecars_[chosen]->spec().name, /*may_lose=*/true, [=, this] {
+    // A connection to an earlier process is broken.
+    if (sidecars_[chosen]->is_running() && sidecars_[chosen]->incarnation() == linked) {
+      sidecars_[chosen]->submit(request, queue_.now());
+    }
+  });
+}
+
+void ScenarioRunner::beat(std::size_t entry) {
+  if (entries_[entry].zones != nullptr && !processes_[entry_name(entry)].paused) {
+    for (std::size_t i = 0; i < sidecars_.size(); ++i) {
+      exchange(entry, i);
+    }
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      if (i != entry) {
+        exchange_with_entry(entry, i);
+      }
+    }
+  }
+  queue_.after(kHeartbeat, [=, this] { beat(entry); });
+}
+
+void ScenarioRunner::exchange(std::size_t entry, std::size_t index) {
+  const std::string from = entry_name(entry);
+  const std::string to = sidecars_[index]->spec().name;
+  const auto told = notices_of(*entries_[entry].zones);
+  const std::uint64_t sender = entries_[entry].incarnation;
+  send(from, to, /*may_lose=*/true, [=, this] {
+    SimulatedSidecar& sidecar = *sidecars_[index];
+    if (!sidecar.is_running()) {
+      return;
+    }
+    if (take_notices(sidecar.zones(), told)) {
+      sidecar.zones_changed();
+    }
+    const auto answer = notices_of(sidecar.zones());
+    const SidecarHint hint = sidecar.hint();
+    const std::uint64_t incarnation = sidecar.incarnation();
+    send(to, from, /*may_lose=*/true, [=, this] {
+      Entry& receiver = entries_[entry];
+      if (receiver.zones == nullptr || receiver.incarnation != sender) {
+        return;
+      }
+      receiver.hints[index] = hint;
+      receiver.linked[index] = incarnation;
+      take_notices(*receiver.zones, answer);
+    });
+  });
+}
+
+void ScenarioRunner::exchange_with_entry(std::size_t entry, std::size_t other) {
+  const auto told = notices_of(*entries_[entry].zones);
+  send(entry_name(entry), entry_name(other), /*may_lose=*/true, [=, this] {
+    if (entries_[other].zones != nullptr) {
+      take_notices(*entries_[other].zones, told);
+    }
+  });
+}
+
+std::vector<ZoneNotice> ScenarioRunner::notices_of(const ZoneBoard& zones) const {
+  return omitted_ == Mechanism::kNoticeSpread ? std::vector<ZoneNotice>() : zones.notices();
+}
+
+bool ScenarioRunner::take_notices(ZoneBoard& zones, const std::vector<ZoneNotice>& notices) {
+  bool applied = false;
+  for (const ZoneNotice& notice : notices) {
+    applied = zones.apply_notice(notice, queue_.now()) == NoticeResult::kApplied || applied;
+  }
+  return applied;
+}
+
+void ScenarioRunner::admitted(std::size_t index) {
+  ++report_.admitted;
+  const SidecarSpec& spec = sidecars_[index]->spec();
+  const auto check = [&](const std::optional<Duration>& bound, Instant since, const char* what) {
+    if (bound && queue_.now() - since > *bound) {
+      violate(spec.name + " admits work " + std::to_string((queue_.now() - since).ms) +
+              " ms after " + what);
+    }
+  };
+  if (const auto out = out_since_.find(spec.zone); out != out_since_.end()) {
+    check(scenario_.checks.zone_out_within, out->second, "its zone was taken out");
+  }
+  if (const auto left = leaving_since_.find(index); left != leaving_since_.end()) {
+    check(scenario_.checks.leaving_within, left->second, "it began to leave");
+  }
+}
+
+void ScenarioRunner::violate(const std::string& what) {
+  if (!report_.violation) {
+    report_.violation = "at " + std::to_string(queue_.now().ms) + " ms: " + what;
+  }
+}
+
+void ScenarioRunner::final_checks() {
+  for (const auto& sidecar : sidecars_) {
+    report_.falls += sidecar->unexplained_falls();
+    report_.explained_falls += sidecar->explained_falls();
+  }
+  const Checks& checks = scenario_.checks;
+  if (checks.falls_at_most && report_.falls > *checks.falls_at_most) {
+    violate("engines fell over " + std::to_string(report_.falls) + " times");
+  }
+  if (checks.answered_at_least && report_.answered < *checks.answered_at_least) {
+    violate("only " + std::to_string(report_.answered) + " requests were answered");
+  }
+  for (const auto& [index, since] : leaving_since_) {
+    if (checks.graceful && sidecars_[index]->is_running()) {
+      violate(sidecars_[index]->spec().name + " has not stopped");
+    }
+  }
+}
+
+std::optional<std::size_t> ScenarioRunner::entry_index(const std::string& name) const {
+  for (std::size_t i = 0; i < scenario_.entries; ++i) {
+    if (entry_name(i) == name) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t ScenarioRunner::sidecar_index(const std::string& name) const {
+  const auto found = std::find_if(scenario_.sidecars.begin(), scenario_.sidecars.end(),
+                                  [&](const SidecarSpec& sidecar) { return sidecar.name == name; });
+  return static_cast<std::size_t>(found - scenario_.sidecars.begin());
+}
+
+}  // namespace bluebellstep::scenario
--- /dev/null
+++ b/tests/support/scenario_sidecar.cc
@@ -0,0 +1,324 @@
+// A sidecar with its engine in a scenario.
+
+#include "tests/support/scenario_sidecar.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "base/overloaded.h"
+
+namespace bluebellstep::scenario {
+namespace {
+
+constexpr ModelId kModel{1};
+constexpr const char* kModelName = "clerk";
+constexpr const char* kAccount = "acme";
+constexpr std::size_t kTokensPerBlock = 1024;
+
+standins::EngineOptions engine_options() {
+  standins::EngineOptions options;
+  options.models = {{kModelName, "1"}};
+  return options;
+}
+
+AdmissionLimits admission_limits(Mechanism omitted) {
+  const standins::EngineOptions engine = engine_options();
+  AdmissionLimits limits;
+  limits.max_running = engine.max_running;
+  limits.kv_tokens = engine.max_kv_tokens;
+  if (omitted == Mechanism::kSlowStart) {
+    limits.slow_start.initial = limits.max_running;
+  }
+  return limits;
+}
+
+}  // namespace
+
+std::string prompt_text(std::size_t prompt, std::uint32_t blocks) {
+  return std::string(blocks * kBlockTextBytes, static_cast<char>('a' + prompt % 26));
+}
+
+SimulatedSidecar::SimulatedSidecar(SidecarSpec spec,
+                                   Mechanism omitted,
+                                   OperatorKeys operators,
+                                   Instant now)
+    : spec_(std::move(spec)),
+      omitted_(omitted),
+      operators_(std::move(operators)),
+      engine_(engine_options(), now) {}
+
+void SimulatedSidecar::start(const Bundle& bundle, Instant now) {
+  if (process_ != nullptr) {
+    return;
+  }
+  ++incarnation_;
+  process_.reset(new Process{AdmissionController(admission_limits(omitted_), now),
+                             ZoneBoard(operators_),
+                             DrainController(DrainRole::kSidecar, {}),
+                             BlockIndex(256),
+                             engine_version_,
+                             {},
+                             {}});
+  process_->zones.apply_bundle(bundle, now);
+  process_->admission.set_weight_version(kModel, engine_version_);
+  zones_changed();
+}
+
+void SimulatedSidecar::kill() {
+  if (process_ == nullptr) {
+    return;
+  }
+  for (const auto& [stream, run] : process_->runs) {
+    engine_.close_stream(stream);
+    listener_.on_end(run.request, Ending::kBroken);
+  }
+  for (const Request& request : process_->waiting) {
+    listener_.on_end(request, Ending::kBroken);
+  }
+  unread_.clear();
+  process_.reset();
+}
+
+void SimulatedSidecar::zones_changed() {
+  if (omitted_ != Mechanism::kZoneCheck) {
+    process_->admission.set_zone_out(!process_->zones.in_service(spec_.zone));
+  }
+}
+
+AdmissionRequest SimulatedSidecar::admission_request(const Request& request,
+                                                     bool from_queue) const {
+  AdmissionRequest made;
+  made.model = kModel;
+  made.weight_version = omitted_ == Mechanism::kVersionCheck ? process_->version : request.version;
+  made.kv_tokens = load_.prompt_blocks * kTokensPerBlock + load_.max_tokens;
+  made.waiting = process_->waiting.size() - (from_queue ? 1 : 0);
+  made.from_queue = from_queue;
+  return made;
+}
+
+void SimulatedSidecar::submit(const Request& request, Instant now) {
+  const bool refuses = omitted_ != Mechanism::kLeavingCheck &&
+                       process_->drain.refuse(DrainWork::kNewRequest).has_value();
+  if (refuses) {
+    return listener_.on_end(request, Ending::kRefused);
+  }
+  if (!try_start(request, /*from_queue=*/false, now)) {
+    process_->waiting.push_back(request);
+  }
+}
+
+bool SimulatedSidecar::try_start(const Request& request, bool from_queue, Instant now) {
+  const Admission admission =
+      process_->admission.try_admit(admission_request(request, from_queue), now);
+  if (const auto* refused = std::get_if<Refused>(&admission)) {
+    if (refused->verdict.run_state() != RunState::kNotRun) {
+      listener_.on_violation("a refusal does not say not_run");
+    }
+    listener_.on_end(request, Ending::kRefused);
+    return true;
+  }
+  if (const auto* admitted = std::get_if<Admitted>(&admission)) {
+    dispatch(request, admitted->slot, now);
+    return true;
+  }
+  return false;
+}
+
+std::vector<BlockKey> SimulatedSidecar::keys_of(const Request& request) {
+  auto& keys = keys_[{request.prompt, request.version}];
+  if (keys.empty()) {
+    const std::string version = omitted_ == Mechanism::kVersionedSeed ? "" : request.version;
+    keys = block_keys(cache_seed(kAccount, kModelName, version),
+                      prompt_text(request.prompt, load_.prompt_blocks));
+  }
+  return keys;
+}
+
+void SimulatedSidecar::check_versions(const std::vector<BlockKey>& keys,
+                                      const std::string& version) {
+  for (const BlockKey& key : keys) {
+    if (key_versions_.try_emplace(key, version).first->second != version) {
+      listener_.on_mixed_versions("a block key of " + spec_.name +
+                                  " stands for two weight versions");
+    }
+  }
+}
+
+void SimulatedSidecar::dispatch(const Request& request, SlotId slot, Instant now) {
+  listener_.on_admitted();
+  if (request.version != process_->version) {
+    listener_.on_mixed_versions(spec_.name + " admits a request keyed by version " +
+                                request.version + " while " + process_->version + " is in force");
+  }
+  Run run{request, slot, keys_of(request), 0, now, {}};
+  check_versions(run.keys, request.version);
+  const std::size_t known = process_->index.engine_prefix(run.keys);
+  run.known_blocks = static_cast<std::uint32_t>(known);
+  const double tokens = static_cast<double>((run.keys.size() - known) * kTokensPerBlock + 1);
+  run.predicted = {static_cast<std::int64_t>(tokens * 1000 * process_->admission.running() /
+                                             engine_.options().prefill_tokens_per_s) +
+                   1};
+  standins::CompletionRequest made;
+  made.request_id = spec_.name + "-" + std::to_string(request.id);
+  made.model = kModelName;
+  made.prompt = prompt_text(request.prompt, load_.prompt_blocks);
+  made.max_tokens = load_.max_tokens;
+  made.cache_salt = cache_seed(kAccount, kModelName,
+                               omitted_ == Mechanism::kVersionedSeed ? "" : request.version);
+  const auto result = engine_.submit(std::move(made), now);
+  const auto* stream = std::get_if<standins::StreamId>(&result);
+  assert(stream != nullptr);
+  process_->runs.emplace(*stream, std::move(run));
+  note_falls();
+}
+
+void SimulatedSidecar::note_falls() {
+  const std::uint64_t falls = engine_.counters().falls;
+  for (; seen_falls_ < falls; ++seen_falls_) {
+    unexplained_falls_ += std::exchange(cold_without_sign_, false) ? 0 : 1;
+  }
+}
+
+void SimulatedSidecar::note_sign(std::optional<ColdSign> sign) {
+  if (sign) {
+    process_->index.clear_engine();
+    cold_without_sign_ = false;
+  }
+}
+
+void SimulatedSidecar::go_cold(Instant now) {
+  cold_without_sign_ = true;
+  engine_.go_cold(now);
+  note_falls();
+}
+
+void SimulatedSidecar::swap(const std::string& version, Instant now) {
+  engine_.load_weights(kModelName, version, 0, now);
+  engine_version_ = version;
+}
+
+void SimulatedSidecar::drain(Instant now) {
+  process_->drain.terminate(now);
+  if (omitted_ != Mechanism::kLeavingCheck) {
+    process_->admission.set_leaving(true);
+  }
+  if (omitted_ == Mechanism::kGracefulStop) {
+    exit_process(DrainController::kExitGraceful);
+  }
+}
+
+void SimulatedSidecar::tick(bool paused, Instant now) {
+  engine_.advance(now);
+  note_falls();
+  for (standins::StreamEvent& event : engine_.take_events()) {
+    unread_.push_back(std::move(event));
+  }
+  if (process_ == nullptr) {
+    unread_.clear();
+  }
+  if (process_ == nullptr || paused) {
+    return;
+  }
+  for (const standins::StreamEvent& event : std::exchange(unread_, {})) {
+    take_event(event, now);
+  }
+  for (const standins::FinishedLoad& load : engine_.take_finished_loads()) {
+    if (load.loaded) {
+      process_->version = engine_version_;
+      process_->admission.set_weight_version(kModel, engine_version_);
+    }
+  }
+  start_waiting(now);
+  step_drain(now);
+}
+
+void SimulatedSidecar::take_event(const standins::StreamEvent& event, Instant now) {
+  const auto found = process_->runs.find(event.stream);
+  if (found == process_->runs.end()) {
+    return;
+  }
+  Run& run = found->second;
+  std::visit(Overloaded{[&](const standins::StreamStarted& started) {
+                          const bool wrong_version = started.weight_version != run.request.version;
+                          if (wrong_version && omitted_ != Mechanism::kVersionCheck) {
+                            engine_.cancel(spec_.name + "-" + std::to_string(run.request.id), now);
+                            return end_run(event.stream, Outcome::kFailed, Ending::kBroken, now);
+                          }
+                          take_started(run, started, now);
+                        },
+                        [](const standins::StreamToken&) {},
+                        [&](const standins::StreamFinished&) {
+                          end_run(event.stream, Outcome::kCompleted, Ending::kAnswered, now);
+                        },
+                        [&](const standins::StreamBroken&) {
+                          const bool told = omitted_ != Mechanism::kColdDetection;
+                          end_run(event.stream,
+                                  told ? Outcome::kConnectionFailed : Outcome::kFailed,
+                                  Ending::kBroken, now);
+                        }},
+             event.what);
+}
+
+void SimulatedSidecar::take_started(Run& run, const standins::StreamStarted& started, Instant now) {
+  if (omitted_ == Mechanism::kColdDetection) {
+    process_->admission.first_token(run.slot, now, {});
+    return;
+  }
+  note_sign(process_->admission.first_token(
+      run.slot, now,
+      {.start_id = started.start_id,
+       .known_blocks = run.known_blocks,
+       .reused_blocks = static_cast<std::uint32_t>(started.cached_blocks),
+       .elapsed = now - run.dispatched,
+       .predicted = run.predicted}));
+  for (const BlockKey& key : run.keys) {
+    process_->index.add_to_engine(key);
+  }
+}
+
+void SimulatedSidecar::end_run(standins::StreamId stream,
+                               Outcome outcome,
+                               Ending ending,
+                               Instant now) {
+  const auto node = process_->runs.extract(stream);
+  const Run& run = node.mapped();
+  note_sign(process_->admission.finish(run.slot, now, outcome));
+  listener_.on_end(run.request, ending);
+}
+
+void SimulatedSidecar::start_waiting(Instant now) {
+  while (!process_->waiting.empty() &&
+         try_start(process_->waiting.front(), /*from_queue=*/true, now)) {
+    process_->waiting.pop_front();
+  }
+}
+
+void SimulatedSidecar::step_drain(Instant now) {
+  if (!process_->drain.leaving()) {
+    return;
+  }
+  const DrainStep step =
+      process_->drain.step(process_->runs.size() + process_->waiting.size(), now);
+  if (std::holds_alternative<CutStreams>(step)) {
+    cut_all(now);
+  } else if (const auto* exit = std::get_if<ExitProcess>(&step)) {
+    exit_process(exit->code);
+  }
+}
+
+void SimulatedSidecar::cut_all(Instant now) {
+  while (!process_->runs.empty()) {
+    end_run(process_->runs.begin()->first, Outcome::kCancelled, Ending::kCut, now);
+  }
+  for (const Request& request : std::exchange(process_->waiting, {})) {
+    listener_.on_end(request, Ending::kCut);
+  }
+}
+
+void SimulatedSidecar::exit_process(int code) {
+  listener_.on_exit(code);
+  kill();
+}
+
+}  // namespace bluebellstep::scenario
