Hold back new work directly after a pause of the sidecar

AdmissionController now notices a gap of more than 1 s since the process last ran, and holds back new work for 1 s. By then the notices that came in the meantime are read. Arrivals are refused as not run, waiting requests go on waiting.

--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -74,10 +74,28 @@
   return accounts > 1 && request.account_waiting < max_waiting / accounts;
 }
 
+void AdmissionController::note_alive(Instant now) {
+  if (last_alive_ && now - *last_alive_ > kPauseGap) {
+    held_until_ = now + kHoldAfterPause;
+  }
+  last_alive_ = now;
+}
+
 Admission AdmissionController::try_admit(const AdmissionRequest& request, Instant now) {
+  if (last_alive_) {
+    note_alive(now);
+  }
   if (auto verdict = check_standing(request)) {
     return Refused{std::move(*verdict)};
   }
+  if (held_until_ && now < *held_until_) {
+    if (request.from_queue) {
+      return Queue{};
+    }
+    return Refused{Verdict::not_run(Reason::kOverloaded,
+                                    "the sidecar was paused and waits for news of its zone",
+                                    kRetryElsewhere)};
+  }
   const bool may_overtake = request.from_queue || request.within_share || request.waiting == 0;
   if (may_overtake && has_room(request, now)) {
     return Admitted{take_slot(request, now)};
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -116,6 +116,19 @@
   /** Refuses new work from now on while `leaving`. */
   void set_leaving(bool leaving) { leaving_ = leaving; }
 
+  /** Reports that the process is running; call it at least every `kPauseGap` / 2 once started.
+   * After a longer gap new work is held back for `kHoldAfterPause`. A controller that never gets
+   * this call does not look for pauses. */
+  void note_alive(Instant now);
+
+  /** Gap between calls that shows that the process was paused. Shorter gaps leave half of the 2 s
+   * in which a zone notice must take effect for its way to this process. */
+  static constexpr Duration kPauseGap = {1000};
+
+  /** Time after a pause in which no request starts. Requests and heartbeats that arrived during the
+   * pause are read in this time, and two rounds of new heartbeats follow. */
+  static constexpr Duration kHoldAfterPause = {1000};
+
   /** Returns the number of requests that may run at once at `now`. */
   std::uint32_t limit(Instant now) const;
 
@@ -147,6 +160,8 @@
   std::unordered_map<ModelId, std::string> weight_versions_;
   bool zone_out_ = false;
   bool leaving_ = false;
+  std::optional<Instant> last_alive_;  // Unset until the first `note_alive`.
+  std::optional<Instant> held_until_;  // Set by the last pause.
   std::uint64_t start_count_ = 0;
 
   // running_, prefilling_ and kv_tokens_used_ are sums over the slots in use; free_slots_ holds
--- a/src/admission/admission_controller_test.cc
+++ b/src/admission/admission_controller_test.cc
@@ -101,6 +101,29 @@
   CHECK(controller.running() == 0);
 }
 
+// Guards against work that starts on an old zone state: requests that arrived during a pause are
+// read before the notice that arrived after them.
+TEST_CASE("no request starts directly after a pause", "[admission]") {
+  AdmissionController controller(limits_with(32), {0});
+  controller.set_weight_version(kModel, "v1");
+  AdmissionRequest queued = request_of(10);
+  queued.from_queue = true;
+  controller.note_alive({1000});
+  CHECK(std::holds_alternative<Admitted>(controller.try_admit(request_of(10), {2000})));
+  SECTION("found by the request") {}
+  SECTION("found by the process") {
+    controller.note_alive({3001});
+  }
+  const Admission first = controller.try_admit(request_of(10), {3001});
+  REQUIRE(std::holds_alternative<Refused>(first));
+  CHECK(std::get<Refused>(first).verdict.run_state() == RunState::kNotRun);
+  CHECK(std::get<Refused>(first).verdict.retry_after().has_value());
+  CHECK(std::holds_alternative<Queue>(controller.try_admit(queued, {3500})));
+  controller.note_alive({4000});
+  CHECK(std::holds_alternative<Refused>(controller.try_admit(request_of(10), {4000})));
+  CHECK(std::holds_alternative<Admitted>(controller.try_admit(queued, {4001})));
+}
+
 // Guards against new arrivals overtaking the fair queue, and against overbooked KV memory.
 TEST_CASE("requests wait for room and for those before them", "[admission]") {
   AdmissionLimits limits = limits_with(32);
--- a/src/sidecar/sidecar_core.cc
+++ b/src/sidecar/sidecar_core.cc
@@ -465,6 +465,7 @@
 
 void SidecarCore::tick() {
   const Instant now = clock_.now();
+  admission_.note_alive(now);
   std::map<RunCare, std::vector<RequestId>> due;
   for (const auto& [id, run] : runs_) {
     due[care_for(run, now)].push_back(id);
--- a/tests/support/scenario.cc
+++ b/tests/support/scenario.cc
@@ -13,12 +13,13 @@
 namespace bluebellstep::scenario {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, Mechanism>, 8> kMechanisms = {{
+constexpr std::array<std::pair<std::string_view, Mechanism>, 9> kMechanisms = {{
     {"slow_start", Mechanism::kSlowStart},
     {"cold_detection", Mechanism::kColdDetection},
     {"version_check", Mechanism::kVersionCheck},
     {"versioned_seed", Mechanism::kVersionedSeed},
     {"zone_check", Mechanism::kZoneCheck},
+    {"pause_check", Mechanism::kPauseCheck},
     {"notice_spread", Mechanism::kNoticeSpread},
     {"leaving_check", Mechanism::kLeavingCheck},
     {"graceful_stop", Mechanism::kGracefulStop},
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -23,6 +23,7 @@
   kVersionCheck,   // Admission is not told which weight version a request is keyed by.
   kVersionedSeed,  // The cache seed does not cover the weight version.
   kZoneCheck,      // Admission is not told that the zone is out.
+  kPauseCheck,     // Admission is not told when the process runs.
   kNoticeSpread,   // Heartbeats carry no zone notices.
   kLeavingCheck,   // Neither admission nor the drain refuses new work.
   kGracefulStop,   // A process told to stop exits at once.
--- a/tests/support/scenario_sidecar.cc
+++ b/tests/support/scenario_sidecar.cc
@@ -220,6 +220,9 @@
   if (process_ == nullptr || paused) {
     return;
   }
+  if (omitted_ != Mechanism::kPauseCheck) {
+    process_->admission.note_alive(now);
+  }
   for (const standins::StreamEvent& event : std::exchange(unread_, {})) {
     take_event(event, now);
   }
