--- a/src/rollout/rollout_simulation_test.cc
+++ b/src/rollout/rollout_simulation_test.cc
@@ -25,6 +25,14 @@
 constexpr Duration kZoneBound = {2000};
 constexpr Instant kNever = {-1'000'000'000};
 
+// Rules that a run leaves out, to show that the checks notice.
+enum class Omitted {
+  kNothing,
+  kNewerOnly,  // A document from a peer replaces the bundle whatever its generation.
+  kPeerFetch,  // Bundles come from the platform only.
+  kOwnRead,    // Bundles come from peers only, once there is a first one.
+};
+
 struct Process {
   Process(const OperatorKeys& keys, std::size_t index, std::uint64_t seed)
       : name("p" + std::to_string(index)),
@@ -57,7 +65,8 @@
 
 class Simulation {
  public:
-  Simulation(std::uint64_t seed, bool with_faults) : random_(seed), with_faults_(with_faults) {
+  Simulation(std::uint64_t seed, bool with_faults, Omitted omitted = Omitted::kNothing)
+      : random_(seed), with_faults_(with_faults), omitted_(omitted) {
     for (std::size_t i = 0; i < kProcesses; ++i) {
       restart(i);
     }
@@ -89,6 +98,8 @@
   Duration worst_bundle() const { return worst_bundle_; }
   Duration worst_zone() const { return worst_zone_; }
   std::uint64_t generation() const { return documents_.size(); }
+  /** What went back that must not; empty if nothing did. */
+  const std::string& reversal() const { return reversal_; }
   std::size_t calls() const { return calls_; }
 
  private:
@@ -158,11 +169,13 @@
         send_heartbeat(i, j);
       }
     }
-    if (const auto peer = process.tracker.peer_to_fetch_from(now_)) {
+    const auto peer = process.tracker.peer_to_fetch_from(now_);
+    if (peer && omitted_ != Omitted::kPeerFetch) {
       fetch(i, *peer);
     }
     const auto call = process.election.next_call(now_, process.tracker.confirmed_age(now_));
-    if (call != WatcherElection::Call::kNone) {
+    const bool reads = omitted_ != Omitted::kOwnRead || !process.tracker.ready();
+    if (call != WatcherElection::Call::kNone && reads) {
       call_platform(i, call == WatcherElection::Call::kWatch);
     }
   }
@@ -213,8 +226,12 @@
       document[random_.below(document.size())] ^= 1;
     }
     // Some arrive so late that a newer bundle came from elsewhere in the meantime.
-    after(random_duration(fault(0.1) ? 4000 : 100), i,
-          [this, peer, document](Process& p) { p.tracker.fetch_ended(peer, document, now_); });
+    after(random_duration(fault(0.1) ? 4000 : 100), i, [this, peer, document](Process& p) {
+      if (omitted_ == Omitted::kNewerOnly) {
+        p.tracker = BundleTracker(BundleSigner(operators_.keys()), p.name);
+      }
+      p.tracker.fetch_ended(peer, document, now_);
+    });
   }
 
   void call_platform(std::size_t i, bool watch) {
@@ -311,12 +328,12 @@
       Slot& slot = slots_[i];
       const std::uint64_t generation = slot.process->tracker.generation();
       if (generation < slot.highest_generation) {
-        FAIL("a generation went back");
+        reversal_ = "a generation went back";
       }
       slot.highest_generation = generation;
       const auto zone = slot.process->board.state("a");
       if (zone && zone->serial < slot.highest_serial) {
-        FAIL("a zone notice was undone by an older one");
+        reversal_ = "a zone notice was undone by an older one";
       }
       slot.highest_serial = zone ? zone->serial : 0;
       slot.connected_since = connected(i) ? slot.connected_since : now_;
@@ -363,6 +380,8 @@
 
   Random random_;
   bool with_faults_;
+  Omitted omitted_;
+  std::string reversal_;
   TestOperators operators_;
   Instant now_ = {1'000'000};
   std::array<Slot, kProcesses> slots_;
@@ -397,7 +416,8 @@
       simulation.cut_off(kProcesses - 1, 120_s);
     }
     simulation.run(120_s);
-    INFO("seed " << seed);
+    INFO("seed " << seed << ": " << simulation.reversal());
+    REQUIRE(simulation.reversal().empty());
     CHECK(simulation.worst_bundle() <= kBundleBound);
     CHECK(simulation.worst_zone() <= kZoneBound);
     worst_bundle = std::max(worst_bundle, simulation.worst_bundle());
@@ -409,6 +429,19 @@
             << worst_bundle.ms << " ms, slowest zone notice " << worst_zone.ms << " ms\n";
 }
 
+// Guards against a simulation that could not notice a missing rule.
+TEST_CASE("each rule of the roll-out is needed", "[rollout]") {
+  const Omitted omitted = GENERATE(Omitted::kNewerOnly, Omitted::kPeerFetch, Omitted::kOwnRead);
+  CAPTURE(static_cast<int>(omitted));
+  bool failed = false;
+  for (std::uint64_t seed = 1; seed <= 20 && !failed; ++seed) {
+    Simulation simulation(seed, true, omitted);
+    simulation.run(120_s);
+    failed = !simulation.reversal().empty() || simulation.worst_bundle() > kBundleBound;
+  }
+  CHECK(failed);
+}
+
 // Guards against a fleet that overloads the platform in its normal state.
 TEST_CASE("without faults a few processes call the platform", "[rollout]") {
   Simulation simulation(99, false);
--- a/tests/support/scenario.cc
+++ b/tests/support/scenario.cc
@@ -13,10 +13,11 @@
 namespace bluebellstep::scenario {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, Mechanism>, 9> kMechanisms = {{
+constexpr std::array<std::pair<std::string_view, Mechanism>, 10> kMechanisms = {{
     {"slow_start", Mechanism::kSlowStart},
     {"cold_detection", Mechanism::kColdDetection},
     {"version_check", Mechanism::kVersionCheck},
+    {"account_seed", Mechanism::kAccountSeed},
     {"versioned_seed", Mechanism::kVersionedSeed},
     {"zone_check", Mechanism::kZoneCheck},
     {"pause_check", Mechanism::kPauseCheck},
@@ -231,8 +232,8 @@
   }
 
   void read_checks(const YAML::Node& node, Checks& checks) const {
-    check_keys(node, {"answered_at_least", "falls_at_most", "versions_apart", "zone_out_within_ms",
-                      "leaving_within_ms", "graceful"});
+    check_keys(node, {"answered_at_least", "falls_at_most", "versions_apart", "accounts_apart",
+                      "zone_out_within_ms", "leaving_within_ms", "graceful"});
     if (node["answered_at_least"]) {
       checks.answered_at_least = value<std::uint64_t>(node, "answered_at_least");
     }
@@ -246,6 +247,7 @@
       checks.leaving_within = duration(node, "leaving_within_ms");
     }
     checks.versions_apart = node["versions_apart"] && value<bool>(node, "versions_apart");
+    checks.accounts_apart = node["accounts_apart"] && value<bool>(node, "accounts_apart");
     checks.graceful = node["graceful"] && value<bool>(node, "graceful");
   }
 
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -21,6 +21,7 @@
   kSlowStart,      // The limit is the maximum from the start.
   kColdDetection,  // First tokens and broken connections are not reported to admission.
   kVersionCheck,   // Admission is not told which weight version a request is keyed by.
+  kAccountSeed,    // The cache seed does not cover the client account.
   kVersionedSeed,  // The cache seed does not cover the weight version.
   kZoneCheck,      // Admission is not told that the zone is out.
   kPauseCheck,     // Admission is not told when the process runs.
@@ -78,7 +79,9 @@
   std::optional<std::uint64_t> answered_at_least;
   /** Falls of engines that no `go_cold` without a sign since explains. */
   std::optional<std::uint64_t> falls_at_most;
+  /** No block key stands for two weight versions, or for two client accounts. */
   bool versions_apart = false;
+  bool accounts_apart = false;
   /** Time from a notice, or from a drain, to the last admission of new work. */
   std::optional<Duration> zone_out_within;
   std::optional<Duration> leaving_within;
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -70,6 +70,12 @@
                violate(what);
              }
            },
+       .on_mixed_accounts =
+           [this](const std::string& what) {
+             if (scenario_.checks.accounts_apart) {
+               violate(what);
+             }
+           },
        .on_admitted = [this, sidecar] { admitted(sidecar); },
        .on_exit =
            [this, sidecar, name](int code) {
@@ -247,7 +253,8 @@
   }
   const std::size_t chosen = fit[queue_.random().below(fit.size())];
   const Request request{++request_ids_, index, queue_.random().below(kPrompts),
-                        entry.hints.at(chosen).version};
+                        entry.hints.at(chosen).version,
+                        queue_.random().chance(0.5) ? "acme" : "zenith"};
   const std::uint64_t linked = entry.linked.at(chosen);
   ++report_.sent;
   send(entry_name(index), sidecars_[chosen]->spec().name, /*may_lose=*/true, [=, this] {
--- a/tests/support/scenario_sidecar.cc
+++ b/tests/support/scenario_sidecar.cc
@@ -13,7 +13,6 @@
 
 constexpr ModelId kModel{1};
 constexpr const char* kModelName = "clerk";
-constexpr const char* kAccount = "acme";
 constexpr std::size_t kTokensPerBlock = 1024;
 
 standins::EngineOptions engine_options() {
@@ -125,23 +124,31 @@
   return false;
 }
 
+BlockKey SimulatedSidecar::seed_of(const Request& request) const {
+  return cache_seed(omitted_ == Mechanism::kAccountSeed ? "" : request.account, kModelName,
+                    omitted_ == Mechanism::kVersionedSeed ? "" : request.version);
+}
+
 std::vector<BlockKey> SimulatedSidecar::keys_of(const Request& request) {
-  auto& keys = keys_[{request.prompt, request.version}];
+  const BlockKey seed = seed_of(request);
+  auto& keys = keys_[{request.prompt, seed}];
   if (keys.empty()) {
-    const std::string version = omitted_ == Mechanism::kVersionedSeed ? "" : request.version;
-    keys = block_keys(cache_seed(kAccount, kModelName, version),
-                      prompt_text(request.prompt, load_.prompt_blocks));
+    keys = block_keys(seed, prompt_text(request.prompt, load_.prompt_blocks));
   }
   return keys;
 }
 
-void SimulatedSidecar::check_versions(const std::vector<BlockKey>& keys,
-                                      const std::string& version) {
+void SimulatedSidecar::check_owners(const std::vector<BlockKey>& keys, const Request& request) {
   for (const BlockKey& key : keys) {
-    if (key_versions_.try_emplace(key, version).first->second != version) {
+    const Request& owner = key_owners_.try_emplace(key, request).first->second;
+    if (owner.version != request.version) {
       listener_.on_mixed_versions("a block key of " + spec_.name +
                                   " stands for two weight versions");
     }
+    if (owner.account != request.account) {
+      listener_.on_mixed_accounts("a block key of " + spec_.name +
+                                  " stands for two client accounts");
+    }
   }
 }
 
@@ -152,7 +159,7 @@
                                 request.version + " while " + process_->version + " is in force");
   }
   Run run{request, slot, keys_of(request), 0, now, {}};
-  check_versions(run.keys, request.version);
+  check_owners(run.keys, request);
   const std::size_t known = process_->index.engine_prefix(run.keys);
   run.known_blocks = static_cast<std::uint32_t>(known);
   const double tokens = static_cast<double>((run.keys.size() - known) * kTokensPerBlock + 1);
@@ -164,8 +171,7 @@
   made.model = kModelName;
   made.prompt = prompt_text(request.prompt, load_.prompt_blocks);
   made.max_tokens = load_.max_tokens;
-  made.cache_salt = cache_seed(kAccount, kModelName,
-                               omitted_ == Mechanism::kVersionedSeed ? "" : request.version);
+  made.cache_salt = seed_of(request);
   const auto result = engine_.submit(std::move(made), now);
   const auto* stream = std::get_if<standins::StreamId>(&result);
   assert(stream != nullptr);
--- a/tests/support/scenario_sidecar.h
+++ b/tests/support/scenario_sidecar.h
@@ -30,6 +30,7 @@
   std::size_t entry = 0;
   std::size_t prompt = 0;
   std::string version;  // That its blocks are keyed by.
+  std::string account;
 };
 
 enum class Ending : std::uint8_t { kAnswered, kRefused, kBroken, kCut };
@@ -39,6 +40,7 @@
   std::function<void(const Request&, Ending)> on_end;
   std::function<void(const std::string&)> on_violation;
   std::function<void(const std::string&)> on_mixed_versions;
+  std::function<void(const std::string&)> on_mixed_accounts;
   std::function<void()> on_admitted;
   std::function<void(int code)> on_exit;
 };
@@ -117,7 +119,8 @@
   bool try_start(const Request& request, bool from_queue, Instant now);
   void dispatch(const Request& request, SlotId slot, Instant now);
   std::vector<BlockKey> keys_of(const Request& request);
-  void check_versions(const std::vector<BlockKey>& keys, const std::string& version);
+  BlockKey seed_of(const Request& request) const;
+  void check_owners(const std::vector<BlockKey>& keys, const Request& request);
   void take_event(const standins::StreamEvent& event, Instant now);
   void take_started(Run& run, const standins::StreamStarted& started, Instant now);
   void end_run(standins::StreamId stream, Outcome outcome, Ending ending, Instant now);
@@ -140,8 +143,8 @@
   std::uint64_t seen_falls_ = 0;
   std::uint64_t unexplained_falls_ = 0;
   bool cold_without_sign_ = false;
-  std::map<std::pair<std::size_t, std::string>, std::vector<BlockKey>> keys_;
-  std::map<BlockKey, std::string> key_versions_;
+  std::map<std::pair<std::size_t, BlockKey>, std::vector<BlockKey>> keys_;  // By prompt and seed.
+  std::map<BlockKey, Request> key_owners_;     // The first request for each key.
   std::vector<standins::StreamEvent> unread_;  // Events that arrived while paused.
 };
 
