Refuse prompts that are keyed by no weight version

Trace: AdmissionController took an empty weight version for "any".

An empty version is now a version like any other: it is refused as not run unless it is the one in force.

--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -44,7 +44,7 @@
       return Verdict::not_run(Reason::kUnknownModel, "the upstream does not serve this model",
                               kRetryElsewhere);
     }
-    if (!request.weight_version.empty() && request.weight_version != version->second) {
+    if (request.weight_version != version->second) {
       return Verdict::not_run(Reason::kWeightVersionChanged,
                               "the upstream serves another weight version", kRetryElsewhere);
     }
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -45,7 +45,7 @@
 struct AdmissionRequest {
   /** Model to run on; nothing for a plain service. */
   std::optional<ModelId> model;
-  /** Weight version that the request's blocks are keyed by; empty for any. */
+  /** Weight version that the request's blocks are keyed by; ignored for a plain service. */
   std::string_view weight_version;
   /** KV tokens the request can use at most: prompt plus answer. */
   std::uint64_t kv_tokens = 0;
--- a/src/admission/admission_controller_test.cc
+++ b/src/admission/admission_controller_test.cc
@@ -82,6 +82,11 @@
     request.weight_version = "v0";
     expected = Reason::kWeightVersionChanged;
   }
+  // Its blocks would be found by other such requests after a swap.
+  SECTION("no weight version") {
+    request.weight_version = "";
+    expected = Reason::kWeightVersionChanged;
+  }
   SECTION("unknown model") {
     request.model = ModelId{9};
     expected = Reason::kUnknownModel;
--- a/tests/support/policy_pool.cc
+++ b/tests/support/policy_pool.cc
@@ -47,7 +47,8 @@
 void PolicyPool::warm_server(Server& server) {
   server.admission.set_weight_version(kModel, "v1");
   while (server.admission.is_cold(now_)) {
-    const Admission admission = server.admission.try_admit({.model = kModel}, now_);
+    const Admission admission =
+        server.admission.try_admit({.model = kModel, .weight_version = "v1"}, now_);
     server.admission.finish(std::get<Admitted>(admission).slot, now_, Outcome::kCompleted);
   }
 }
@@ -150,6 +151,7 @@
                                         const Job& job,
                                         bool from_queue) const {
   return {.model = kModel,
+          .weight_version = "v1",
           .waiting = server.queue.size(),
           .account_waiting = server.queue.size(job.account),
           .waiting_accounts = server.queue.waiting_accounts(),
