Add a command that runs the proof of each promise

tools/promise.sh N runs the tests that prove promise N of section 1.3 and those that show that the proof fails without its mechanism, and ends with the figure.

--- /dev/null
+++ b/tools/promise.sh
@@ -0,0 +1,109 @@
+#!/usr/bin/env bash
+# Runs the proof of promise N of section 1.3 of docs/design.md (1 to 11, or "all"), after a build. The last line for each
+# promise is its figure. Exit code: 0 holds, 1 violated, 3 not proved yet; with "all" the worst of them (1, 3, 0).
+set -uo pipefail
+cd "$(dirname "$0")/.."
+build_dir=${BUILD_DIR:-build}
+tests="$build_dir/bluebellstep_tests"
+time_limit=120
+
+# Tests that exercise the mechanism, and tests that show that the proof fails without it.
+proofs_of() {
+  case "$1" in
+    1) printf '%s\n' "only the complete block asked for is accepted" "each check of the frame is needed" \
+      "generations rise" ;;
+    2) printf '%s\n' "seeds differ by account, model and weight version" \
+      "lookups find only the same account, version and prefix" "only the complete block asked for is accepted" \
+      "each check of the frame is needed" "streamed answers are whole under faults" \
+      "each rule of the streams is needed" ;;
+    3) printf '%s\n' "requests that the upstream must not take are refused as not run" \
+      "seeds differ by account, model and weight version" ;;
+    4) printf '%s\n' "slow start is the least of its three limits" "each cold sign restarts slow start" \
+      "an upstream gets no more load than it bears" ;;
+    5) printf '%s\n' "bundles and zone notices spread in time under random faults" \
+      "no request starts directly after a pause" ;;
+    6) printf '%s\n' "streamed answers are whole under faults" "stream seeds that failed pass now" \
+      "each rule of the streams is needed" ;;
+    7 | 8) printf '%s\n' "orders run at most once under faults" "seeds that failed pass now" \
+      "each rule of the orders is needed" ;;
+    9) printf '%s\n' "requests that the upstream must not take are refused as not run" ;;
+    10) printf '%s\n' "a shutdown takes its course" "each phase accepts its kinds of work" ;;
+    11) printf '%s\n' "bundles and zone notices spread in time under random faults" \
+      "each rule of the roll-out is needed" ;;
+  esac
+}
+
+# Cases that a promise's random tests run, as their sources state them; nothing if scenarios alone count.
+cases_of() {
+  local source pattern unit=seeds
+  case "$1" in
+    1 | 2) source=src/cache/block_frame_test.cc pattern="kReadings = " unit=cases ;;
+    6) source=src/streams/stream_model_test.cc pattern="kSeeds = " ;;
+    7 | 8) source=src/orders/order_model_test.cc pattern="kSeeds = " ;;
+    5 | 11) source=src/rollout/rollout_simulation_test.cc pattern="seed <= " ;;
+    *) return ;;
+  esac
+  echo "$(sed -n "s/.*$pattern\([0-9']*\).*/\1/p" "$source" | head -1 | tr -d "'") $unit"
+}
+
+scenarios_of() { find tests/scenarios -name "$(printf 'p%02d_*.yaml' "$1")" -printf '%f\n' | sed 's/\.yaml$//' | sort; }
+
+# Prints the output of one run and counts its failures in `violations`.
+run_test() {
+  local output status
+  output=$(timeout "$time_limit" "$tests" "$@" 2>/dev/null)
+  status=$?
+  if grep -q 'No test cases matched' <<<"$output"; then
+    echo "missing test: $1"
+    missing=1
+  elif [ "$status" -ne 0 ]; then
+    echo "$output"
+    violations=$((violations + 1))
+  fi
+  scenario_seeds=$((scenario_seeds + $(sed -n 's/^scenario .*: \([0-9]*\) seeds,.*/\1/p' <<<"$output" | head -1 | grep . || echo 0)))
+}
+
+prove() {
+  local number=$1 name figure verdict code
+  local violations=0 missing=0 scenario_seeds=0 scenarios
+  while IFS= read -r name; do
+    run_test "${name//,/\\,}"
+  done < <(proofs_of "$number")
+  mapfile -t scenarios < <(scenarios_of "$number")
+  for name in "${scenarios[@]}"; do
+    run_test "scenario files hold" -c "$name"
+  done
+  figure=$(cases_of "$number")
+  [ "$scenario_seeds" -eq 0 ] || figure="${figure:+$figure, }$scenario_seeds scenario seeds"
+  if [ "$violations" -gt 0 ]; then
+    verdict=violated code=1
+  elif [ "$missing" -eq 1 ] || [ -z "$figure" ]; then
+    verdict="not proved yet" code=3
+  else
+    verdict="holds (decision logic only)" code=0
+  fi
+  echo "promise $number: ${figure:-no cases}, $violations violations: $verdict"
+  return "$code"
+}
+
+case "${1:-}" in
+  [1-9] | 10 | 11) numbers=("$1") ;;
+  all) numbers=({1..11}) ;;
+  *)
+    echo "usage: tools/promise.sh N|all (N from 1 to 11)" >&2
+    exit 2
+    ;;
+esac
+if ! build_output=$(tools/build.sh 2>&1); then
+  echo "$build_output" | tail -20
+  exit 1
+fi
+worst=0
+for number in "${numbers[@]}"; do
+  prove "$number"
+  code=$?
+  if [ "$code" -eq 1 ] || [ "$worst" -eq 0 ]; then
+    worst=$code
+  fi
+done
+exit "$worst"
