Test whole answers and planned stops on real processes

Cause: resumption and graceful shutdown were tested in parts, not with processes that are paused, killed or stopped. Change: seven cases: sidecar paused for 2.5 s, sidecar killed, engine stream broken or silent, SIGTERM to an entry instance and to a sidecar, a second SIGTERM. Each compares the text with that computed from the prompt. A pause or a kill must give the whole answer too, since the run can be resumed or the other engine can take over.

--- /dev/null
+++ b/tests/process/streams_process_test.cc
@@ -0,0 +1,145 @@
+// Fault tests on real processes: every caller gets the whole answer or is told that it is not
+// whole.
+
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+
+#include "standins/expected_answer.h"
+#include "tests/process/deployment.h"
+
+namespace bluebellstep::testing {
+namespace {
+
+constexpr int kTokens = 300;  // About 3 s at the deployment's 10 ms for each token.
+constexpr Duration kStreamLimit = {15'000};
+
+// A prompt whose answer has at least `kTokens` tokens.
+std::string long_prompt(int number) {
+  for (int i = 0;; ++i) {
+    std::string prompt = "manual " + std::to_string(number) + " page " + std::to_string(i);
+    if (standins::ExpectedAnswer(prompt).length(kTokens) == kTokens) {
+      return prompt;
+    }
+  }
+}
+
+std::string whole_text(const std::string& prompt) {
+  return standins::ExpectedAnswer(prompt).text(0, kTokens);
+}
+
+// The answer is whole and marked so.
+void check_whole(const AnswerStream::State& state, const std::string& prompt) {
+  CHECK(state.closed);
+  CHECK(state.status == 200);
+  CHECK_FALSE(state.ended_in_error);
+  CHECK(state.marked_whole);
+  CHECK(state.text == whole_text(prompt));
+}
+
+// A stream that has begun, and the engine that runs it.
+struct RunningStream {
+  std::string prompt;
+  std::shared_ptr<AnswerStream> stream;
+  std::string engine;
+};
+
+RunningStream begin_stream(Deployment& deployment, int number) {
+  RunningStream running;
+  running.prompt = long_prompt(number);
+  const auto before = deployment.counters("engine", "started");
+  running.stream = deployment.start_stream("entry-1", running.prompt, kTokens);
+  running.engine = deployment.busy_upstream("engine", "started", before);
+  REQUIRE_FALSE(running.engine.empty());
+  REQUIRE(running.stream->wait_for_tokens(20, Duration{5000}));
+  return running;
+}
+
+}  // namespace
+
+// Guards against lost or doubled tokens after a connection that was silent came back to life.
+TEST_CASE("process: an answer is whole after its sidecar was paused") {
+  Deployment deployment;
+  const RunningStream running = begin_stream(deployment, 1);
+  ChildProcess& sidecar = deployment.process("sidecar-" + running.engine);
+  sidecar.send_signal(SIGSTOP);
+  // The pause is the fault itself: longer than the silence limit of 1.5 s.
+  running.stream->wait_for_end(Duration{2500});
+  sidecar.send_signal(SIGCONT);
+  REQUIRE(running.stream->wait_for_end(kStreamLimit));
+  check_whole(running.stream->state(), running.prompt);
+}
+
+// Guards against a short answer that ends as if it were whole when the sidecar dies. The other
+// engine can take over, so an error is not accepted either.
+TEST_CASE("process: an answer is whole after its sidecar was killed") {
+  Deployment deployment;
+  const RunningStream running = begin_stream(deployment, 2);
+  deployment.process("sidecar-" + running.engine).kill_now();
+  REQUIRE(running.stream->wait_for_end(kStreamLimit));
+  check_whole(running.stream->state(), running.prompt);
+}
+
+// Guards against answers that are cut where the engine's stream broke.
+TEST_CASE("process: an answer is whole when the engine's stream breaks") {
+  Deployment deployment;
+  for (const std::string engine : {"engine-1", "engine-2"}) {
+    deployment.set_faults(engine, {{"break_after_tokens", 100}});
+  }
+  const std::string prompt = long_prompt(3);
+  const auto stream = deployment.start_stream("entry-1", prompt, kTokens);
+  REQUIRE(stream->wait_for_end(kStreamLimit));
+  check_whole(stream->state(), prompt);
+}
+
+// Guards against a caller that waits for ever on an engine's stream that went silent.
+TEST_CASE("process: an answer is whole when the engine's stream goes silent") {
+  Deployment deployment;
+  for (const std::string engine : {"engine-1", "engine-2"}) {
+    deployment.set_faults(engine, {{"stall_after_tokens", 120}});
+  }
+  const std::string prompt = long_prompt(4);
+  const auto stream = deployment.start_stream("entry-1", prompt, kTokens);
+  REQUIRE(stream->wait_for_end(kStreamLimit));
+  check_whole(stream->state(), prompt);
+}
+
+// Guards against planned stops of an entry instance that cut streams.
+TEST_CASE("process: SIGTERM to an entry instance lets its streams end whole") {
+  Deployment deployment;
+  const RunningStream running = begin_stream(deployment, 5);
+  ChildProcess& entry = deployment.process("entry-1");
+  entry.send_signal(SIGTERM);
+  CHECK(entry.wait_for_exit(kStreamLimit) == 0);
+  REQUIRE(running.stream->wait_for_end(Duration{1000}));
+  check_whole(running.stream->state(), running.prompt);
+}
+
+// Guards against planned stops of a sidecar that cut streams.
+TEST_CASE("process: SIGTERM to a sidecar lets its streams end whole") {
+  Deployment deployment;
+  const RunningStream running = begin_stream(deployment, 6);
+  ChildProcess& sidecar = deployment.process("sidecar-" + running.engine);
+  sidecar.send_signal(SIGTERM);
+  CHECK(sidecar.wait_for_exit(kStreamLimit) == 0);
+  REQUIRE(running.stream->wait_for_end(Duration{1000}));
+  check_whole(running.stream->state(), running.prompt);
+}
+
+// Guards against a process that an operator cannot stop at once, and against a cut that is reported
+// as a graceful stop.
+TEST_CASE("process: a second SIGTERM ends a process at once with code 3") {
+  Deployment deployment;
+  const RunningStream running = begin_stream(deployment, 7);
+  for (const std::string& name : {std::string("entry-1"), "sidecar-" + running.engine}) {
+    ChildProcess& target = deployment.process(name);
+    target.send_signal(SIGTERM);
+    // Two signals that are pending together count as one, so the first must have taken effect.
+    REQUIRE(
+        wait_until(Duration{3000}, [&] { return deployment.get(name, "/readyz").status == 503; }));
+    target.send_signal(SIGTERM);
+    CHECK(target.wait_for_exit(Duration{1000}) == 3);
+  }
+}
+
+}  // namespace bluebellstep::testing
