--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -80,8 +80,8 @@
     }
   };
 
-  /** Adds an upstream, or replaces the zone and targets of one with this name. One that is unchanged
-   * keeps its hint. */
+  /** Adds an upstream, or replaces the zone and targets of one with this name. One that is
+   * unchanged keeps its hint. */
   UpstreamId add(std::string_view name, ZoneId zone, std::vector<RouteTarget> targets);
 
   /** Removes an upstream. Its id is given again to an upstream added under the same name. */
