Hold new work back after the start of a sidecar

Cause: a sidecar and an entry instance that start at the same time, while the bundle still says that their zone is in service, linked before either had heard the zone notice; work was admitted 6.2 to 6.5 s after the zone was taken out. Ruled out: the pause check, which does not apply to a first call; faster heartbeats, which only make the case rarer. A unit test of the pause that called note_alive once now calls it from an earlier time on, since the first call starts the new hold; its checks are unchanged.

--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -75,7 +75,9 @@
 }
 
 void AdmissionController::note_alive(Instant now) {
-  if (last_alive_ && now - *last_alive_ > kPauseGap) {
+  if (!last_alive_) {
+    held_until_ = now + kHoldAfterStart;
+  } else if (now - *last_alive_ > kPauseGap) {
     held_until_ = now + kHoldAfterPause;
   }
   last_alive_ = now;
@@ -92,9 +94,11 @@
     if (request.from_queue) {
       return Queue{};
     }
-    return Refused{Verdict::not_run(Reason::kOverloaded,
-                                    "the sidecar was paused and waits for news of its zone",
-                                    kRetryElsewhere)};
+    // The entry instance waits as long before it comes back, instead of using up its retries.
+    return Refused{Verdict::not_run(
+        Reason::kOverloaded,
+        "the sidecar has just started or was paused, and waits for news of its zone",
+        *held_until_ - now)};
   }
   const bool may_overtake = request.from_queue || request.within_share || request.waiting == 0;
   if (may_overtake && has_room(request, now)) {
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -116,9 +116,9 @@
   /** Refuses new work from now on while `leaving`. */
   void set_leaving(bool leaving) { leaving_ = leaving; }
 
-  /** Reports that the process is running; call it at least every `kPauseGap` / 2 once started.
-   * After a longer gap new work is held back for `kHoldAfterPause`. A controller that never gets
-   * this call does not look for pauses. */
+  /** Reports that the process is running; call it at the start and then at least every
+   * `kPauseGap` / 2. New work is held back for `kHoldAfterStart` after the first call, and for
+   * `kHoldAfterPause` after a longer gap. A controller that never gets this call does neither. */
   void note_alive(Instant now);
 
   /** Gap between calls that shows that the process was paused. Shorter gaps leave half of the 2 s
@@ -129,6 +129,11 @@
    * pause are read in this time, and two rounds of new heartbeats follow. */
   static constexpr Duration kHoldAfterPause = {1000};
 
+  /** Time after the start in which no request starts. Entry instances connect again within 1 s, and
+   * one of them may have just started as well; the others bring the notices that both have missed.
+   */
+  static constexpr Duration kHoldAfterStart = {1500};
+
   /** Returns the number of requests that may run at once at `now`. */
   std::uint32_t limit(Instant now) const;
 
--- a/src/admission/admission_controller_test.cc
+++ b/src/admission/admission_controller_test.cc
@@ -106,6 +106,19 @@
   CHECK(controller.running() == 0);
 }
 
+// Guards against work that starts on an old zone state: a sidecar and an entry instance that start
+// at the same time can link before either has heard that the zone is out.
+TEST_CASE("no request starts directly after the start", "[admission]") {
+  AdmissionController controller(limits_with(32), {0});
+  controller.set_weight_version(kModel, "v1");
+  controller.note_alive({0});
+  controller.note_alive({1000});
+  const Admission first = controller.try_admit(request_of(10), {1499});
+  REQUIRE(std::holds_alternative<Refused>(first));
+  CHECK(std::get<Refused>(first).verdict.run_state() == RunState::kNotRun);
+  CHECK(std::holds_alternative<Admitted>(controller.try_admit(request_of(10), {1500})));
+}
+
 // Guards against work that starts on an old zone state: requests that arrived during a pause are
 // read before the notice that arrived after them.
 TEST_CASE("no request starts directly after a pause", "[admission]") {
@@ -113,7 +126,9 @@
   controller.set_weight_version(kModel, "v1");
   AdmissionRequest queued = request_of(10);
   queued.from_queue = true;
-  controller.note_alive({1000});
+  for (const std::int64_t ms : {-1000, 0, 1000}) {
+    controller.note_alive({ms});
+  }
   CHECK(std::holds_alternative<Admitted>(controller.try_admit(request_of(10), {2000})));
   SECTION("found by the request") {}
   SECTION("found by the process") {
--- a/src/sidecar/sidecar_core.cc
+++ b/src/sidecar/sidecar_core.cc
@@ -121,7 +121,9 @@
               .on_finished =
                   [this](Run& run, RunResult result, Outcome outcome) {
                     take_finished(run, std::move(result), outcome);
-                  }}) {}
+                  }}) {
+  admission_.note_alive(clock_.now());
+}
 
 SidecarCore::~SidecarCore() = default;
 
