--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -48,6 +48,15 @@
 /** Returns `value` as it stands in a log line: unchanged, or quoted and escaped where needed. */
 std::string quote_log_value(std::string_view value);
 
+/**
+ * Sends log lines to standard output instead of glog, gathered until `flush_line_output`. Never
+ * blocks: lines that the reader does not take in time are dropped and counted.
+ */
+void start_line_output();
+
+/** Writes the gathered lines, as far as the reader takes them. */
+void flush_line_output();
+
 /** Starts glog with output to standard error. Call once, at the start of the process. */
 void start_logging(const char* program_name);
 
--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -6,7 +6,9 @@
 
 #include "cli/command_context.h"
 #include "entry/entry_process.h"
+#include "gateway/gateway_process.h"
 #include "settings/entry_settings.h"
+#include "settings/gateway_settings.h"
 #include "settings/sidecar_settings.h"
 #include "sidecar/sidecar_process.h"
 
@@ -33,6 +35,11 @@
   return run_process([&settings = settings] { return run_sidecar(settings); });
 }
 
+boost::leaf::result<ExitCode> run_gateway_command(const std::string& file) {
+  BOOST_LEAF_AUTO(settings, load_gateway_settings(file));
+  return run_process([&settings = settings] { return run_gateway(settings); });
+}
+
 using RunCommand = boost::leaf::result<ExitCode> (*)(const std::string& file);
 
 void add_process_command(CLI::App& app,
@@ -52,6 +59,9 @@
   add_process_command(app, context, "entry", "run an entry instance", run_entry_command);
   add_process_command(app, context, "sidecar", "run the sidecar of an upstream",
                       run_sidecar_command);
+  add_process_command(app, context, "gateway",
+                      "run a gateway: an entry instance that calls upstreams itself",
+                      run_gateway_command);
 }
 
 }  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/gateway_process.cc
@@ -0,0 +1,145 @@
+// Wiring and life of a gateway.
+
+#include "gateway/gateway_process.h"
+
+#include <memory>
+
+#include "base/log_event.h"
+#include "gateway/caller_listener.h"
+#include "gateway/forwarder.h"
+#include "gateway/knowledge.h"
+#include "gateway/rollout_driver.h"
+#include "gateway/upstream_pool.h"
+#include "http/http_client.h"
+#include "http/http_loop.h"
+#include "http/http_server.h"
+#include "metrics/metrics.h"
+#include "process/drain_process.h"
+#include "process/signal_waiter.h"
+
+namespace bluebellstep {
+namespace {
+
+// The balancer takes an instance out after two questions in a row without a good answer, one each
+// second; connections that it opened before may come a little later.
+constexpr Duration kBalancerDelay{2600};
+// Of the time until the process is killed, the part that is left for its end.
+constexpr Duration kExitReserve{700};
+// Log lines are written together this often.
+constexpr Duration kLogPause{250};
+
+// Everything that lives on the HTTP thread.
+struct GatewayParts {
+  GatewayParts(HttpLoop& loop, HttpClient& client, const GatewaySettings& settings)
+      : pool({.cold_overage = settings.bounds.cold_overage,
+              .cold_slack = settings.bounds.cold_slack,
+              .version_limit = settings.bounds.version_limit}),
+        forwarder(loop,
+                  pool,
+                  metrics,
+                  settings.zone,
+                  {.ratio = settings.bounds.repeat_ratio,
+                   .extra = settings.bounds.repeat_extra,
+                   .window = settings.bounds.repeat_window}),
+        knowledge(loop, client, settings, pool, forwarder),
+        rollout(loop, client, settings, pool),
+        callers(loop, settings.callers, forwarder) {
+    knowledge.on_weights_changed([this] { rollout.update(); });
+    knowledge.start();
+    flush_log(loop);
+  }
+
+  static void flush_log(HttpLoop& loop) {
+    flush_line_output();
+    loop.post_after(kLogPause, [&loop] { flush_log(loop); });
+  }
+
+  Metrics metrics;
+  UpstreamPool pool;
+  Forwarder forwarder;
+  Knowledge knowledge;
+  RolloutDriver rollout;
+  CallerListener callers;
+  bool stopping = false;
+};
+
+DrainTimes drain_times(const GatewaySettings& settings) {
+  DrainTimes times;
+  times.balancer_delay = kBalancerDelay;
+  times.cut_limit = Duration{100};
+  times.stop_limit =
+      std::max(settings.bounds.stop_limit - kExitReserve, kBalancerDelay + Duration{100});
+  return times;
+}
+
+}  // namespace
+
+int run_gateway(const GatewaySettings& settings) {
+  SignalWaiter signals;
+  start_line_output();
+  HttpLoop loop;
+  HttpClient client(loop);
+  std::unique_ptr<GatewayParts> parts;
+  const auto answer = [&parts](HttpServer* server, ExchangeId exchange, const auto& reply) {
+    if (parts == nullptr) {
+      server->respond(exchange, 503, {}, "");
+    } else {
+      reply();
+    }
+  };
+  std::unique_ptr<HttpServer> ready;
+  std::unique_ptr<HttpServer> peers;
+  std::unique_ptr<HttpServer> metrics;
+  loop.run_and_wait([&] { parts = std::make_unique<GatewayParts>(loop, client, settings); });
+  ready = std::make_unique<HttpServer>(
+      loop, HttpServerOptions{.listen = settings.ready},
+      HttpServer::Listener{.on_request = [&](ExchangeId exchange, const HttpRequest&) {
+        answer(ready.get(), exchange, [&] {
+          const bool good = !parts->stopping && parts->knowledge.ready();
+          ready->respond(exchange, good ? 200 : 503, {}, "");
+        });
+      }});
+  peers = std::make_unique<HttpServer>(
+      loop, HttpServerOptions{.listen = settings.peers},
+      HttpServer::Listener{.on_request = [&](ExchangeId exchange, const HttpRequest& request) {
+        answer(peers.get(), exchange, [&] {
+          peers->respond(exchange, 200, {{"content-type", "application/json"}},
+                         parts->knowledge.answer_peer(request.path));
+        });
+      }});
+  metrics = std::make_unique<HttpServer>(
+      loop, HttpServerOptions{.listen = settings.metrics},
+      HttpServer::Listener{.on_request = [&](ExchangeId exchange, const HttpRequest&) {
+        answer(metrics.get(), exchange, [&] {
+          metrics->respond(exchange, 200, {{"content-type", "text/plain"}}, parts->metrics.text());
+        });
+      }});
+  LogEvent("gateway_started").field("name", settings.name).field("zone", settings.zone);
+  const int exit_code = drain_process(
+      signals, DrainController(DrainRole::kEntry, drain_times(settings)),
+      {.announce =
+           [&] {
+             LogEvent("gateway_stopping").field("name", settings.name);
+             loop.run_and_wait([&] {
+               parts->stopping = true;
+               parts->forwarder.set_stopping();
+             });
+           },
+       .open_work =
+           [&] {
+             std::size_t open = 0;
+             loop.run_and_wait([&] { open = parts->callers.open_requests(); });
+             return open;
+           },
+       .close_listener = [&] { loop.run_and_wait([&] { parts->callers.stop_accepting(); }); },
+       .cut_streams = [] {}});
+  loop.run_and_wait([&] { parts.reset(); });
+  ready.reset();
+  peers.reset();
+  metrics.reset();
+  LogEvent("gateway_stopped").field("name", settings.name).field("exit_code", exit_code);
+  flush_line_output();
+  return exit_code;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/gateway_process.h
@@ -0,0 +1,16 @@
+// The gateway as a process.
+
+#ifndef BLUEBELLSTEP_GATEWAY_GATEWAY_PROCESS_H_
+#define BLUEBELLSTEP_GATEWAY_GATEWAY_PROCESS_H_
+
+#include "settings/gateway_settings.h"
+
+namespace bluebellstep {
+
+/** Runs a gateway until it is stopped by a signal, and returns the exit code, see
+ * `cli/exit_codes.h`. Throws if an address cannot be bound. */
+int run_gateway(const GatewaySettings& settings);
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_GATEWAY_PROCESS_H_
--- /dev/null
+++ b/src/gateway/knowledge.cc
@@ -0,0 +1,325 @@
+// Changes from the store and from peers, applied to routing.
+
+#include "gateway/knowledge.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log_event.h"
+#include "base/overloaded.h"
+#include "http/socket_address.h"
+
+namespace bluebellstep {
+namespace {
+
+using platform::ObjectKind;
+
+constexpr ObjectKind kFollowed[] = {ObjectKind::kConfiguration, ObjectKind::kUpstreams,
+                                    ObjectKind::kZonesOut, ObjectKind::kWantedWeights,
+                                    ObjectKind::kGateways};
+constexpr std::string_view kPeerPath = "/v1/objects?known=";
+
+std::string_view text_of(ObjectKind kind) {
+  switch (kind) {
+    case ObjectKind::kConfiguration:
+      return "configuration";
+    case ObjectKind::kUpstreams:
+      return "upstreams";
+    case ObjectKind::kZonesOut:
+      return "zones_out";
+    case ObjectKind::kWantedWeights:
+      return "wanted_weights";
+    case ObjectKind::kGateways:
+      return "gateways";
+    case ObjectKind::kLeases:
+      return "leases";
+  }
+  return {};
+}
+
+std::string registration(const GatewaySettings& settings) {
+  return nlohmann::json{{"peers", to_string(settings.peers)}}.dump();
+}
+
+}  // namespace
+
+Knowledge::Knowledge(HttpLoop& loop,
+                     HttpClient& client,
+                     const GatewaySettings& settings,
+                     UpstreamPool& pool,
+                     Forwarder& forwarder)
+    : loop_(loop),
+      client_(client),
+      settings_(settings),
+      pool_(pool),
+      forwarder_(forwarder),
+      random_(hash64(settings.name)),
+      peers_(settings.first_peers) {
+  for (const ObjectKind kind : kFollowed) {
+    add_follower(kind);
+  }
+}
+
+Knowledge::~Knowledge() = default;
+
+void Knowledge::add_follower(ObjectKind kind) {
+  followers_.push_back(std::make_unique<StoreFollower>(
+      loop_, client_, settings_.store, kind,
+      StoreFollower::Listener{
+          .on_changes =
+              [this, kind](ObjectMirror::Changes changes) { on_changes(kind, std::move(changes)); },
+          .on_contact = [this, kind](bool reachable) { on_contact(kind, reachable); },
+          .may_probe = [this, kind] { return may_probe(kind); }}));
+}
+
+void Knowledge::start() {
+  for (const auto& follower : followers_) {
+    follower->start();
+  }
+  write_registration(0);
+  tick();
+}
+
+void Knowledge::after(Duration delay, std::function<void()> task) {
+  loop_.post_after(delay, [alive = std::weak_ptr<bool>(alive_), task = std::move(task)] {
+    if (!alive.expired()) {
+      task();
+    }
+  });
+}
+
+// While the store does not answer, one kind is enough to notice its return.
+bool Knowledge::may_probe(ObjectKind kind) const {
+  return store_reachable_ || kind == ObjectKind::kConfiguration;
+}
+
+void Knowledge::on_contact(ObjectKind kind, bool reachable) {
+  if (reachable != store_reachable_) {
+    LogEvent(reachable ? "store_regained" : "store_lost", LogEvent::Severity::kWarning)
+        .field("kind", text_of(kind))
+        .field("revision", mirror(kind).revision());
+  }
+  store_reachable_ = reachable;
+  pool_.note_store(reachable, clock_.now());
+}
+
+const ObjectMirror& Knowledge::mirror(ObjectKind kind) const {
+  const auto found =
+      std::find_if(followers_.begin(), followers_.end(),
+                   [kind](const auto& follower) { return follower->kind() == kind; });
+  return (*found)->mirror();
+}
+
+void Knowledge::on_changes(ObjectKind kind, ObjectMirror::Changes changes) {
+  for (const platform::ObjectChange& change : changes) {
+    LogEvent("object_changed")
+        .field("kind", text_of(kind))
+        .field("name", change.object.name)
+        .field("revision", change.object.revision)
+        .field("removed", change.removed);
+    if (kind == ObjectKind::kUpstreams) {
+      on_upstream(change);
+    } else if (kind == ObjectKind::kConfiguration && !change.removed) {
+      on_config(change.object);
+    } else if (kind == ObjectKind::kWantedWeights && !change.removed) {
+      on_wanted_weights(change.object);
+    }
+  }
+  if (kind == ObjectKind::kZonesOut) {
+    on_zones_out();
+  } else if (kind == ObjectKind::kGateways) {
+    on_gateways();
+  } else if (kind != ObjectKind::kConfiguration && weights_changed_) {
+    weights_changed_();
+  }
+}
+
+void Knowledge::on_config(const platform::StoredObject& object) {
+  if (object.name != platform::config_object_name()) {
+    return;
+  }
+  auto decoded = platform::decode_config(object.content);
+  if (const auto* fault = std::get_if<platform::Undecodable>(&decoded)) {
+    LogEvent("config_not_understood", LogEvent::Severity::kError).field("why", fault->reason);
+    return;
+  }
+  auto& config = std::get<ServingConfig>(decoded);
+  const auto& current = forwarder_.config();
+  if (current != nullptr && config.version <= current->version) {
+    return;
+  }
+  LogEvent("config_in_force")
+      .field("version", config.version)
+      .field("routes", static_cast<std::uint64_t>(config.routes.size()))
+      .field("accounts", static_cast<std::uint64_t>(config.accounts.size()));
+  forwarder_.set_config(std::make_shared<const ServingConfig>(std::move(config)));
+}
+
+void Knowledge::on_upstream(const platform::ObjectChange& change) {
+  const Instant now = clock_.now();
+  if (change.removed) {
+    pool_.remove(change.object.name, now);
+    return;
+  }
+  auto decoded = platform::decode_upstream(change.object.name, change.object.content);
+  if (const auto* fault = std::get_if<platform::Undecodable>(&decoded)) {
+    LogEvent("upstream_not_understood", LogEvent::Severity::kWarning)
+        .field("upstream", change.object.name)
+        .field("why", fault->reason);
+    pool_.remove(change.object.name, now);
+    return;
+  }
+  pool_.put(std::move(std::get<UpstreamEntry>(decoded)), now);
+}
+
+void Knowledge::on_zones_out() {
+  std::set<std::string, std::less<>> zones;
+  for (const auto& [name, object] : mirror(ObjectKind::kZonesOut).objects()) {
+    zones.insert(name);
+  }
+  pool_.set_zones_out(std::move(zones));
+}
+
+void Knowledge::on_wanted_weights(const platform::StoredObject& object) {
+  auto decoded = platform::decode_wanted_weights(object.content);
+  if (const auto* fault = std::get_if<platform::Undecodable>(&decoded)) {
+    LogEvent("weights_not_understood", LogEvent::Severity::kWarning).field("why", fault->reason);
+    return;
+  }
+  pool_.set_wanted_weights(std::get<WantedWeights>(decoded), clock_.now());
+}
+
+void Knowledge::on_gateways() {
+  std::vector<Endpoint> peers;
+  const auto& objects = mirror(ObjectKind::kGateways).objects();
+  for (const auto& [name, object] : objects) {
+    const auto json = nlohmann::json::parse(object.content, nullptr, false);
+    const auto endpoint = json.is_object()
+                              ? platform::decode_endpoint(json.value("peers", std::string()))
+                              : std::nullopt;
+    if (endpoint && *endpoint != settings_.peers) {
+      peers.push_back(*endpoint);
+    }
+  }
+  if (!peers.empty()) {
+    peers_ = std::move(peers);
+  }
+  pool_.set_gateways(objects.size());
+}
+
+void Knowledge::write_registration(std::uint64_t revision) {
+  HttpCall call =
+      platform::write_call(settings_.store, ObjectKind::kGateways, settings_.name, revision,
+                           registration(settings_), StoreFollower::kCallTimeout);
+  client_.send(
+      std::move(call), [this, alive = std::weak_ptr<bool>(alive_)](HttpClient::Response response) {
+        if (alive.expired()) {
+          return;
+        }
+        const auto result = platform::decode_write(response);
+        std::visit(Overloaded{[&](ObjectVersion version) {
+                                LogEvent("gateway_registered").field("revision", version.value);
+                              },
+                              [&](const VersionConflict& conflict) {
+                                // Left by an earlier start, or by a write whose answer was lost.
+                                if (conflict.current.value != registration(settings_)) {
+                                  write_registration(conflict.current.version.value);
+                                }
+                              },
+                              [&](const PlatformUnavailable&) {
+                                after(kRegisterPause, [this] { write_registration(0); });
+                              }},
+                   result);
+      });
+}
+
+void Knowledge::tick() {
+  pool_.drop_lapsed(clock_.now());
+  if (!store_reachable_ && !asking_peer_) {
+    ask_peer();
+  }
+  after(kPeerPause, [this] { tick(); });
+}
+
+// The path of a question: what is known of each kind, so that the answer holds only what is newer.
+std::string Knowledge::peer_path() const {
+  std::string path(kPeerPath);
+  for (const auto& follower : followers_) {
+    path.append(std::to_string(follower->mirror().revision())).append(",");
+  }
+  return path;
+}
+
+void Knowledge::ask_peer() {
+  if (peers_.empty()) {
+    return;
+  }
+  HttpCall call{.endpoint = peers_[random_.below(peers_.size())], .path = peer_path()};
+  call.connect_timeout = kPeerTimeout;
+  call.idle_timeout = kPeerTimeout;
+  asking_peer_ = true;
+  client_.send(std::move(call),
+               [this, alive = std::weak_ptr<bool>(alive_)](HttpClient::Response response) {
+                 if (!alive.expired()) {
+                   asking_peer_ = false;
+                   take_peer_answer(response);
+                 }
+               });
+}
+
+std::string Knowledge::answer_peer(std::string_view query) const {
+  const std::size_t start = query.find('=');
+  query = start == std::string_view::npos ? std::string_view() : query.substr(start + 1);
+  nlohmann::json kinds = nlohmann::json::array();
+  for (const auto& follower : followers_) {
+    const std::size_t comma = query.find(',');
+    const std::uint64_t known = parse_decimal(query.substr(0, comma)).value_or(0);
+    query = comma == std::string_view::npos ? std::string_view() : query.substr(comma + 1);
+    const ObjectMirror& mirror = follower->mirror();
+    if (mirror.revision() <= known) {
+      continue;
+    }
+    nlohmann::json objects = nlohmann::json::array();
+    for (const auto& [name, object] : mirror.objects()) {
+      objects.push_back({name, object.revision, object.content});
+    }
+    kinds.push_back({{"kind", static_cast<int>(follower->kind())},
+                     {"revision", mirror.revision()},
+                     {"objects", std::move(objects)}});
+  }
+  return nlohmann::json{{"kinds", std::move(kinds)}}.dump();
+}
+
+void Knowledge::take_peer_answer(const HttpClient::Response& response) {
+  const auto json = response.status == 200 ? nlohmann::json::parse(response.body, nullptr, false)
+                                           : nlohmann::json();
+  if (!json.is_object()) {
+    return;  // The peer is down or starts; another one is asked next.
+  }
+  try {
+    for (const auto& item : json.at("kinds")) {
+      const auto kind = static_cast<ObjectKind>(item.at("kind").get<int>());
+      std::vector<platform::StoredObject> objects;
+      for (const auto& object : item.at("objects")) {
+        objects.push_back({.name = object.at(0).get<std::string>(),
+                           .revision = object.at(1).get<std::uint64_t>(),
+                           .content = object.at(2).get<std::string>()});
+      }
+      for (const auto& follower : followers_) {
+        if (follower->kind() == kind) {
+          LogEvent("peer_knows_newer")
+              .field("kind", text_of(kind))
+              .field("revision", item.at("revision").get<std::uint64_t>());
+          follower->adopt(std::move(objects), item.at("revision").get<std::uint64_t>());
+        }
+      }
+    }
+  } catch (const nlohmann::json::exception& fault) {
+    LogEvent("peer_answer_not_understood", LogEvent::Severity::kWarning).field("why", fault.what());
+  }
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/object_mirror.cc
@@ -0,0 +1,59 @@
+// Differences between what is known and what is newer.
+
+#include "gateway/object_mirror.h"
+
+#include <set>
+#include <utility>
+
+namespace bluebellstep {
+
+ObjectMirror::Changes ObjectMirror::replace(std::vector<platform::StoredObject> objects,
+                                            std::uint64_t revision) {
+  Changes changes;
+  if (revision < revision_) {
+    return changes;
+  }
+  std::set<std::string, std::less<>> present;
+  for (platform::StoredObject& object : objects) {
+    present.insert(object.name);
+    const auto known = objects_.find(object.name);
+    if (known != objects_.end() && known->second.revision >= object.revision) {
+      continue;
+    }
+    changes.push_back({.object = object, .removed = false});
+    objects_[object.name] = std::move(object);
+  }
+  for (auto known = objects_.begin(); known != objects_.end();) {
+    if (present.contains(known->first)) {
+      ++known;
+      continue;
+    }
+    changes.push_back({.object = known->second, .removed = true});
+    known = objects_.erase(known);
+  }
+  revision_ = revision;
+  return changes;
+}
+
+ObjectMirror::Changes ObjectMirror::apply(platform::ObjectChanges changes) {
+  Changes fresh;
+  for (platform::ObjectChange& change : changes.changes) {
+    const auto known = objects_.find(change.object.name);
+    if (change.removed) {
+      if (known != objects_.end() && known->second.revision <= change.object.revision) {
+        objects_.erase(known);
+        fresh.push_back(std::move(change));
+      }
+      continue;
+    }
+    if (known != objects_.end() && known->second.revision >= change.object.revision) {
+      continue;
+    }
+    objects_[change.object.name] = change.object;
+    fresh.push_back(std::move(change));
+  }
+  revision_ = std::max(revision_, changes.store_revision);
+  return fresh;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/upstream_pool.cc
@@ -0,0 +1,420 @@
+// Choice of upstreams: waits, cached parts, cold upstreams, failures.
+
+#include "gateway/upstream_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace bluebellstep {
+namespace {
+
+// Prompt tokens that an engine reads in a millisecond, by the deployments' sheets.
+constexpr double kPrefillTokensPerMs = 50;
+// Added wait by each request that an engine runs or holds in its queue, in ms.
+constexpr double kWaitPerRunning = 0.4;
+constexpr double kWaitPerQueued = 15;
+// Work of one request at a plain service, in ms; only ratios of waits matter.
+constexpr double kPlainWorkMs = 20;
+// A reported load counts half after this time.
+constexpr double kLoadHalfLifeMs = 400;
+// Cost of another zone: the way there and back, and the bytes. In ms.
+constexpr double kOtherZoneMs = 4;
+// Parts that are shared by less than this are read again sooner than looked for.
+constexpr std::uint32_t kLeastAffinityTokens = 512;
+// Share of the time to read a shared part that the choice of an upstream of this rank costs where
+// nothing is known of its cache: other gateways send the part to the first ranks too.
+constexpr double kRankCost[] = {0.35, 0.7, 1.0};
+// Of an engine's memory, the part that is expected to hold cached parts.
+constexpr double kCacheShare = 0.7;
+
+constexpr int kFailuresToShun = 3;
+constexpr Duration kShunNotReached{400};
+constexpr Duration kShunFailing{1000};
+constexpr Duration kShunMisdirected{200};
+constexpr Duration kRateWindow{1000};
+// Part of the bound on cold upstreams that is used; the rest covers late arrivals.
+constexpr double kColdSafetyShare = 0.85;
+// An upstream that is not known to be cold may get this multiple, in case it turned cold.
+constexpr double kWarmFactor = 2;
+// Requests stop going to older weights this long before they must not begin there.
+constexpr Duration kVersionMargin{1500};
+constexpr Duration kRetryNoUpstream{400};
+constexpr Duration kRetryCold{250};
+// Part of `max_connections` that is used.
+constexpr double kConnectionSafetyShare = 0.9;
+
+// Key of a prompt for the ranking of upstreams: its first large part that others share.
+std::optional<PromptPart> shared_part(const PickQuery& query) {
+  for (std::size_t i = 0; i + 1 < query.prompt.size(); ++i) {
+    if (query.prompt[i].tokens >= kLeastAffinityTokens) {
+      return query.prompt[i];
+    }
+  }
+  return std::nullopt;
+}
+
+std::uint64_t cache_key(const PromptPart& part, std::uint64_t version, std::string_view scope) {
+  return combine_hashes(combine_hashes(part.id, version), hash64(scope));
+}
+
+}  // namespace
+
+void UpstreamPool::put(UpstreamEntry entry, Instant now) {
+  const auto found = upstreams_.find(entry.id);
+  const bool new_start = found == upstreams_.end() ||
+                         found->second.entry.started_ms != entry.started_ms ||
+                         found->second.entry.endpoint != entry.endpoint;
+  if (new_start) {
+    Upstream upstream;
+    // Finished requests of the earlier start are still reported.
+    upstream.in_flight = found == upstreams_.end() ? 0 : found->second.in_flight;
+    upstream.cold_until = now + entry.cold_left;
+    std::string id = entry.id;
+    upstream.entry = std::move(entry);
+    upstreams_.insert_or_assign(std::move(id), std::move(upstream));
+    return;
+  }
+  Upstream& upstream = found->second;
+  upstream.cold_until = std::max(upstream.cold_until, now + entry.cold_left);
+  for (const auto& [model, version] : upstream.entry.weight_versions) {
+    // Versions only rise, and responses show them before the entry does.
+    std::uint64_t& newest = entry.weight_versions[model];
+    newest = std::max(newest, version);
+  }
+  upstream.entry = std::move(entry);
+  upstream.lapsed_until.reset();
+}
+
+void UpstreamPool::remove(std::string_view id, Instant now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  const bool around_outage =
+      unreachable_since_ || (reachable_since_ && now < *reachable_since_ + limits_.lapse_grace);
+  if (around_outage && !found->second.entry.leaving) {
+    found->second.lapsed_until = (reachable_since_ ? *reachable_since_ : now) + limits_.lapse_grace;
+    return;
+  }
+  upstreams_.erase(found);
+}
+
+void UpstreamPool::replace_all(std::vector<UpstreamEntry> entries, Instant now) {
+  std::set<std::string, std::less<>> present;
+  for (UpstreamEntry& entry : entries) {
+    present.insert(entry.id);
+    put(std::move(entry), now);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!present.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    remove(id, now);
+  }
+}
+
+void UpstreamPool::set_wanted_weights(const WantedWeights& wanted, Instant now) {
+  Wanted& known = wanted_[wanted.model];
+  if (wanted.version > known.version) {
+    known = {wanted.version, now};
+  }
+}
+
+void UpstreamPool::note_store(bool reachable, Instant now) {
+  if (!reachable) {
+    unreachable_since_ = unreachable_since_.value_or(now);
+    reachable_since_.reset();
+  } else if (unreachable_since_) {
+    unreachable_since_.reset();
+    reachable_since_ = now;
+  }
+}
+
+void UpstreamPool::drop_lapsed(Instant now) {
+  if (unreachable_since_) {
+    return;
+  }
+  std::erase_if(upstreams_, [&](const auto& item) {
+    const auto& until = item.second.lapsed_until;
+    return until && now >= std::max(*until, *reachable_since_ + limits_.lapse_grace);
+  });
+}
+
+bool UpstreamPool::is_cold(const Upstream& upstream, Instant now) const {
+  return now < upstream.cold_until;
+}
+
+bool UpstreamPool::has_room(Upstream& upstream, const ServiceInfo& service, Instant now) const {
+  while (!upstream.recent_sends.empty() && upstream.recent_sends.front() + kRateWindow <= now) {
+    upstream.recent_sends.pop_front();
+  }
+  if (service.cold_requests_per_s <= 0) {
+    return true;
+  }
+  const double bound = service.cold_requests_per_s * limits_.cold_overage + limits_.cold_slack;
+  double share = bound * kColdSafetyShare / static_cast<double>(gateways_);
+  if (!is_cold(upstream, now)) {
+    share *= kWarmFactor;
+  }
+  return static_cast<double>(upstream.recent_sends.size()) + 1 <= std::max(1.0, share);
+}
+
+std::optional<std::uint64_t> UpstreamPool::version_of(const Upstream& upstream,
+                                                      std::string_view model) const {
+  const auto found = upstream.entry.weight_versions.find(std::string(model));
+  return found == upstream.entry.weight_versions.end() ? std::nullopt
+                                                       : std::optional(found->second);
+}
+
+bool UpstreamPool::may_get(const Upstream& upstream, const PickQuery& query, Instant now) const {
+  const UpstreamEntry& entry = upstream.entry;
+  if (entry.leaving || entry.service != query.service->name || zones_out_.contains(entry.zone) ||
+      std::find(query.excluded.begin(), query.excluded.end(), entry.id) != query.excluded.end()) {
+    return false;
+  }
+  if (query.model.empty() || !query.service->engine) {
+    return true;
+  }
+  const auto version = version_of(upstream, query.model);
+  const auto wanted = wanted_.find(query.model);
+  return version && (wanted == wanted_.end() || *version >= wanted->second.version ||
+                     now < wanted->second.since + limits_.version_limit - kVersionMargin);
+}
+
+std::uint32_t UpstreamPool::cached_tokens(const Upstream& upstream, const PickQuery& query) const {
+  const std::uint64_t version = version_of(upstream, query.model).value_or(0);
+  std::uint32_t tokens = 0;
+  // A part is of use only if all parts before it are cached.
+  for (const PromptPart& part : query.prompt) {
+    if (!upstream.cached.contains(cache_key(part, version, query.cache_scope))) {
+      break;
+    }
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
+double UpstreamPool::wait_ms(const Upstream& upstream,
+                             const ServiceInfo& service,
+                             Instant now) const {
+  const double age = static_cast<double>((now - upstream.load_at).ms);
+  const double fresh = std::exp2(-age / kLoadHalfLifeMs);
+  if (!service.engine) {
+    const double held = std::max(static_cast<double>(upstream.in_flight),
+                                 fresh * (upstream.load.running + upstream.load.waiting));
+    const double slots = std::max<std::uint32_t>(1, upstream.entry.slots);
+    return held * kPlainWorkMs / slots;
+  }
+  const double running =
+      std::max(static_cast<double>(upstream.in_flight), fresh * upstream.load.running);
+  return static_cast<double>(upstream.pending_prefill_tokens) / kPrefillTokensPerMs +
+         running * kWaitPerRunning + fresh * upstream.load.waiting * kWaitPerQueued;
+}
+
+double UpstreamPool::score(const Upstream& upstream,
+                           const PickQuery& query,
+                           std::size_t rank,
+                           std::uint32_t& uncached,
+                           Instant now) const {
+  double score = wait_ms(upstream, *query.service, now);
+  if (upstream.entry.zone != query.zone) {
+    score += kOtherZoneMs;
+  }
+  if (!query.service->engine) {
+    return score;
+  }
+  const std::uint32_t cached = cached_tokens(upstream, query);
+  uncached = query.prompt_tokens - std::min(cached, query.prompt_tokens);
+  const auto shared = shared_part(query);
+  if (shared && cached < shared->tokens) {
+    const double cost = kRankCost[std::min(rank, std::size(kRankCost) - 1)];
+    score += cost * shared->tokens / kPrefillTokensPerMs;
+  }
+  const auto wanted = wanted_.find(query.model);
+  if (wanted != wanted_.end() && version_of(upstream, query.model) < wanted->second.version) {
+    // Answers of older weights count less.
+    constexpr double kOlderWeightsMs = 120;
+    score += kOlderWeightsMs;
+  }
+  return score;
+}
+
+PickResult UpstreamPool::pick(const PickQuery& query, Instant now) {
+  struct Candidate {
+    Upstream* upstream;
+    std::uint64_t affinity;
+  };
+  std::vector<Candidate> candidates;
+  const auto shared = shared_part(query);
+  bool limited = false;
+  for (int pass = 0; pass < 2 && candidates.empty(); ++pass) {
+    // Upstreams that failed just now are used only where there is no other.
+    const bool take_shunned = pass == 1;
+    for (auto& [id, upstream] : upstreams_) {
+      if (!may_get(upstream, query, now) || (!take_shunned && now < upstream.shunned_until)) {
+        continue;
+      }
+      if (!has_room(upstream, *query.service, now)) {
+        limited = true;
+        continue;
+      }
+      candidates.push_back(
+          {&upstream, shared ? rendezvous_score(shared->id, hash64(id)) : std::uint64_t{0}});
+    }
+  }
+  if (candidates.empty()) {
+    return limited ? NonePicked{kRetryCold, "upstreams_cold"}
+                   : NonePicked{kRetryNoUpstream, "no_upstream"};
+  }
+  if (shared) {
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate& a, const Candidate& b) { return a.affinity > b.affinity; });
+  }
+  const Candidate* best = nullptr;
+  double best_score = 0;
+  std::uint32_t best_uncached = 0;
+  for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
+    std::uint32_t uncached = 0;
+    const double value = score(*candidates[rank].upstream, query, rank, uncached, now);
+    if (best == nullptr || value < best_score) {
+      best = &candidates[rank];
+      best_score = value;
+      best_uncached = uncached;
+    }
+  }
+  const UpstreamEntry& entry = best->upstream->entry;
+  return Picked{.upstream_id = entry.id,
+                .endpoint = entry.endpoint,
+                .weight_version = version_of(*best->upstream, query.model),
+                .expected_ms = wait_ms(*best->upstream, *query.service, now),
+                .uncached_tokens = best_uncached};
+}
+
+void UpstreamPool::sent(const Picked& picked, const PickQuery& query, Instant now) {
+  const auto found = upstreams_.find(picked.upstream_id);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  ++upstream.in_flight;
+  upstream.pending_prefill_tokens += picked.uncached_tokens;
+  upstream.recent_sends.push_back(now);
+  if (query.service->engine) {
+    remember_parts(upstream, query, now);
+  }
+}
+
+void UpstreamPool::remember_parts(Upstream& upstream, const PickQuery& query, Instant now) {
+  const std::uint64_t version = version_of(upstream, query.model).value_or(0);
+  for (const PromptPart& part : query.prompt) {
+    const auto [entry, added] =
+        upstream.cached.try_emplace(cache_key(part, version, query.cache_scope));
+    if (added) {
+      entry->second.tokens = part.tokens;
+      upstream.cached_tokens += part.tokens;
+    }
+    entry->second.last_use = now;
+  }
+  // The engine forgets the least recently used parts, and other gateways fill it too.
+  const double capacity =
+      static_cast<double>(query.service->engine->kv_capacity_tokens) * kCacheShare;
+  while (static_cast<double>(upstream.cached_tokens) > capacity && upstream.cached.size() > 1) {
+    const auto oldest = std::min_element(
+        upstream.cached.begin(), upstream.cached.end(),
+        [](const auto& a, const auto& b) { return a.second.last_use < b.second.last_use; });
+    upstream.cached_tokens -= oldest->second.tokens;
+    upstream.cached.erase(oldest);
+  }
+}
+
+void UpstreamPool::first_event(std::string_view id, std::uint32_t uncached_tokens) {
+  if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+    std::uint64_t& pending = found->second.pending_prefill_tokens;
+    pending -= std::min<std::uint64_t>(pending, uncached_tokens);
+  }
+}
+
+void UpstreamPool::finished(std::string_view id, SendEnd end, Instant now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  upstream.in_flight -= upstream.in_flight > 0 ? 1 : 0;
+  switch (end) {
+    case SendEnd::kAnswered:
+      upstream.failures = 0;
+      return;
+    case SendEnd::kRejected:
+    case SendEnd::kDropped:
+      return;
+    case SendEnd::kNotReached:
+      upstream.shunned_until = now + kShunNotReached;
+      return;
+    case SendEnd::kFailed:
+      if (++upstream.failures >= kFailuresToShun) {
+        upstream.shunned_until = now + kShunFailing;
+        upstream.failures = kFailuresToShun - 1;
+      }
+      return;
+  }
+}
+
+void UpstreamPool::reported_load(std::string_view id, const ReportedLoad& load, Instant now) {
+  if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+    found->second.load = load;
+    found->second.load_at = now;
+  }
+}
+
+void UpstreamPool::reported_version(std::string_view id,
+                                    std::string_view model,
+                                    std::uint64_t version) {
+  if (const auto found = upstreams_.find(id); found != upstreams_.end() && !model.empty()) {
+    std::uint64_t& known = found->second.entry.weight_versions[std::string(model)];
+    known = std::max(known, version);
+  }
+}
+
+void UpstreamPool::misdirected(std::string_view id, Instant now) {
+  if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+    found->second.shunned_until = now + kShunMisdirected;
+  }
+}
+
+std::vector<UpstreamPool::Outdated> UpstreamPool::outdated(std::size_t& engines) const {
+  std::vector<Outdated> result;
+  engines = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    for (const auto& [model, version] : upstream.entry.weight_versions) {
+      const auto wanted = wanted_.find(model);
+      if (wanted == wanted_.end()) {
+        continue;
+      }
+      ++engines;
+      if (version < wanted->second.version && !upstream.entry.leaving) {
+        result.push_back({.id = id,
+                          .endpoint = upstream.entry.endpoint,
+                          .model = model,
+                          .current_version = version,
+                          .wanted_version = wanted->second.version,
+                          .load = upstream.load.running});
+      }
+    }
+  }
+  return result;
+}
+
+std::size_t UpstreamPool::connection_share(const ServiceInfo& service) const {
+  const double share = static_cast<double>(service.max_connections) * kConnectionSafetyShare /
+                       static_cast<double>(gateways_);
+  return std::max<std::size_t>(2, static_cast<std::size_t>(share));
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/upstream_pool.h
@@ -0,0 +1,169 @@
+// The upstreams that a gateway knows, what it sends them, and its choice among them.
+
+#ifndef BLUEBELLSTEP_GATEWAY_UPSTREAM_POOL_H_
+#define BLUEBELLSTEP_GATEWAY_UPSTREAM_POOL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "gateway/call_heads.h"
+#include "gateway/serving_config.h"
+
+namespace bluebellstep {
+
+/** Bounds that hold over all gateways together. */
+struct PoolLimits {
+  double cold_overage = 1.5;       // A cold upstream may get this multiple of what it bears,
+  double cold_slack = 5;           // plus this many requests, each second.
+  Duration version_limit{10'000};  // Requests must not begin on older weights after this time.
+  Duration lapse_grace{2500};  // Entries that lapsed in a store outage are back within this time.
+};
+
+/** What is asked of the pool. */
+struct PickQuery {
+  const ServiceInfo* service = nullptr;
+  std::string_view zone;         // Of this gateway.
+  std::string_view model;        // Empty for plain services.
+  std::string_view cache_scope;  // Account part of the scope in which cached parts are found.
+  std::span<const PromptPart> prompt;
+  std::uint32_t prompt_tokens = 0;
+  std::span<const std::string> excluded;  // Ids of upstreams that were tried.
+};
+
+/** The chosen upstream. */
+struct Picked {
+  std::string upstream_id;
+  Endpoint endpoint;
+  std::optional<std::uint64_t> weight_version;
+  double expected_ms = 0;  // Wait before the answer begins, as estimated for the choice.
+  std::uint32_t uncached_tokens = 0;
+};
+
+/** No upstream may get the request now. */
+struct NonePicked {
+  Duration retry_after{0};
+  std::string_view reason;
+};
+using PickResult = std::variant<Picked, NonePicked>;
+
+/** How a send ended, for the judgement of the upstream. */
+enum class SendEnd {
+  kAnswered,
+  kRejected,    // Not run: full, or not the expected upstream.
+  kFailed,      // Broken, late or unusable.
+  kNotReached,  // No connection.
+  kDropped,     // The caller left; says nothing of the upstream.
+};
+
+/** State of all upstreams. Times are those of one monotonic clock. */
+class UpstreamPool {
+ public:
+  explicit UpstreamPool(PoolLimits limits) : limits_(limits) {}
+
+  // What the store says.
+  void put(UpstreamEntry entry, Instant now);
+  void remove(std::string_view id, Instant now);
+  /** Replaces all entries after a list; those that are missing are removed. */
+  void replace_all(std::vector<UpstreamEntry> entries, Instant now);
+  void set_zones_out(std::set<std::string, std::less<>> zones) { zones_out_ = std::move(zones); }
+  void set_wanted_weights(const WantedWeights& wanted, Instant now);
+  /** Reports whether the store answers. Entries that vanish around an outage are kept for a while:
+   * the store lets them lapse, and live upstreams register again. */
+  void note_store(bool reachable, Instant now);
+  /** Drops the entries whose grace after an outage is over. */
+  void drop_lapsed(Instant now);
+  void set_gateways(std::size_t count) { gateways_ = count < 1 ? 1 : count; }
+  std::size_t gateways() const { return gateways_; }
+
+  PickResult pick(const PickQuery& query, Instant now);
+
+  /** Counts a request that is sent to an upstream, until `finished`. */
+  void sent(const Picked& picked, const PickQuery& query, Instant now);
+  /** The answer of a request began: its prompt has been read. */
+  void first_event(std::string_view id, std::uint32_t uncached_tokens);
+  void finished(std::string_view id, SendEnd end, Instant now);
+  void reported_load(std::string_view id, const ReportedLoad& load, Instant now);
+  /** An upstream showed that its weights have this version. */
+  void reported_version(std::string_view id, std::string_view model, std::uint64_t version);
+  /** The upstream at this address is another one, or has other weights. */
+  void misdirected(std::string_view id, Instant now);
+
+  /** Engines whose weights are not the wanted ones. */
+  struct Outdated {
+    std::string id;
+    Endpoint endpoint;
+    std::string model;
+    std::uint64_t current_version = 0;
+    std::uint64_t wanted_version = 0;
+    std::size_t load = 0;
+  };
+  std::vector<Outdated> outdated(std::size_t& engines) const;
+
+  /** Connections that this gateway may hold to one upstream of a service. */
+  std::size_t connection_share(const ServiceInfo& service) const;
+
+  std::size_t size() const { return upstreams_.size(); }
+  bool contains(std::string_view id) const { return upstreams_.find(id) != upstreams_.end(); }
+
+ private:
+  struct CachedPart {
+    std::uint32_t tokens = 0;
+    Instant last_use;
+  };
+
+  struct Upstream {
+    UpstreamEntry entry;
+    Instant cold_until;
+    std::optional<Instant> lapsed_until;  // Gone from the store; kept until then.
+    std::size_t in_flight = 0;
+    std::uint64_t pending_prefill_tokens = 0;  // Of requests whose answer has not begun.
+    ReportedLoad load;
+    Instant load_at;
+    int failures = 0;  // In a row.
+    Instant shunned_until;
+    std::deque<Instant> recent_sends;                      // Within the last second.
+    std::unordered_map<std::uint64_t, CachedPart> cached;  // By part, version and scope.
+    std::uint64_t cached_tokens = 0;
+  };
+
+  struct Wanted {
+    std::uint64_t version = 0;
+    Instant since;
+  };
+
+  bool is_cold(const Upstream& upstream, Instant now) const;
+  bool has_room(Upstream& upstream, const ServiceInfo& service, Instant now) const;
+  bool may_get(const Upstream& upstream, const PickQuery& query, Instant now) const;
+  double score(const Upstream& upstream,
+               const PickQuery& query,
+               std::size_t rank,
+               std::uint32_t& uncached,
+               Instant now) const;
+  double wait_ms(const Upstream& upstream, const ServiceInfo& service, Instant now) const;
+  std::uint32_t cached_tokens(const Upstream& upstream, const PickQuery& query) const;
+  void remember_parts(Upstream& upstream, const PickQuery& query, Instant now);
+  std::optional<std::uint64_t> version_of(const Upstream& upstream, std::string_view model) const;
+
+  PoolLimits limits_;
+  std::map<std::string, Upstream, std::less<>> upstreams_;
+  std::set<std::string, std::less<>> zones_out_;
+  std::map<std::string, Wanted, std::less<>> wanted_;
+  std::size_t gateways_ = 1;
+  std::optional<Instant> unreachable_since_;
+  std::optional<Instant> reachable_since_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_UPSTREAM_POOL_H_
--- a/src/http/http_server_impl.cc
+++ b/src/http/http_server_impl.cc
@@ -2,16 +2,14 @@
 
 #include "http/http_server_impl.h"
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cassert>
 #include <cerrno>
-#include <system_error>
 #include <utility>
 
 #include "base/log_event.h"
-#include "http/socket_address.h"
+#include "http/listening_socket.h"
 
 namespace bluebellstep {
 namespace {
@@ -23,11 +21,6 @@
 // listening socket stays readable.
 constexpr Duration kAcceptPause{100};
 
-[[noreturn]] void throw_listen_error(int error, const Endpoint& endpoint) {
-  throw std::system_error(error, std::generic_category(),
-                          "cannot listen on " + to_string(endpoint));
-}
-
 }  // namespace
 
 HttpServer::Impl::Impl(HttpLoop::Impl& loop, HttpServerOptions options, Listener listener)
@@ -42,23 +35,9 @@
 }
 
 void HttpServer::Impl::listen() {
-  std::optional<SocketAddress> address = to_socket_address(options_.listen);
-  if (!address) {
-    throw_listen_error(EINVAL, options_.listen);
-  }
-  listen_fd_ = ::socket(address->get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  if (listen_fd_ < 0 || ::setsockopt(listen_fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
-      ::bind(listen_fd_, address->get(), address->length) != 0 ||
-      ::listen(listen_fd_, SOMAXCONN) != 0 ||
-      ::getsockname(listen_fd_, address->get(), &address->length) != 0) {
-    const int error = errno;
-    if (listen_fd_ >= 0) {
-      ::close(listen_fd_);
-    }
-    throw_listen_error(error, options_.listen);
-  }
-  port_ = static_cast<std::uint16_t>(h2o_socket_getport(address->get()));
+  const ListeningSocket socket = open_listening_socket(options_.listen);
+  listen_fd_ = socket.fd;
+  port_ = socket.port;
 }
 
 void HttpServer::Impl::configure() {
--- /dev/null
+++ b/src/http1/byte_stream.cc
@@ -0,0 +1,163 @@
+// Connections on the h2o loop.
+
+#include "http1/byte_stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "base/log_event.h"
+#include "http/socket_address.h"
+
+namespace bluebellstep {
+namespace {
+
+void set_option(int fd, int level, int option, int value) {
+  if (::setsockopt(fd, level, option, &value, sizeof(value)) != 0) {
+    // The connection works without the option; only silent peers are noticed later.
+    LogEvent("socket_option_refused", LogEvent::Severity::kWarning).field("option", option);
+  }
+}
+
+void set_options(h2o_socket_t* socket) {
+  const int fd = h2o_socket_get_fd(socket);
+  set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ByteStream::kSilenceLimit.ms));
+  set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
+}
+
+}  // namespace
+
+ByteStream::ByteStream(h2o_socket_t* socket, Listener listener)
+    : socket_(socket), listener_(std::move(listener)), connected_(true) {
+  socket_->data = this;
+  set_options(socket_);
+  start_reading();
+}
+
+ByteStream::ByteStream(h2o_loop_t* loop, const Endpoint& endpoint, Listener listener)
+    : listener_(std::move(listener)) {
+  std::optional<SocketAddress> address = to_socket_address(endpoint);
+  if (address) {
+    socket_ = h2o_socket_connect(loop, address->get(), address->length, on_connect);
+  }
+  if (socket_ != nullptr) {
+    socket_->data = this;
+    set_options(socket_);
+  }
+}
+
+ByteStream::~ByteStream() {
+  if (destroyed_ != nullptr) {
+    *destroyed_ = true;
+  }
+  if (socket_ != nullptr) {
+    h2o_socket_close(socket_);
+  }
+}
+
+void ByteStream::write(std::string_view bytes) {
+  if (socket_ == nullptr || bytes.empty()) {
+    return;
+  }
+  pending_ += bytes;
+  flush();
+}
+
+void ByteStream::close_after_writes() {
+  closing_ = true;
+  if (socket_ == nullptr) {
+    return;
+  }
+  if (unsent() == 0) {
+    h2o_socket_close(std::exchange(socket_, nullptr));
+  }
+}
+
+void ByteStream::flush() {
+  if (!connected_ || !sending_.empty() || pending_.empty()) {
+    return;
+  }
+  sending_.swap(pending_);
+  h2o_iovec_t buffer = h2o_iovec_init(sending_.data(), sending_.size());
+  h2o_socket_write(socket_, &buffer, 1, on_write);
+}
+
+void ByteStream::start_reading() {
+  h2o_socket_read_start(socket_, on_read);
+}
+
+void ByteStream::end(StreamEnd how) {
+  h2o_socket_close(std::exchange(socket_, nullptr));
+  if (!closing_ && listener_.on_end) {
+    // Moved, since the callback may destroy this.
+    const auto on_end = std::move(listener_.on_end);
+    on_end(how);
+  }
+}
+
+void ByteStream::on_connect(h2o_socket_t* socket, const char* error) {
+  auto* self = static_cast<ByteStream*>(socket->data);
+  if (error != nullptr) {
+    self->end(StreamEnd::kNotReached);
+    return;
+  }
+  self->connected_ = true;
+  self->start_reading();
+  bool destroyed = false;
+  self->destroyed_ = &destroyed;
+  if (self->listener_.on_connected) {
+    self->listener_.on_connected();
+  }
+  if (destroyed) {
+    return;
+  }
+  self->destroyed_ = nullptr;
+  if (self->socket_ != nullptr) {
+    self->flush();
+  }
+}
+
+void ByteStream::on_read(h2o_socket_t* socket, const char* error) {
+  auto* self = static_cast<ByteStream*>(socket->data);
+  if (error != nullptr) {
+    self->end(error == h2o_socket_error_closed ? StreamEnd::kClosed : StreamEnd::kBroken);
+    return;
+  }
+  if (self->closing_) {
+    h2o_buffer_consume(&socket->input, socket->input->size);
+    return;
+  }
+  bool destroyed = false;
+  self->destroyed_ = &destroyed;
+  const std::size_t size = socket->input->size;
+  self->listener_.on_bytes(std::string_view(socket->input->bytes, size));
+  if (destroyed) {
+    return;
+  }
+  self->destroyed_ = nullptr;
+  if (self->socket_ != nullptr) {
+    h2o_buffer_consume(&socket->input, size);
+  }
+}
+
+void ByteStream::on_write(h2o_socket_t* socket, const char* error) {
+  auto* self = static_cast<ByteStream*>(socket->data);
+  self->sending_.clear();
+  if (error != nullptr) {
+    self->end(StreamEnd::kBroken);
+    return;
+  }
+  if (!self->pending_.empty()) {
+    self->flush();
+  } else if (self->closing_) {
+    h2o_socket_close(std::exchange(self->socket_, nullptr));
+  }
+}
+
+}  // namespace bluebellstep
--- a/src/process/signal_waiter.cc
+++ b/src/process/signal_waiter.cc
@@ -13,6 +13,8 @@
   pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
   // A peer that closes its connection while we write must not end the process.
   signal(SIGPIPE, SIG_IGN);
+  // Says that the settings file has changed; its default action would end the process.
+  signal(SIGHUP, SIG_IGN);
 }
 
 bool SignalWaiter::wait(Duration limit) {
--- /dev/null
+++ b/src/settings/gateway_settings.cc
@@ -0,0 +1,51 @@
+// Reads the settings of a gateway.
+
+#include "settings/gateway_settings.h"
+
+#include <boost/leaf/error.hpp>
+
+namespace bluebellstep {
+namespace {
+
+void read_bounds(SettingsReader::Section& section, GatewayBounds& bounds) {
+  section.read("stop_limit", bounds.stop_limit, Presence::kOptional);
+  section.read("lease_term", bounds.lease_term, Presence::kOptional);
+  section.read("version_limit", bounds.version_limit, Presence::kOptional);
+  section.read("repeat_ratio", bounds.repeat_ratio, Presence::kOptional);
+  section.read("repeat_extra", bounds.repeat_extra, Presence::kOptional);
+  section.read("repeat_window", bounds.repeat_window, Presence::kOptional);
+  section.read("cold_overage", bounds.cold_overage, Presence::kOptional);
+  section.read("cold_slack", bounds.cold_slack, Presence::kOptional);
+}
+
+}  // namespace
+
+boost::leaf::result<GatewaySettings> parse_gateway_settings(std::string_view file,
+                                                            std::string_view text) {
+  SettingsReader reader(file, text);
+  SettingsReader::Section root = reader.root();
+  GatewaySettings settings;
+  root.read("name", settings.name);
+  root.read("zone", settings.zone);
+  root.read("callers", settings.callers);
+  root.read("ready", settings.ready);
+  root.read("peers", settings.peers);
+  root.read("metrics", settings.metrics);
+  root.read("store", settings.store);
+  root.read("first_peers", settings.first_peers, Presence::kOptional);
+  if (auto bounds = root.section("bounds", Presence::kOptional)) {
+    read_bounds(*bounds, settings.bounds);
+  }
+  SettingsErrors errors = reader.finish();
+  if (!errors.errors.empty()) {
+    return boost::leaf::new_error(std::move(errors));
+  }
+  return settings;
+}
+
+boost::leaf::result<GatewaySettings> load_gateway_settings(const std::string& path) {
+  BOOST_LEAF_AUTO(text, read_settings_file(path));
+  return parse_gateway_settings(path, text);
+}
+
+}  // namespace bluebellstep
