Bound older weights from the naming of each version; take the lease over faster

Ruled out: late watches (all gateways learnt the version within 0.3 s). Change: one time for each named version, a margin of 2.5 s, a known start counts as 3 s before the limit, a gateway takes its own lease over at once, grace of 1 s where engines check fences, the lease is kept for a term after the last command.

--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -97,6 +97,8 @@
 }
 
 void Knowledge::on_contact(ObjectKind kind, bool reachable) {
+  weights_listed_ = weights_listed_ || (kind == ObjectKind::kWantedWeights && reachable &&
+                                        mirror(kind).revision() > 0);
   if (reachable != store_reachable_) {
     LogEvent(reachable ? "store_regained" : "store_lost", LogEvent::Severity::kWarning)
         .field("kind", text_of(kind))
@@ -189,7 +191,9 @@
     LogEvent("weights_not_understood", LogEvent::Severity::kWarning).field("why", fault->reason);
     return;
   }
-  pool_.set_wanted_weights(std::get<WantedWeights>(decoded), clock_.now());
+  // Objects of the first list were written at an unknown time before.
+  const bool named_before = !weights_listed_;
+  pool_.set_wanted_weights(std::get<WantedWeights>(decoded), named_before, clock_.now());
 }
 
 void Knowledge::on_gateways() {
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -91,6 +91,7 @@
   std::vector<Endpoint> peers_;
   bool store_reachable_ = true;
   bool asking_peer_ = false;
+  bool weights_listed_ = false;  // The first list of wanted weights has been taken.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -9,22 +9,26 @@
 #include "base/overloaded.h"
 #include "platform/engine_calls.h"
 #include "platform/object_format.h"
-#include "process/process_runtime.h"
 
 namespace bluebellstep {
 namespace {
 
 constexpr std::string_view kLeaseName = "weights";
+// Where engines refuse lower fencing numbers, a holder that was stopped right after its last
+// command is succeeded only this long after its term.
+constexpr Duration kFencedGrace{1000};
 
 LeaseSettings lease_settings(const GatewaySettings& settings) {
   LeaseSettings lease;
   lease.object_key = std::string(kLeaseName);
-  lease.holder = settings.name + "/" + std::to_string(make_incarnation());
+  // Without the incarnation: a gateway that starts again takes its own lease over at once. Its
+  // earlier process has ended, and the new fencing number is higher.
+  lease.holder = settings.name;
   lease.term = settings.bounds.lease_term;
-  // A successor acts only after the last command of its predecessor is this long ago.
-  lease.grace = settings.bounds.lease_term;
+  // Engines that do not check fencing numbers must not hear two holders within a term.
+  lease.grace = settings.bounds.engines_check_fences ? kFencedGrace : settings.bounds.lease_term;
   lease.send_margin = Duration{700};
-  lease.poll = Duration{1000};
+  lease.poll = Duration{400};
   return lease;
 }
 
@@ -76,7 +80,9 @@
 
 void RolloutDriver::step() {
   const Instant now = clock_.now();
-  if (rollout_.needed()) {
+  // The lease is kept for a term after the last command, so that holders do not take turns faster.
+  const bool keep = last_command_ && now < *last_command_ + settings_.bounds.lease_term;
+  if (rollout_.needed() || keep) {
     lease_.acquire();
   } else {
     lease_.release();
@@ -86,7 +92,7 @@
   if (lease_.may_act(now)) {
     step_rollout(now);
   }
-  if (rollout_.needed()) {
+  if (rollout_.needed() || keep) {
     schedule(kLongestPause);
   }
 }
@@ -159,6 +165,7 @@
   }
   step.command.fencing_number = lease_.fencing_number();
   step.command.holder = settings_.name;
+  last_command_ = now;
   LogEvent("load_commanded")
       .field("upstream", step.command.upstream_id)
       .field("model", step.command.model)
--- a/src/gateway/rollout_driver.h
+++ b/src/gateway/rollout_driver.h
@@ -55,6 +55,7 @@
   FencedLease lease_;
   WeightRollout rollout_;
   std::vector<UpstreamPool::Outdated> outdated_;
+  std::optional<Instant> last_command_;
   std::optional<Instant> scheduled_for_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -67,8 +67,8 @@
   }
   reachable_ = true;
   listed_ = true;
-  listener_.on_contact(true);
   deliver(mirror_.replace(std::exchange(pages_, {}), list_revision_));
+  listener_.on_contact(true);
   watch();
 }
 
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -34,13 +34,17 @@
 constexpr Duration kShunNotReached{400};
 constexpr Duration kShunFailing{1000};
 constexpr Duration kShunMisdirected{200};
+constexpr Duration kShunFull{100};
+// About the time in which an engine lets its runs finish and loads weights.
+constexpr Duration kShunLoading{800};
 constexpr Duration kRateWindow{1000};
 // Part of the bound on cold upstreams that is used; the rest covers late arrivals.
 constexpr double kColdSafetyShare = 0.85;
 // An upstream that is not known to be cold may get this multiple, in case it turned cold.
 constexpr double kWarmFactor = 2;
 // Requests stop going to older weights this long before they must not begin there.
-constexpr Duration kVersionMargin{1500};
+// They may wait in the engine's queue.
+constexpr Duration kVersionMargin{2500};
 constexpr Duration kRetryNoUpstream{400};
 constexpr Duration kRetryCold{250};
 // Part of `max_connections` that is used.
@@ -119,13 +123,35 @@
   }
 }
 
-void UpstreamPool::set_wanted_weights(const WantedWeights& wanted, Instant now) {
-  Wanted& known = wanted_[wanted.model];
-  if (wanted.version > known.version) {
-    known = {wanted.version, now};
+void UpstreamPool::set_wanted_weights(const WantedWeights& wanted, bool named_before, Instant now) {
+  WantedVersions& known = wanted_[wanted.model];
+  if (known.empty() || wanted.version > known.back().version) {
+    const Duration passed = limits_.version_limit - kVersionMargin - limits_.start_grace;
+    known.push_back({wanted.version, named_before ? now - passed : now});
   }
 }
 
+bool UpstreamPool::has_older_weights(const Upstream& upstream) const {
+  const auto& versions = upstream.entry.weight_versions;
+  return std::any_of(versions.begin(), versions.end(),
+                     [this](const auto& item) { return item.second < newest_wanted(item.first); });
+}
+
+std::uint64_t UpstreamPool::newest_wanted(std::string_view model) const {
+  const auto found = wanted_.find(model);
+  return found == wanted_.end() ? 0 : found->second.back().version;
+}
+
+// Whether requests must no longer begin on `version`.
+bool UpstreamPool::is_outdated(std::uint64_t version, std::string_view model, Instant now) const {
+  const auto found = wanted_.find(model);
+  return found != wanted_.end() &&
+         std::any_of(found->second.begin(), found->second.end(), [&](const Wanted& wanted) {
+           return version < wanted.version &&
+                  now >= wanted.since + limits_.version_limit - kVersionMargin;
+         });
+}
+
 void UpstreamPool::note_store(bool reachable, Instant now) {
   if (!reachable) {
     unreachable_since_ = unreachable_since_.value_or(now);
@@ -182,9 +208,7 @@
     return true;
   }
   const auto version = version_of(upstream, query.model);
-  const auto wanted = wanted_.find(query.model);
-  return version && (wanted == wanted_.end() || *version >= wanted->second.version ||
-                     now < wanted->second.since + limits_.version_limit - kVersionMargin);
+  return version && !is_outdated(*version, query.model, now);
 }
 
 std::uint32_t UpstreamPool::cached_tokens(const Upstream& upstream, const PickQuery& query) const {
@@ -236,8 +260,7 @@
     const double cost = kRankCost[std::min(rank, std::size(kRankCost) - 1)];
     score += cost * shared->tokens / kPrefillTokensPerMs;
   }
-  const auto wanted = wanted_.find(query.model);
-  if (wanted != wanted_.end() && version_of(upstream, query.model) < wanted->second.version) {
+  if (version_of(upstream, query.model).value_or(0) < newest_wanted(query.model)) {
     // Answers of older weights count less.
     constexpr double kOlderWeightsMs = 120;
     score += kOlderWeightsMs;
@@ -352,6 +375,10 @@
       upstream.failures = 0;
       return;
     case SendEnd::kRejected:
+      // Full, or loading weights: either takes a while to pass.
+      upstream.shunned_until = std::max(
+          upstream.shunned_until, now + (has_older_weights(upstream) ? kShunLoading : kShunFull));
+      return;
     case SendEnd::kDropped:
       return;
     case SendEnd::kNotReached:
@@ -393,17 +420,17 @@
   engines = 0;
   for (const auto& [id, upstream] : upstreams_) {
     for (const auto& [model, version] : upstream.entry.weight_versions) {
-      const auto wanted = wanted_.find(model);
-      if (wanted == wanted_.end()) {
+      const std::uint64_t wanted = newest_wanted(model);
+      if (wanted == 0) {
         continue;
       }
       ++engines;
-      if (version < wanted->second.version && !upstream.entry.leaving) {
+      if (version < wanted && !upstream.entry.leaving) {
         result.push_back({.id = id,
                           .endpoint = upstream.entry.endpoint,
                           .model = model,
                           .current_version = version,
-                          .wanted_version = wanted->second.version,
+                          .wanted_version = wanted,
                           .load = upstream.load.running});
       }
     }
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -27,6 +27,7 @@
   double cold_overage = 1.5;       // A cold upstream may get this multiple of what it bears,
   double cold_slack = 5;           // plus this many requests, each second.
   Duration version_limit{10'000};  // Requests must not begin on older weights after this time.
+  Duration start_grace{3000};  // A gateway that has just started may use older weights this long.
   Duration lapse_grace{2500};  // Entries that lapsed in a store outage are back within this time.
 };
 
@@ -77,7 +78,9 @@
   /** Replaces all entries after a list; those that are missing are removed. */
   void replace_all(std::vector<UpstreamEntry> entries, Instant now);
   void set_zones_out(std::set<std::string, std::less<>> zones) { zones_out_ = std::move(zones); }
-  void set_wanted_weights(const WantedWeights& wanted, Instant now);
+  /** `named_before` says that the version was named at an unknown time before this gateway
+   * started. */
+  void set_wanted_weights(const WantedWeights& wanted, bool named_before, Instant now);
   /** Reports whether the store answers. Entries that vanish around an outage are kept for a while:
    * the store lets them lapse, and live upstreams register again. */
   void note_store(bool reachable, Instant now);
@@ -142,6 +145,10 @@
     Instant since;
   };
 
+  // Versions that were named for a model, oldest first. Each bounds the use of older ones from its
+  // own naming on.
+  using WantedVersions = std::vector<Wanted>;
+
   bool is_cold(const Upstream& upstream, Instant now) const;
   bool has_room(Upstream& upstream, const ServiceInfo& service, Instant now) const;
   bool may_get(const Upstream& upstream, const PickQuery& query, Instant now) const;
@@ -154,11 +161,14 @@
   std::uint32_t cached_tokens(const Upstream& upstream, const PickQuery& query) const;
   void remember_parts(Upstream& upstream, const PickQuery& query, Instant now);
   std::optional<std::uint64_t> version_of(const Upstream& upstream, std::string_view model) const;
+  bool has_older_weights(const Upstream& upstream) const;
+  std::uint64_t newest_wanted(std::string_view model) const;
+  bool is_outdated(std::uint64_t version, std::string_view model, Instant now) const;
 
   PoolLimits limits_;
   std::map<std::string, Upstream, std::less<>> upstreams_;
   std::set<std::string, std::less<>> zones_out_;
-  std::map<std::string, Wanted, std::less<>> wanted_;
+  std::map<std::string, WantedVersions, std::less<>> wanted_;  // Never empty lists.
   std::size_t gateways_ = 1;
   std::optional<Instant> unreachable_since_;
   std::optional<Instant> reachable_since_;
--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -129,7 +129,7 @@
       return;
     case LoadAnswer::kAccepted:
       engine.phase = Phase::kLoading;
-      engine.due = now + kReportPause;
+      engine.due = now + kShortestLoad;
       return;
     case LoadAnswer::kUnknown:
       // The next command expects the same sequence, so at most one of the two takes effect.
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -65,7 +65,9 @@
 class WeightRollout {
  public:
   /** Pause between two reports of one engine while its load runs. */
-  static constexpr Duration kReportPause{400};
+  static constexpr Duration kReportPause{250};
+  /** A load takes at least this long, so that an earlier report is of no use. */
+  static constexpr Duration kShortestLoad{800};
   /** An accepted load that shows no effect for this time is commanded again. */
   static constexpr Duration kLoadLimit{6000};
   /** Pause after a command whose fate is not known. */
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -10,6 +10,7 @@
 void read_bounds(SettingsReader::Section& section, GatewayBounds& bounds) {
   section.read("stop_limit", bounds.stop_limit, Presence::kOptional);
   section.read("lease_term", bounds.lease_term, Presence::kOptional);
+  section.read("engines_check_fences", bounds.engines_check_fences, Presence::kOptional);
   section.read("version_limit", bounds.version_limit, Presence::kOptional);
   section.read("repeat_ratio", bounds.repeat_ratio, Presence::kOptional);
   section.read("repeat_extra", bounds.repeat_extra, Presence::kOptional);
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -15,14 +15,15 @@
 
 /** Bounds that all gateways keep together, and times that the platform grants. */
 struct GatewayBounds {
-  Duration stop_limit{8000};       // The process is killed this long after SIGTERM.
-  Duration lease_term{3000};       // Two holders of a lease act at least this far apart.
-  Duration version_limit{10'000};  // No request begins on older weights after this time.
-  double repeat_ratio = 0.2;       // Repeated sends to a service for each request,
-  double repeat_extra = 50;        // plus this many,
-  Duration repeat_window{10'000};  // in each such window.
-  double cold_overage = 1.5;       // A cold upstream may get this multiple of what it bears,
-  double cold_slack = 5;           // plus this many requests a second.
+  Duration stop_limit{8000};          // The process is killed this long after SIGTERM.
+  Duration lease_term{3000};          // Two holders of a lease act at least this far apart.
+  bool engines_check_fences = false;  // Engines refuse commands with a lower fencing number.
+  Duration version_limit{10'000};     // No request begins on older weights after this time.
+  double repeat_ratio = 0.2;          // Repeated sends to a service for each request,
+  double repeat_extra = 50;           // plus this many,
+  Duration repeat_window{10'000};     // in each such window.
+  double cold_overage = 1.5;          // A cold upstream may get this multiple of what it bears,
+  double cold_slack = 5;              // plus this many requests a second.
 };
 
 /** Settings of a gateway. */
