Fetch cached prompt parts from engines and stores, and save shared parts

Change: gateways follow the cache events of engines and stores, route to engines that hold the prompt, name a source for each missing part and a store for each part that no store keeps. Stores are used under time limits so that a part that is not complete is never fetched. Ruled out: fetching from a store without events (a part being written would be read).

--- /dev/null
+++ b/src/gateway/cache_directory.h
@@ -0,0 +1,175 @@
+// Where cached prompt parts lie: in which engines, and complete in which stores.
+//
+// Load pattern: long prompts return after gaps, when the engine that read them has evicted them or
+// is busy. Reading a shared part again costs far more than moving it, so each request names a
+// source for every part that its engine does not hold, and a store that keeps what no store has
+// yet.
+//
+// A store of this kind checks nothing: a part that is still being written could be fetched. Parts
+// are therefore fetched only on events that report them complete, and what a gateway knows of a
+// store counts for a short time only. After a restart of a store nothing is saved to it until all
+// that was known before has run out everywhere.
+
+#ifndef BLUEBELLSTEP_GATEWAY_CACHE_DIRECTORY_H_
+#define BLUEBELLSTEP_GATEWAY_CACHE_DIRECTORY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "gateway/call_heads.h"
+#include "http/http_types.h"
+
+namespace bluebellstep {
+
+/** An engine or a store that keeps cached parts. */
+struct CacheSource {
+  std::string name;  // Of the engine's entry, or of the store's service.
+  Endpoint endpoint;
+  std::string zone;
+  bool is_store = false;
+  std::uint64_t capacity_tokens = 0;  // Stores only.
+  std::int64_t started_ms = 0;        // Engines only; another start holds nothing.
+};
+
+/** One event of a source. */
+struct CacheEvent {
+  std::string scope;  // The text under which the part is found.
+  std::uint64_t part = 0;
+  std::uint32_t tokens = 0;  // Stored now; 0 if the part is gone.
+};
+
+/** An answer to a poll. */
+struct CacheEvents {
+  std::uint64_t epoch = 0;    // Another one means that the source has started again.
+  std::uint64_t next = 0;     // Where the next poll goes on.
+  bool lost = false;          // Events are missing before these.
+  std::int64_t clock_ms = 0;  // The source's clock.
+  std::vector<CacheEvent> events;
+};
+
+/** What a request says of cached parts, one entry for each part; an unset endpoint stands for none.
+ */
+struct CachePlan {
+  std::vector<std::optional<Endpoint>> fetch;
+  std::vector<std::optional<Endpoint>> save;
+  std::optional<std::int64_t> fetch_until_ms;  // On the sources' clock.
+  std::uint32_t fetched_tokens = 0;
+
+  bool fetches() const { return fetched_tokens > 0; }
+  bool saves() const;
+};
+
+class CacheDirectory {
+ public:
+  /** What is known of a store counts this long after the poll that told it. */
+  static constexpr Duration kStoreKnowledge{1500};
+  /** Fetches from a store end this long after the poll that they rest on. */
+  static constexpr Duration kFetchLimit{3000};
+  /** Nothing is saved to a store that started again less than this ago. Above `kFetchLimit`. */
+  static constexpr Duration kSaveHold{4000};
+  /** A part that was sent to an engine or a store counts as there for this long without an event.
+   */
+  static constexpr Duration kExpectation{1500};
+  /** A store is filled up to this share; the rest covers saves that other gateways began. */
+  static constexpr double kFillShare = 0.95;
+  /** Smaller parts are not worth a place in a store. */
+  static constexpr std::uint32_t kLeastSavedTokens = 128;
+
+  /** Sets all sources; those that are left out are forgotten. */
+  void set_sources(std::vector<CacheSource> sources);
+
+  /** Takes the answer to a poll. */
+  void on_events(std::string_view source, const CacheEvents& events, Instant now);
+
+  /** Where the next poll of a source goes on. */
+  std::uint64_t next_event(std::string_view source) const;
+
+  /** For each part of the prompt, whether some source has it to be fetched. */
+  std::vector<bool> fetchable(std::string_view scope,
+                              std::span<const PromptPart> prompt,
+                              Instant now) const;
+
+  /** What a request to an engine would find. */
+  struct Coverage {
+    std::uint32_t held_tokens = 0;     // At the start of the prompt, at the engine.
+    std::uint32_t fetched_tokens = 0;  // Fetched from other sources.
+  };
+  /** `fetchable` is what the method of that name returned for the same scope and prompt. */
+  Coverage coverage(std::string_view engine,
+                    std::string_view scope,
+                    std::span<const PromptPart> prompt,
+                    const std::vector<bool>& fetchable,
+                    Instant now) const;
+
+  /** Plans a request to an engine. The last part belongs to the request alone and is not saved. */
+  CachePlan plan(std::string_view engine,
+                 std::string_view scope,
+                 std::span<const PromptPart> prompt,
+                 Instant now);
+
+  /** The request was sent: its parts will be at the engine, and in the stores that it names. */
+  void sent(std::string_view engine,
+            std::string_view scope,
+            std::span<const PromptPart> prompt,
+            const CachePlan& plan,
+            Instant now);
+
+  /** An engine did not answer: it is no source for a while. */
+  void avoid(std::string_view engine, Instant until);
+
+  /** Parts in a store that were kept under scopes that start with `prefix`. */
+  struct StoredPart {
+    std::string scope;
+    std::uint64_t part = 0;
+  };
+  std::vector<StoredPart> stored_under(std::string_view store, std::string_view prefix) const;
+
+  std::vector<CacheSource> sources() const;
+
+ private:
+  struct Held {
+    std::uint32_t tokens = 0;
+    std::optional<Instant> expected_until;  // Set while no event has reported the part.
+    std::string scope;                      // Stores only, to free parts by scope.
+    std::uint64_t part = 0;
+  };
+
+  struct Source {
+    CacheSource info;
+    std::optional<std::uint64_t> epoch;
+    Instant epoch_since;
+    std::uint64_t next = 0;
+    std::optional<Instant> polled;
+    std::int64_t clock_at_poll_ms = 0;
+    Instant avoided_until;
+    std::unordered_map<std::uint64_t, Held> parts;
+    std::uint64_t stored_tokens = 0;  // Stores only.
+  };
+
+  static std::uint64_t key_of(std::string_view scope, std::uint64_t part);
+  const Source* find(std::string_view name) const;
+  bool holds(const Source& source, std::uint64_t key, std::uint32_t tokens, Instant now) const;
+  bool may_fetch_from(const Source& source, std::string_view engine, Instant now) const;
+  const Source* find_holder(const Source& engine,
+                            std::uint64_t key,
+                            std::uint32_t tokens,
+                            Instant now) const;
+  bool stored_anywhere(std::uint64_t key, std::uint32_t tokens) const;
+  Source* choose_store(const Source& engine, std::uint64_t key, std::uint32_t tokens, Instant now);
+  void set_part(Source& source, std::uint64_t key, Held held);
+  void clear(Source& source);
+
+  std::map<std::string, Source, std::less<>> sources_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_CACHE_DIRECTORY_H_
--- /dev/null
+++ b/src/gateway/cache_follower.cc
@@ -0,0 +1,69 @@
+// Polls of cache events.
+
+#include "gateway/cache_follower.h"
+
+#include <utility>
+
+#include "base/log_event.h"
+#include "platform/cache_calls.h"
+
+namespace bluebellstep {
+
+CacheFollower::CacheFollower(HttpLoop& loop, HttpClient& client, CacheDirectory& directory)
+    : loop_(loop), client_(client), directory_(directory) {}
+
+CacheFollower::~CacheFollower() = default;
+
+void CacheFollower::update() {
+  std::map<std::string, CacheSource> sources;
+  for (CacheSource& source : directory_.sources()) {
+    std::string name = source.name;
+    sources.emplace(std::move(name), std::move(source));
+  }
+  sources.swap(polled_);
+  for (const auto& [name, source] : polled_) {
+    if (!sources.contains(name)) {
+      poll(name);
+    }
+  }
+}
+
+void CacheFollower::after(Duration delay, const std::string& name) {
+  loop_.post_after(delay, [this, name, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      poll(name);
+    }
+  });
+}
+
+void CacheFollower::poll(const std::string& name) {
+  const auto source = polled_.find(name);
+  if (source == polled_.end()) {
+    return;
+  }
+  HttpCall call = platform::cache_events_call(source->second.endpoint, directory_.next_event(name),
+                                              kPollWait, kCallTimeout);
+  client_.send(std::move(call),
+               [this, name, alive = std::weak_ptr<bool>(alive_)](HttpClient::Response response) {
+                 if (!alive.expired()) {
+                   on_events(name, response);
+                 }
+               });
+}
+
+void CacheFollower::on_events(const std::string& name, const HttpClient::Response& response) {
+  const auto source = polled_.find(name);
+  if (source == polled_.end()) {
+    return;
+  }
+  const auto events = platform::decode_cache_events(response);
+  if (!events) {
+    LogEvent("cache_poll_failed").field("source", name).field("status", response.status);
+    after(kFaultPause, name);
+    return;
+  }
+  directory_.on_events(name, *events, clock_.now());
+  after(source->second.is_store ? kStorePause : kEnginePause, name);
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/cache_follower.h
@@ -0,0 +1,53 @@
+// Polls engines and stores for their cache events, and frees parts of older weights in stores.
+
+#ifndef BLUEBELLSTEP_GATEWAY_CACHE_FOLLOWER_H_
+#define BLUEBELLSTEP_GATEWAY_CACHE_FOLLOWER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "gateway/cache_directory.h"
+#include "http/http_client.h"
+#include "http/http_loop.h"
+
+namespace bluebellstep {
+
+/** Runs on the HTTP thread. */
+class CacheFollower {
+ public:
+  /** Pause between two polls of a source. */
+  static constexpr Duration kStorePause{700};
+  static constexpr Duration kEnginePause{1000};
+  /** How long a source may hold a poll while it has no events. Shorter polls are charged. */
+  static constexpr Duration kPollWait{200};
+  static constexpr Duration kCallTimeout{600};
+  /** A source that did not answer is asked again after this time. */
+  static constexpr Duration kFaultPause{1500};
+
+  CacheFollower(HttpLoop& loop, HttpClient& client, CacheDirectory& directory);
+  CacheFollower(const CacheFollower&) = delete;
+  CacheFollower& operator=(const CacheFollower&) = delete;
+  ~CacheFollower();
+
+  /** The directory's sources changed: starts to poll new ones. */
+  void update();
+
+ private:
+  void poll(const std::string& name);
+  void on_events(const std::string& name, const HttpClient::Response& response);
+  void after(Duration delay, const std::string& name);
+
+  HttpLoop& loop_;
+  HttpClient& client_;
+  CacheDirectory& directory_;
+  Clock clock_;
+  std::map<std::string, CacheSource> polled_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_CACHE_FOLLOWER_H_
--- a/src/gateway/call_heads.h
+++ b/src/gateway/call_heads.h
@@ -5,11 +5,13 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/clock.h"
+#include "http/http_types.h"
 
 namespace bluebellstep {
 
@@ -43,6 +45,11 @@
   std::optional<std::uint64_t> weight_version;  // Other weights refuse the request.
   std::optional<int> priority;                  // 0 is the most urgent, 9 the least.
   std::optional<std::uint64_t> resume_after;    // Replaces the caller's last event id.
+
+  // For each part of the prompt, where the upstream fetches it from and saves it to, if anywhere.
+  std::span<const std::optional<Endpoint>> cache_fetch;
+  std::span<const std::optional<Endpoint>> cache_save;
+  std::optional<std::int64_t> cache_fetch_until_ms;  // On the upstreams' clock.
 };
 
 /** Load of an upstream at the time of a response. */
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -75,11 +75,6 @@
   return {};
 }
 
-// Cached parts are shared among the accounts of a weight version, but for isolated accounts.
-std::string cache_scope(const ClientAccount* account) {
-  return account != nullptr && account->isolated ? "a:" + account->name : "shared";
-}
-
 }  // namespace
 
 Forwarder::Forwarder(HttpLoop& loop,
@@ -155,9 +150,7 @@
   return PickQuery{.service = request.service,
                    .zone = zone_,
                    .model = request.caller.model,
-                   .cache_scope = request.account != nullptr && request.account->isolated
-                                      ? std::string_view(request.account->name)
-                                      : std::string_view(),
+                   .account = request.account,
                    .prompt = request.caller.prompt,
                    .prompt_tokens = request.caller.prompt_tokens,
                    .excluded = request.tried};
@@ -216,10 +209,6 @@
 void Forwarder::transmit(Request& request) {
   Send& send = *request.send;
   const Instant now = clock_.now();
-  const std::string scope = request.service->engine
-                                ? "w" + std::to_string(send.picked.weight_version.value_or(0)) +
-                                      ":" + cache_scope(request.account)
-                                : std::string();
   const std::int64_t priority = request.account != nullptr && request.account->priority
                                     ? *request.account->priority
                                     : request.route->priority;
@@ -228,13 +217,16 @@
       .upstream_id = send.picked.upstream_id,
       .account = request.account != nullptr ? std::string_view(request.account->name) : "",
       .time_left = time_left(request, now),
-      .cache_scope = scope,
+      .cache_scope = send.picked.cache_scope,
       .weight_version = request.service->engine ? send.picked.weight_version : std::nullopt,
       .priority =
           request.service->engine
               ? std::optional(static_cast<int>(std::clamp<std::int64_t>(priority, 0, kLeastUrgent)))
               : std::nullopt,
-      .resume_after = request.head_sent ? request.events.last_id() : std::nullopt};
+      .resume_after = request.head_sent ? request.events.last_id() : std::nullopt,
+      .cache_fetch = send.picked.cache.fetch,
+      .cache_save = send.picked.cache.save,
+      .cache_fetch_until_ms = send.picked.cache.fetch_until_ms};
   const std::string head =
       platform::encode_upstream_head(*request.head, fields, request.body.size());
   ++request.runs;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -33,7 +33,8 @@
   GatewayParts(HttpLoop& loop, HttpClient& client, const GatewaySettings& settings)
       : pool({.cold_overage = settings.bounds.cold_overage,
               .cold_slack = settings.bounds.cold_slack,
-              .version_limit = settings.bounds.version_limit}),
+              .version_limit = settings.bounds.version_limit},
+             cache),
         forwarder(loop,
                   pool,
                   metrics,
@@ -41,7 +42,7 @@
                   {.ratio = settings.bounds.repeat_ratio,
                    .extra = settings.bounds.repeat_extra,
                    .window = settings.bounds.repeat_window}),
-        knowledge(loop, client, settings, pool, forwarder),
+        knowledge(loop, client, settings, pool, cache, forwarder),
         rollout(loop, client, settings, pool),
         callers(loop, settings.callers, forwarder) {
     knowledge.on_weights_changed([this] { rollout.update(); });
@@ -55,6 +56,7 @@
   }
 
   Metrics metrics;
+  CacheDirectory cache;
   UpstreamPool pool;
   Forwarder forwarder;
   Knowledge knowledge;
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -50,11 +50,14 @@
                      HttpClient& client,
                      const GatewaySettings& settings,
                      UpstreamPool& pool,
+                     CacheDirectory& cache,
                      Forwarder& forwarder)
     : loop_(loop),
       client_(client),
       settings_(settings),
       pool_(pool),
+      cache_(cache),
+      cache_follower_(loop, client, cache),
       forwarder_(forwarder),
       random_(hash64(settings.name)),
       peers_(settings.first_peers) {
@@ -130,6 +133,9 @@
       on_wanted_weights(change.object);
     }
   }
+  if (kind == ObjectKind::kConfiguration || kind == ObjectKind::kUpstreams) {
+    update_cache_sources();
+  }
   if (kind == ObjectKind::kZonesOut) {
     on_zones_out();
   } else if (kind == ObjectKind::kGateways) {
@@ -214,6 +220,34 @@
   pool_.set_gateways(objects.size());
 }
 
+void Knowledge::update_cache_sources() {
+  const auto& config = forwarder_.config();
+  if (config == nullptr) {
+    return;
+  }
+  std::vector<CacheSource> sources;
+  pool_.visit_entries([&](const UpstreamEntry& entry) {
+    const ServiceInfo* service = config->find_service(entry.service);
+    if (service != nullptr && service->engine) {
+      sources.push_back({.name = entry.id,
+                         .endpoint = entry.endpoint,
+                         .zone = entry.zone,
+                         .started_ms = entry.started_ms});
+    }
+  });
+  for (const auto& [name, service] : config->services) {
+    if (service.store) {
+      sources.push_back({.name = name,
+                         .endpoint = service.store->endpoint,
+                         .zone = service.store->zone,
+                         .is_store = true,
+                         .capacity_tokens = service.store->capacity_tokens});
+    }
+  }
+  cache_.set_sources(std::move(sources));
+  cache_follower_.update();
+}
+
 void Knowledge::write_registration(std::uint64_t revision) {
   HttpCall call =
       platform::write_call(settings_.store, ObjectKind::kGateways, settings_.name, revision,
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -18,6 +18,8 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "gateway/cache_directory.h"
+#include "gateway/cache_follower.h"
 #include "gateway/forwarder.h"
 #include "gateway/store_follower.h"
 #include "gateway/upstream_pool.h"
@@ -40,6 +42,7 @@
             HttpClient& client,
             const GatewaySettings& settings,
             UpstreamPool& pool,
+            CacheDirectory& cache,
             Forwarder& forwarder);
   Knowledge(const Knowledge&) = delete;
   Knowledge& operator=(const Knowledge&) = delete;
@@ -68,6 +71,7 @@
   void on_zones_out();
   void on_wanted_weights(const platform::StoredObject& object);
   void on_gateways();
+  void update_cache_sources();
   void on_contact(platform::ObjectKind kind, bool reachable);
   bool may_probe(platform::ObjectKind kind) const;
   const ObjectMirror& mirror(platform::ObjectKind kind) const;
@@ -83,6 +87,8 @@
   HttpClient& client_;
   const GatewaySettings& settings_;
   UpstreamPool& pool_;
+  CacheDirectory& cache_;
+  CacheFollower cache_follower_;
   Forwarder& forwarder_;
   Clock clock_;
   Random random_;
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -57,12 +57,20 @@
   std::uint64_t kv_capacity_tokens = 0;
 };
 
+/** A store for KV cache. */
+struct CacheStoreTraits {
+  Endpoint endpoint;
+  std::string zone;
+  std::uint64_t capacity_tokens = 0;
+};
+
 /** A service: a pool of upstreams, or a store for KV cache. */
 struct ServiceInfo {
   std::string name;
-  std::uint32_t max_connections = 0;   // Over all gateways, for each upstream.
-  double cold_requests_per_s = 0;      // What a cold upstream bears; 0 for no limit.
-  std::optional<EngineTraits> engine;  // Nothing for a plain service.
+  std::uint32_t max_connections = 0;      // Over all gateways, for each upstream.
+  double cold_requests_per_s = 0;         // What a cold upstream bears; 0 for no limit.
+  std::optional<EngineTraits> engine;     // Model engines only.
+  std::optional<CacheStoreTraits> store;  // Stores only; they serve no route.
 };
 
 /** A client account. */
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -27,12 +27,16 @@
 // Share of the time to read a shared part that the choice of an upstream of this rank costs where
 // nothing is known of its cache: other gateways send the part to the first ranks too.
 constexpr double kRankCost[] = {0.35, 0.7, 1.0};
-// Of an engine's memory, the part that is expected to hold cached parts.
-constexpr double kCacheShare = 0.7;
+// Tokens that are fetched in a millisecond, by the stores' links.
+constexpr double kFetchTokensPerMs = 350;
+// Shared parts that are read again are charged besides the time that they take.
+constexpr double kReadAgainFactor = 3;
 
 constexpr int kFailuresToShun = 3;
 constexpr Duration kShunNotReached{400};
 constexpr Duration kShunFailing{1000};
+// A fetch from an engine that is gone takes some hundred ms.
+constexpr Duration kAvoidAsSource{3000};
 constexpr Duration kShunMisdirected{200};
 constexpr Duration kShunFull{100};
 // About the time in which an engine lets its runs finish and loads weights.
@@ -60,12 +64,16 @@
   return std::nullopt;
 }
 
-std::uint64_t cache_key(const PromptPart& part, std::uint64_t version, std::string_view scope) {
-  return combine_hashes(combine_hashes(part.id, version), hash64(scope));
-}
-
 }  // namespace
 
+std::string cache_scope(std::uint64_t weight_version, const ClientAccount* account) {
+  std::string scope = "w" + std::to_string(weight_version);
+  if (account != nullptr && account->isolated) {
+    scope.append(":").append(account->name);
+  }
+  return scope;
+}
+
 void UpstreamPool::put(UpstreamEntry entry, Instant now) {
   const auto found = upstreams_.find(entry.id);
   const bool new_start = found == upstreams_.end() ||
@@ -211,19 +219,6 @@
   return version && !is_outdated(*version, query.model, now);
 }
 
-std::uint32_t UpstreamPool::cached_tokens(const Upstream& upstream, const PickQuery& query) const {
-  const std::uint64_t version = version_of(upstream, query.model).value_or(0);
-  std::uint32_t tokens = 0;
-  // A part is of use only if all parts before it are cached.
-  for (const PromptPart& part : query.prompt) {
-    if (!upstream.cached.contains(cache_key(part, version, query.cache_scope))) {
-      break;
-    }
-    tokens += part.tokens;
-  }
-  return tokens;
-}
-
 double UpstreamPool::wait_ms(const Upstream& upstream,
                              const ServiceInfo& service,
                              Instant now) const {
@@ -241,10 +236,25 @@
          running * kWaitPerRunning + fresh * upstream.load.waiting * kWaitPerQueued;
 }
 
+const UpstreamPool::PromptKnowledge& UpstreamPool::knowledge_of(const Upstream& upstream,
+                                                                const PickQuery& query,
+                                                                KnowledgeByVersion& knowledge,
+                                                                Instant now) const {
+  const std::uint64_t version = version_of(upstream, query.model).value_or(0);
+  const auto known = knowledge.find(version);
+  if (known != knowledge.end()) {
+    return known->second;
+  }
+  PromptKnowledge added;
+  added.scope = cache_scope(version, query.account);
+  added.fetchable = cache_.fetchable(added.scope, query.prompt, now);
+  return knowledge.emplace(version, std::move(added)).first->second;
+}
+
 double UpstreamPool::score(const Upstream& upstream,
                            const PickQuery& query,
                            std::size_t rank,
-                           std::uint32_t& uncached,
+                           KnowledgeByVersion& knowledge,
                            Instant now) const {
   double score = wait_ms(upstream, *query.service, now);
   if (upstream.entry.zone != query.zone) {
@@ -253,12 +263,16 @@
   if (!query.service->engine) {
     return score;
   }
-  const std::uint32_t cached = cached_tokens(upstream, query);
-  uncached = query.prompt_tokens - std::min(cached, query.prompt_tokens);
-  const auto shared = shared_part(query);
-  if (shared && cached < shared->tokens) {
-    const double cost = kRankCost[std::min(rank, std::size(kRankCost) - 1)];
-    score += cost * shared->tokens / kPrefillTokensPerMs;
+  const PromptKnowledge& known = knowledge_of(upstream, query, knowledge, now);
+  const CacheDirectory::Coverage coverage =
+      cache_.coverage(upstream.entry.id, known.scope, query.prompt, known.fetchable, now);
+  score += coverage.fetched_tokens / kFetchTokensPerMs;
+  const std::uint32_t own = query.prompt.empty() ? 0 : query.prompt.back().tokens;
+  const std::uint32_t shared = query.prompt_tokens - std::min(own, query.prompt_tokens);
+  const std::uint32_t covered = coverage.held_tokens + coverage.fetched_tokens;
+  if (covered < shared) {
+    const double cost = kRankCost[std::min(rank, std::size(kRankCost) - 1)] * kReadAgainFactor;
+    score += cost * (shared - covered) / kPrefillTokensPerMs;
   }
   if (version_of(upstream, query.model).value_or(0) < newest_wanted(query.model)) {
     // Answers of older weights count less.
@@ -301,22 +315,30 @@
   }
   const Candidate* best = nullptr;
   double best_score = 0;
-  std::uint32_t best_uncached = 0;
+  KnowledgeByVersion knowledge;
   for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
-    std::uint32_t uncached = 0;
-    const double value = score(*candidates[rank].upstream, query, rank, uncached, now);
+    const double value = score(*candidates[rank].upstream, query, rank, knowledge, now);
     if (best == nullptr || value < best_score) {
       best = &candidates[rank];
       best_score = value;
-      best_uncached = uncached;
     }
   }
   const UpstreamEntry& entry = best->upstream->entry;
-  return Picked{.upstream_id = entry.id,
+  Picked picked{.upstream_id = entry.id,
                 .endpoint = entry.endpoint,
                 .weight_version = version_of(*best->upstream, query.model),
-                .expected_ms = wait_ms(*best->upstream, *query.service, now),
-                .uncached_tokens = best_uncached};
+                .expected_ms = wait_ms(*best->upstream, *query.service, now)};
+  if (query.service->engine) {
+    const PromptKnowledge& known = knowledge_of(*best->upstream, query, knowledge, now);
+    const CacheDirectory::Coverage coverage =
+        cache_.coverage(entry.id, known.scope, query.prompt, known.fetchable, now);
+    picked.cache_scope = known.scope;
+    picked.cache = cache_.plan(entry.id, known.scope, query.prompt, now);
+    picked.uncached_tokens =
+        query.prompt_tokens -
+        std::min(query.prompt_tokens, coverage.held_tokens + picked.cache.fetched_tokens);
+  }
+  return picked;
 }
 
 void UpstreamPool::sent(const Picked& picked, const PickQuery& query, Instant now) {
@@ -329,30 +351,7 @@
   upstream.pending_prefill_tokens += picked.uncached_tokens;
   upstream.recent_sends.push_back(now);
   if (query.service->engine) {
-    remember_parts(upstream, query, now);
-  }
-}
-
-void UpstreamPool::remember_parts(Upstream& upstream, const PickQuery& query, Instant now) {
-  const std::uint64_t version = version_of(upstream, query.model).value_or(0);
-  for (const PromptPart& part : query.prompt) {
-    const auto [entry, added] =
-        upstream.cached.try_emplace(cache_key(part, version, query.cache_scope));
-    if (added) {
-      entry->second.tokens = part.tokens;
-      upstream.cached_tokens += part.tokens;
-    }
-    entry->second.last_use = now;
-  }
-  // The engine forgets the least recently used parts, and other gateways fill it too.
-  const double capacity =
-      static_cast<double>(query.service->engine->kv_capacity_tokens) * kCacheShare;
-  while (static_cast<double>(upstream.cached_tokens) > capacity && upstream.cached.size() > 1) {
-    const auto oldest = std::min_element(
-        upstream.cached.begin(), upstream.cached.end(),
-        [](const auto& a, const auto& b) { return a.second.last_use < b.second.last_use; });
-    upstream.cached_tokens -= oldest->second.tokens;
-    upstream.cached.erase(oldest);
+    cache_.sent(picked.upstream_id, picked.cache_scope, query.prompt, picked.cache, now);
   }
 }
 
@@ -383,11 +382,13 @@
       return;
     case SendEnd::kNotReached:
       upstream.shunned_until = now + kShunNotReached;
+      cache_.avoid(id, now + kAvoidAsSource);
       return;
     case SendEnd::kFailed:
       if (++upstream.failures >= kFailuresToShun) {
         upstream.shunned_until = now + kShunFailing;
         upstream.failures = kFailuresToShun - 1;
+        cache_.avoid(id, now + kAvoidAsSource);
       }
       return;
   }
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -12,11 +12,11 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/cache_directory.h"
 #include "gateway/call_heads.h"
 #include "gateway/serving_config.h"
 
@@ -34,9 +34,9 @@
 /** What is asked of the pool. */
 struct PickQuery {
   const ServiceInfo* service = nullptr;
-  std::string_view zone;         // Of this gateway.
-  std::string_view model;        // Empty for plain services.
-  std::string_view cache_scope;  // Account part of the scope in which cached parts are found.
+  std::string_view zone;   // Of this gateway.
+  std::string_view model;  // Empty for plain services.
+  const ClientAccount* account = nullptr;
   std::span<const PromptPart> prompt;
   std::uint32_t prompt_tokens = 0;
   std::span<const std::string> excluded;  // Ids of upstreams that were tried.
@@ -49,8 +49,13 @@
   std::optional<std::uint64_t> weight_version;
   double expected_ms = 0;  // Wait before the answer begins, as estimated for the choice.
   std::uint32_t uncached_tokens = 0;
+  std::string cache_scope;  // Cached parts are found only under the same scope. Engines only.
+  CachePlan cache;
 };
 
+/** The scope of cached parts: a weight version, and the account where it is isolated. */
+std::string cache_scope(std::uint64_t weight_version, const ClientAccount* account);
+
 /** No upstream may get the request now. */
 struct NonePicked {
   Duration retry_after{0};
@@ -70,7 +75,7 @@
 /** State of all upstreams. Times are those of one monotonic clock. */
 class UpstreamPool {
  public:
-  explicit UpstreamPool(PoolLimits limits) : limits_(limits) {}
+  UpstreamPool(PoolLimits limits, CacheDirectory& cache) : limits_(limits), cache_(cache) {}
 
   // What the store says.
   void put(UpstreamEntry entry, Instant now);
@@ -116,15 +121,18 @@
   /** Connections that this gateway may hold to one upstream of a service. */
   std::size_t connection_share(const ServiceInfo& service) const;
 
+  /** Calls `visit(const UpstreamEntry&)` for each upstream. */
+  template <typename Visitor>
+  void visit_entries(Visitor visit) const {
+    for (const auto& [id, upstream] : upstreams_) {
+      visit(upstream.entry);
+    }
+  }
+
   std::size_t size() const { return upstreams_.size(); }
   bool contains(std::string_view id) const { return upstreams_.find(id) != upstreams_.end(); }
 
  private:
-  struct CachedPart {
-    std::uint32_t tokens = 0;
-    Instant last_use;
-  };
-
   struct Upstream {
     UpstreamEntry entry;
     Instant cold_until;
@@ -135,9 +143,7 @@
     Instant load_at;
     int failures = 0;  // In a row.
     Instant shunned_until;
-    std::deque<Instant> recent_sends;                      // Within the last second.
-    std::unordered_map<std::uint64_t, CachedPart> cached;  // By part, version and scope.
-    std::uint64_t cached_tokens = 0;
+    std::deque<Instant> recent_sends;  // Within the last second.
   };
 
   struct Wanted {
@@ -152,20 +158,30 @@
   bool is_cold(const Upstream& upstream, Instant now) const;
   bool has_room(Upstream& upstream, const ServiceInfo& service, Instant now) const;
   bool may_get(const Upstream& upstream, const PickQuery& query, Instant now) const;
+  // Parts of a query's prompt that can be fetched, by the weight version of their scope.
+  struct PromptKnowledge {
+    std::string scope;
+    std::vector<bool> fetchable;
+  };
+  using KnowledgeByVersion = std::map<std::uint64_t, PromptKnowledge>;
+
   double score(const Upstream& upstream,
                const PickQuery& query,
                std::size_t rank,
-               std::uint32_t& uncached,
+               KnowledgeByVersion& knowledge,
                Instant now) const;
+  const PromptKnowledge& knowledge_of(const Upstream& upstream,
+                                      const PickQuery& query,
+                                      KnowledgeByVersion& knowledge,
+                                      Instant now) const;
   double wait_ms(const Upstream& upstream, const ServiceInfo& service, Instant now) const;
-  std::uint32_t cached_tokens(const Upstream& upstream, const PickQuery& query) const;
-  void remember_parts(Upstream& upstream, const PickQuery& query, Instant now);
   std::optional<std::uint64_t> version_of(const Upstream& upstream, std::string_view model) const;
   bool has_older_weights(const Upstream& upstream) const;
   std::uint64_t newest_wanted(std::string_view model) const;
   bool is_outdated(std::uint64_t version, std::string_view model, Instant now) const;
 
   PoolLimits limits_;
+  CacheDirectory& cache_;
   std::map<std::string, Upstream, std::less<>> upstreams_;
   std::set<std::string, std::less<>> zones_out_;
   std::map<std::string, WantedVersions, std::less<>> wanted_;  // Never empty lists.
