--- /dev/null
+++ b/src/gateway/cache_directory_test.cc
@@ -0,0 +1,138 @@
+// Tests of where cached parts are fetched from and saved to.
+
+#include "gateway/cache_directory.h"
+
+#include <catch2/catch.hpp>
+
+namespace bluebellstep {
+namespace {
+
+constexpr Instant kStart{100'000};
+constexpr std::string_view kScope = "w1";
+
+const std::vector<PromptPart> kPrompt = {{.id = 0xb1, .tokens = 12'800},
+                                         {.id = 0x01, .tokens = 4000}};
+
+CacheDirectory make_directory() {
+  CacheDirectory directory;
+  directory.set_sources({{.name = "e1", .endpoint = {"10.0.0.1", 80}, .zone = "a"},
+                         {.name = "e2", .endpoint = {"10.0.0.2", 80}, .zone = "a"},
+                         {.name = "e3", .endpoint = {"10.0.0.3", 80}, .zone = "b"},
+                         {.name = "s1",
+                          .endpoint = {"10.0.1.1", 80},
+                          .zone = "a",
+                          .is_store = true,
+                          .capacity_tokens = 20'000}});
+  return directory;
+}
+
+CacheEvents events(std::uint64_t epoch, std::vector<CacheEvent> list) {
+  return {.epoch = epoch, .next = 10, .clock_ms = 5000, .events = std::move(list)};
+}
+
+CacheEvent stored(std::uint64_t part, std::uint32_t tokens) {
+  return {.scope = std::string(kScope), .part = part, .tokens = tokens};
+}
+
+}  // namespace
+
+TEST_CASE("a part is fetched from an engine of the same zone before others", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
+  directory.on_events("e3", events(1, {stored(0xb1, 12'800)}), kStart);
+  directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
+  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kStart);
+  REQUIRE(plan.fetch[0]);
+  CHECK(plan.fetch[0]->ip == "10.0.0.2");
+  CHECK(plan.fetched_tokens == 12'800);
+  CHECK_FALSE(plan.fetch[1]);
+}
+
+TEST_CASE("an engine that holds the part fetches nothing", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("e1", events(1, {stored(0xb1, 12'800)}), kStart);
+  directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+}
+
+TEST_CASE("a part that was evicted in part is no source", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
+  directory.on_events("e2", events(1, {stored(0xb1, 128)}), kStart);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+}
+
+// Guards against blocks of another weight version or of an isolated account.
+TEST_CASE("parts of another scope are not fetched", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
+  CHECK_FALSE(directory.plan("e1", "w2", kPrompt, kStart).fetches());
+  CHECK_FALSE(directory.plan("e1", "w1:acme", kPrompt, kStart).fetches());
+}
+
+// Guards against reading a part that is still being written: what was sent to a store is not there
+// until an event says so.
+TEST_CASE("a part that is being saved is not fetched and not saved again", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("s1", events(1, {}), kStart);
+  const Instant later = kStart + CacheDirectory::kSaveHold;
+  directory.on_events("s1", events(1, {}), later);
+  const CachePlan first = directory.plan("e1", kScope, kPrompt, later);
+  REQUIRE(first.save[0]);
+  CHECK_FALSE(first.save[1]);  // The last part belongs to the request alone.
+  directory.sent("e1", kScope, kPrompt, first, later);
+  const CachePlan second = directory.plan("e2", kScope, kPrompt, later + 100_ms);
+  CHECK_FALSE(second.fetches());
+  CHECK_FALSE(second.saves());
+  directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), later + 200_ms);
+  CHECK(directory.plan("e2", kScope, kPrompt, later + 200_ms).fetches());
+}
+
+// Guards against fetching a part that another gateway saves again after a restart of the store.
+TEST_CASE("knowledge of a store runs out and saves wait after its restart", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
+  CHECK(directory.plan("e1", kScope, kPrompt, kStart + 1499_ms).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart + 1500_ms).fetches());
+  const Instant restart = kStart + 60_s;
+  directory.on_events("s1", events(2, {}), restart);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, restart).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, restart + 1000_ms).saves());
+  static_assert(CacheDirectory::kSaveHold > CacheDirectory::kFetchLimit);
+}
+
+TEST_CASE("fetches from a store carry the end of what is known of it", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
+  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kStart + 500_ms);
+  CHECK(plan.fetch_until_ms == 5000 + CacheDirectory::kFetchLimit.ms);
+}
+
+TEST_CASE("a full store gets no further parts", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("s1", events(1, {stored(0xb2, 12'000)}), kStart);
+  const Instant later = kStart + CacheDirectory::kSaveHold;
+  directory.on_events("s1", events(1, {}), later);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, later).saves());
+}
+
+TEST_CASE("an engine that did not answer is no source for a while", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
+  directory.avoid("e2", kStart + 1000_ms);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+  CHECK(directory.plan("e1", kScope, kPrompt, kStart + 1000_ms).fetches());
+}
+
+TEST_CASE("an engine that started again holds nothing", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
+  std::vector<CacheSource> sources = directory.sources();
+  for (CacheSource& source : sources) {
+    source.started_ms = source.name == "e2" ? 77 : source.started_ms;
+  }
+  directory.set_sources(sources);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+}
+
+}  // namespace bluebellstep
