Name a store as source for every part that one keeps

Change: stores are sources before engines, a source is named also for parts that the engine should hold, and small leading parts are saved too. Ruled out: full stores (8 parts found no room), fetches that came too late (none).

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -103,8 +103,8 @@
   return !source.info.is_store || now < *source.polled + kStoreKnowledge;
 }
 
-// Returns a source of a part for an engine: one in its zone if there is any, engines before stores,
-// since their links are faster.
+// Returns a source of a part for an engine: stores before engines, since an engine may evict the part
+// within a second, and one in the engine's zone if there is any.
 const CacheDirectory::Source* CacheDirectory::find_holder(const Source& engine,
                                                           std::uint64_t key,
                                                           std::uint32_t tokens,
@@ -215,12 +215,15 @@
   for (std::size_t i = 0; i < prompt.size(); ++i) {
     const PromptPart& part = prompt[i];
     const std::uint64_t key = key_of(scope, part.id);
-    if (reachable && !holds(*engine, key, part.tokens, now)) {
+    if (reachable) {
+      const bool held = holds(*engine, key, part.tokens, now);
+      // A source is named also for parts that the engine should hold: it may have evicted them since
+      // its last event, and fetches only what it lacks.
       const Source* holder = find_holder(*engine, key, part.tokens, now);
-      reachable = holder != nullptr;
+      reachable = held || holder != nullptr;
       if (holder != nullptr) {
         plan.fetch[i] = holder->info.endpoint;
-        plan.fetched_tokens += part.tokens;
+        plan.fetched_tokens += held ? 0 : part.tokens;
         if (holder->info.is_store) {
           const std::int64_t until = holder->clock_at_poll_ms + kFetchLimit.ms;
           plan.fetch_until_ms = std::min(plan.fetch_until_ms.value_or(until), until);
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -80,8 +80,9 @@
   static constexpr Duration kExpectation{1500};
   /** A store is filled up to this share; the rest covers saves that other gateways began. */
   static constexpr double kFillShare = 0.95;
-  /** Smaller parts are not worth a place in a store. */
-  static constexpr std::uint32_t kLeastSavedTokens = 128;
+  /** Smaller parts are not worth a place in a store. Small parts at the start of many prompts are:
+   * without them the parts after them are of no use. */
+  static constexpr std::uint32_t kLeastSavedTokens = 16;
 
   /** Sets all sources; those that are left out are forgotten. */
   void set_sources(std::vector<CacheSource> sources);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -231,6 +231,9 @@
       platform::encode_upstream_head(*request.head, fields, request.body.size());
   ++request.runs;
   ++request.sends;
+  request.upstream = send.picked.upstream_id;
+  request.uncached_tokens = send.picked.uncached_tokens;
+  request.fetched_tokens = send.picked.cache.fetched_tokens;
   request.last_progress = now;
   pool_.sent(send.picked, query_for(request), now);
   const RequestId id = request.id;
@@ -539,6 +542,14 @@
     event.field("first_event_ms", (*request.first_event_at - request.arrived).ms);
     event.field("events", static_cast<std::uint64_t>(request.events.events()));
   }
+  if (!request.caller.prompt.empty()) {
+    event.field("uncached_tokens", request.uncached_tokens)
+        .field("fetched_tokens", request.fetched_tokens)
+        .field("prompt_tokens", request.caller.prompt_tokens);
+  }
+  if (!request.upstream.empty()) {
+    event.field("upstream", request.upstream);
+  }
   if (!request.last_problem.empty()) {
     event.field("why", request.last_problem);
   }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -127,6 +127,9 @@
     Instant last_progress;
     std::optional<Instant> first_event_at;
     std::string_view last_problem;
+    std::string upstream;  // Of the last send; for the log, like the next two.
+    std::uint32_t uncached_tokens = 0;
+    std::uint32_t fetched_tokens = 0;
     std::optional<Instant> due;  // Where it stands in `due_`.
   };
 
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -346,14 +346,15 @@
                            .revision = object.at(1).get<std::uint64_t>(),
                            .content = object.at(2).get<std::string>()});
       }
-      for (const auto& follower : followers_) {
-        if (follower->kind() == kind) {
-          LogEvent("peer_knows_newer")
-              .field("kind", text_of(kind))
-              .field("revision", item.at("revision").get<std::uint64_t>());
-          follower->adopt(std::move(objects), item.at("revision").get<std::uint64_t>());
-        }
+      const auto follower =
+          std::find_if(followers_.begin(), followers_.end(),
+                       [kind](const auto& candidate) { return candidate->kind() == kind; });
+      if (follower == followers_.end()) {
+        continue;  // A kind that only a newer version follows.
       }
+      const auto revision = item.at("revision").get<std::uint64_t>();
+      LogEvent("peer_knows_newer").field("kind", text_of(kind)).field("revision", revision);
+      (*follower)->adopt(std::move(objects), revision);
     }
   } catch (const nlohmann::json::exception& fault) {
     LogEvent("peer_answer_not_understood", LogEvent::Severity::kWarning).field("why", fault.what());
--- a/src/gateway/repeat_allowance.cc
+++ b/src/gateway/repeat_allowance.cc
@@ -7,7 +7,7 @@
 namespace bluebellstep {
 
 RepeatAllowance::Slice& RepeatAllowance::current(const RepeatLimits& limits, Instant now) {
-  const std::int64_t span = std::max<std::int64_t>(1, limits.window.ms / kSlices);
+  const std::int64_t span = std::max<std::int64_t>(1, limits.window.ms / std::int64_t{kSlices});
   const std::int64_t number = now.ms / span;
   Slice& slice = slices_[static_cast<std::size_t>(number) % kSlices];
   if (slice.number != number) {
--- a/src/gateway/weight_rollout_test.cc
+++ b/src/gateway/weight_rollout_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<RolloutTarget> targets(int count, std::uint64_t wanted) {
   std::vector<RolloutTarget> result;
+  result.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     result.push_back({.upstream_id = "e" + std::to_string(i),
                       .model = "m",
