Share load in flight among gateways by datagrams; fewer store calls

Change: each gateway reports what it has in flight at each upstream 4 to 10 times a second; the choice counts the sum, room in engine memory, and bytes between zones. Watches wait 6 s, since silent connections are now noticed by keep-alive probes on all client sockets.

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -120,7 +120,7 @@
       continue;
     }
     const int rank =
-        (source.info.zone == engine.info.zone ? 2 : 0) + (source.info.is_store ? 0 : 1);
+        (source.info.is_store ? 2 : 0) + (source.info.zone == engine.info.zone ? 1 : 0);
     const std::uint64_t score = rendezvous_score(hash64(engine.info.name), hash64(name));
     if (best == nullptr || rank > best_rank || (rank == best_rank && score > best_score)) {
       best = &source;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -153,6 +153,7 @@
                    .account = request.account,
                    .prompt = request.caller.prompt,
                    .prompt_tokens = request.caller.prompt_tokens,
+                   .body_bytes = request.body.size(),
                    .excluded = request.tried};
 }
 
@@ -562,7 +563,7 @@
   if (!request.first_event_at) {
     pool_.first_event(send.picked.upstream_id, send.picked.uncached_tokens);
   }
-  pool_.finished(send.picked.upstream_id, end, now);
+  pool_.finished(send.picked.upstream_id, request.caller.prompt_tokens, end, now);
   Connections& connections = connections_[send.picked.upstream_id];
   --connections.in_use;
   const Duration usable = connections.keep_alive - kKeepAliveMargin;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -8,6 +8,7 @@
 #include "gateway/caller_listener.h"
 #include "gateway/forwarder.h"
 #include "gateway/knowledge.h"
+#include "gateway/load_gossip.h"
 #include "gateway/rollout_driver.h"
 #include "gateway/upstream_pool.h"
 #include "http/http_client.h"
@@ -34,7 +35,8 @@
       : pool({.cold_overage = settings.bounds.cold_overage,
               .cold_slack = settings.bounds.cold_slack,
               .version_limit = settings.bounds.version_limit},
-             cache),
+             cache,
+             board),
         forwarder(loop,
                   pool,
                   metrics,
@@ -44,8 +46,12 @@
                    .window = settings.bounds.repeat_window}),
         knowledge(loop, client, settings, pool, cache, forwarder),
         rollout(loop, client, settings, pool),
+        gossip(loop, settings.peers, settings.name, board, [this] { return pool.load_lines(); }),
         callers(loop, settings.callers, forwarder) {
     knowledge.on_weights_changed([this] { rollout.update(); });
+    knowledge.on_peers_changed([this](std::vector<Endpoint> peers) {
+      gossip.set_peers(std::move(peers));
+    });
     knowledge.start();
     flush_log(loop);
   }
@@ -57,10 +63,12 @@
 
   Metrics metrics;
   CacheDirectory cache;
+  LoadBoard board;
   UpstreamPool pool;
   Forwarder forwarder;
   Knowledge knowledge;
   RolloutDriver rollout;
+  LoadGossip gossip;
   CallerListener callers;
   bool stopping = false;
 };
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -216,6 +216,9 @@
   }
   if (!peers.empty()) {
     peers_ = std::move(peers);
+    if (peers_changed_) {
+      peers_changed_(peers_);
+    }
   }
   pool_.set_gateways(objects.size());
 }
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -55,6 +55,11 @@
     weights_changed_ = std::move(callback);
   }
 
+  /** Called with the other gateways' addresses when they change. */
+  void on_peers_changed(std::function<void(std::vector<Endpoint>)> callback) {
+    peers_changed_ = std::move(callback);
+  }
+
   /** Whether requests can be served. */
   bool ready() const { return forwarder_.config() != nullptr && pool_.size() > 0; }
 
@@ -93,6 +98,7 @@
   Clock clock_;
   Random random_;
   std::function<void()> weights_changed_;
+  std::function<void(std::vector<Endpoint>)> peers_changed_;
   std::vector<std::unique_ptr<StoreFollower>> followers_;
   std::vector<Endpoint> peers_;
   bool store_reachable_ = true;
--- /dev/null
+++ b/src/gateway/load_board.cc
@@ -0,0 +1,106 @@
+// Reports of work in flight and their sums.
+
+#include "gateway/load_board.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace bluebellstep {
+
+InFlight& InFlight::operator+=(const InFlight& other) {
+  requests += other.requests;
+  unread_tokens += other.unread_tokens;
+  held_tokens += other.held_tokens;
+  return *this;
+}
+
+std::string encode_load_report(const LoadReport& report) {
+  nlohmann::json lines = nlohmann::json::array();
+  for (const LoadLine& line : report.lines) {
+    lines.push_back({line.upstream, line.in_flight.requests, line.in_flight.unread_tokens,
+                     line.in_flight.held_tokens});
+  }
+  std::string out;
+  nlohmann::json::to_msgpack(
+      nlohmann::json{report.gateway, report.incarnation, report.sequence, std::move(lines)}, out);
+  return out;
+}
+
+std::optional<LoadReport> decode_load_report(std::span<const std::uint8_t> bytes) {
+  const auto json =
+      nlohmann::json::from_msgpack(bytes.data(), bytes.data() + bytes.size(), true, false);
+  if (!json.is_array() || json.size() != 4) {
+    return std::nullopt;
+  }
+  try {
+    LoadReport report{.gateway = json.at(0).get<std::string>(),
+                      .sequence = json.at(2).get<std::uint64_t>(),
+                      .incarnation = json.at(1).get<std::uint64_t>()};
+    for (const auto& line : json.at(3)) {
+      report.lines.push_back(
+          {.upstream = line.at(0).get<std::uint32_t>(),
+           .in_flight = {.requests = line.at(1).get<std::uint32_t>(),
+                         .unread_tokens = line.at(2).get<std::uint64_t>(),
+                         .held_tokens = line.at(3).get<std::uint64_t>()}});
+    }
+    return report;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;  // Not one of our datagrams.
+  }
+}
+
+std::uint32_t LoadBoard::key_of(std::string_view upstream_id) {
+  return static_cast<std::uint32_t>(hash64(upstream_id));
+}
+
+void LoadBoard::add(const std::vector<LoadLine>& lines) {
+  for (const LoadLine& line : lines) {
+    sums_[line.upstream] += line.in_flight;
+  }
+}
+
+void LoadBoard::subtract(const std::vector<LoadLine>& lines) {
+  for (const LoadLine& line : lines) {
+    InFlight& sum = sums_[line.upstream];
+    sum.requests -= line.in_flight.requests;
+    sum.unread_tokens -= line.in_flight.unread_tokens;
+    sum.held_tokens -= line.in_flight.held_tokens;
+    if (sum.requests == 0) {
+      sums_.erase(line.upstream);
+    }
+  }
+}
+
+void LoadBoard::apply(LoadReport report, Instant now) {
+  Gateway& gateway = gateways_[report.gateway];
+  // Datagrams overtake each other.
+  if (gateway.incarnation == report.incarnation && gateway.sequence >= report.sequence) {
+    return;
+  }
+  subtract(gateway.lines);
+  gateway = {.incarnation = report.incarnation,
+             .sequence = report.sequence,
+             .heard = now,
+             .lines = std::move(report.lines)};
+  add(gateway.lines);
+}
+
+void LoadBoard::drop_silent(Instant now) {
+  for (auto gateway = gateways_.begin(); gateway != gateways_.end();) {
+    if (now < gateway->second.heard + kSilence) {
+      ++gateway;
+      continue;
+    }
+    subtract(gateway->second.lines);
+    gateway = gateways_.erase(gateway);
+  }
+}
+
+InFlight LoadBoard::others(std::string_view upstream_id) const {
+  const auto found = sums_.find(key_of(upstream_id));
+  return found == sums_.end() ? InFlight{} : found->second;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/load_board.h
@@ -0,0 +1,84 @@
+// What all gateways have in flight at each upstream.
+//
+// Load pattern: many gateways with a small share of the requests each. What one of them sees of an
+// upstream is too little and too old to balance by, so each tells the others what it has in flight.
+
+#ifndef BLUEBELLSTEP_GATEWAY_LOAD_BOARD_H_
+#define BLUEBELLSTEP_GATEWAY_LOAD_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace bluebellstep {
+
+/** Work that is in flight at one upstream. */
+struct InFlight {
+  std::uint32_t requests = 0;
+  std::uint64_t unread_tokens = 0;  // Of prompts whose answer has not begun.
+  std::uint64_t held_tokens = 0;    // Prompt tokens that the requests keep in memory.
+
+  InFlight& operator+=(const InFlight& other);
+};
+
+/** One line of a gateway's report. */
+struct LoadLine {
+  std::uint32_t upstream = 0;  // See `LoadBoard::key_of`.
+  InFlight in_flight;
+};
+
+/** What one gateway tells the others. */
+struct LoadReport {
+  std::string gateway;
+  std::uint64_t sequence = 0;  // Rises with each report of one start of the gateway.
+  std::uint64_t incarnation = 0;
+  std::vector<LoadLine> lines;  // Upstreams that are left out have nothing in flight.
+};
+
+/** Encodes a report for a datagram. */
+std::string encode_load_report(const LoadReport& report);
+/** Nothing if the bytes are no report. */
+std::optional<LoadReport> decode_load_report(std::span<const std::uint8_t> bytes);
+
+/** Sums of the other gateways' reports. */
+class LoadBoard {
+ public:
+  /** A gateway that is not heard for this long counts as having nothing in flight. */
+  static constexpr Duration kSilence{1500};
+
+  static std::uint32_t key_of(std::string_view upstream_id);
+
+  /** Takes a report; one that is older than the last of its gateway is dropped. */
+  void apply(LoadReport report, Instant now);
+
+  /** Forgets gateways that have gone silent. */
+  void drop_silent(Instant now);
+
+  /** What the others have in flight at an upstream. */
+  InFlight others(std::string_view upstream_id) const;
+
+ private:
+  struct Gateway {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    Instant heard;
+    std::vector<LoadLine> lines;
+  };
+
+  void add(const std::vector<LoadLine>& lines);
+  void subtract(const std::vector<LoadLine>& lines);
+
+  std::map<std::string, Gateway, std::less<>> gateways_;
+  std::unordered_map<std::uint32_t, InFlight> sums_;  // Over `gateways_`.
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_LOAD_BOARD_H_
--- /dev/null
+++ b/src/gateway/load_gossip.cc
@@ -0,0 +1,108 @@
+// Datagrams between gateways.
+
+#include "gateway/load_gossip.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <optional>
+#include <span>
+#include <system_error>
+#include <utility>
+
+#include "base/log_event.h"
+#include "http/http_loop_impl.h"
+#include "http/socket_address.h"
+#include "process/process_runtime.h"
+
+namespace bluebellstep {
+namespace {
+
+// A report of a few hundred upstreams fits.
+constexpr std::size_t kMaxDatagram = 16u << 10;
+
+int open_datagram_socket(const Endpoint& endpoint) {
+  std::optional<SocketAddress> address = to_socket_address(endpoint);
+  const int fd = address ? ::socket(address->get()->sa_family,
+                                    SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
+                         : -1;
+  if (fd < 0 || ::bind(fd, address->get(), address->length) != 0) {
+    const int error = address ? errno : EINVAL;
+    if (fd >= 0) {
+      ::close(fd);
+    }
+    throw std::system_error(error, std::generic_category(),
+                            "cannot receive on " + to_string(endpoint));
+  }
+  return fd;
+}
+
+}  // namespace
+
+LoadGossip::LoadGossip(HttpLoop& loop,
+                       const Endpoint& listen,
+                       std::string name,
+                       LoadBoard& board,
+                       std::function<std::vector<LoadLine>()> lines)
+    : loop_(loop),
+      name_(std::move(name)),
+      board_(board),
+      lines_(std::move(lines)),
+      fd_(open_datagram_socket(listen)),
+      incarnation_(make_incarnation()) {
+  socket_ = h2o_evloop_socket_create(loop_.impl().loop(), fd_, H2O_SOCKET_FLAG_DONT_READ);
+  socket_->data = this;
+  h2o_socket_read_start(socket_, on_readable);
+  send_report();
+}
+
+LoadGossip::~LoadGossip() {
+  h2o_socket_close(socket_);
+}
+
+void LoadGossip::on_readable(h2o_socket_t* socket, const char* error) {
+  if (error == nullptr) {
+    static_cast<LoadGossip*>(socket->data)->read_all();
+  }
+}
+
+void LoadGossip::read_all() {
+  std::array<std::uint8_t, kMaxDatagram> buffer;
+  while (true) {
+    const ssize_t size = ::recv(fd_, buffer.data(), buffer.size(), 0);
+    if (size < 0) {
+      return;  // No further datagram, or an error that a later one clears.
+    }
+    const std::span<const std::uint8_t> bytes(buffer.data(), static_cast<std::size_t>(size));
+    if (auto report = decode_load_report(bytes)) {
+      board_.apply(std::move(*report), clock_.now());
+    }
+  }
+}
+
+void LoadGossip::send_report() {
+  board_.drop_silent(clock_.now());
+  LoadReport report{.gateway = name_, .sequence = ++sequence_, .incarnation = incarnation_};
+  report.lines = lines_();
+  // An idle gateway says so once; its silence means the same.
+  if (!report.lines.empty() || !told_nothing_) {
+    const std::string bytes = encode_load_report(report);
+    for (const Endpoint& peer : peers_) {
+      if (std::optional<SocketAddress> address = to_socket_address(peer)) {
+        // Lost datagrams are made good by the next report.
+        (void)::sendto(fd_, bytes.data(), bytes.size(), 0, address->get(), address->length);
+      }
+    }
+  }
+  told_nothing_ = report.lines.empty();
+  const Duration pause = peers_.size() <= kFewPeers ? kShortPause : kLongPause;
+  loop_.post_after(pause, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      send_report();
+    }
+  });
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/load_gossip.h
@@ -0,0 +1,64 @@
+// Tells the other gateways by datagrams what this one has in flight, and hears theirs.
+
+#ifndef BLUEBELLSTEP_GATEWAY_LOAD_GOSSIP_H_
+#define BLUEBELLSTEP_GATEWAY_LOAD_GOSSIP_H_
+
+#include <h2o.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "gateway/load_board.h"
+#include "http/http_loop.h"
+#include "http/http_types.h"
+
+namespace bluebellstep {
+
+/** Runs on the HTTP thread. */
+class LoadGossip {
+ public:
+  /** Pause between two reports for up to `kFewPeers` peers. */
+  static constexpr Duration kShortPause{100};
+  /** Pause for more peers, so that the datagrams of a large fleet stay cheap. */
+  static constexpr Duration kLongPause{250};
+  static constexpr std::size_t kFewPeers = 10;
+
+  /** Reports `lines()` of the gateway `name`. Throws `std::system_error` if `listen` is in use. */
+  LoadGossip(HttpLoop& loop,
+             const Endpoint& listen,
+             std::string name,
+             LoadBoard& board,
+             std::function<std::vector<LoadLine>()> lines);
+  LoadGossip(const LoadGossip&) = delete;
+  LoadGossip& operator=(const LoadGossip&) = delete;
+  ~LoadGossip();
+
+  /** Sets whom to tell. */
+  void set_peers(std::vector<Endpoint> peers) { peers_ = std::move(peers); }
+
+ private:
+  static void on_readable(h2o_socket_t* socket, const char* error);
+  void read_all();
+  void send_report();
+
+  HttpLoop& loop_;
+  std::string name_;
+  LoadBoard& board_;
+  std::function<std::vector<LoadLine>()> lines_;
+  std::vector<Endpoint> peers_;
+  Clock clock_;
+  int fd_ = -1;
+  h2o_socket_t* socket_ = nullptr;  // Owns `fd_`.
+  std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 0;
+  bool told_nothing_ = false;  // The last report was empty.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_LOAD_GOSSIP_H_
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -85,7 +85,7 @@
                           const bool changed = !changes.changes.empty();
                           deliver(mirror_.apply(std::move(changes)));
                           if (changed) {
-                            after(kBatchPause, [this] { watch(); });
+                            after(batch_pause(), [this] { watch(); });
                           } else {
                             watch();
                           }
@@ -102,6 +102,17 @@
              result);
 }
 
+Duration StoreFollower::batch_pause() const {
+  switch (kind_) {
+    case platform::ObjectKind::kUpstreams:
+      return kUpstreamsPause;
+    case platform::ObjectKind::kGateways:
+      return kGatewaysPause;
+    default:
+      return kBatchPause;
+  }
+}
+
 void StoreFollower::failed(const PlatformUnavailable& fault) {
   if (reachable_) {
     LogEvent("store_call_failed", LogEvent::Severity::kWarning)
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -19,14 +19,17 @@
 /** Runs on the HTTP thread. */
 class StoreFollower {
  public:
-  /** Longest wait of a watch. Bounds how late a silent connection is noticed. */
-  static constexpr Duration kWatchWait{2500};
+  /** Longest wait of a watch. Silent connections are noticed earlier, by probes. */
+  static constexpr Duration kWatchWait{6000};
   /** Silence of the store, beyond the wait of a watch, that counts as unreachable. */
   static constexpr Duration kCallTimeout{800};
   /** Pause after a call that failed. Refused calls are charged too. */
   static constexpr Duration kRetryPause{400};
   /** Pause before the next watch after changes, so that a series of changes takes few calls. */
   static constexpr Duration kBatchPause{150};
+  /** The same for upstreams, which change often, and for gateways, which nothing waits for. */
+  static constexpr Duration kUpstreamsPause{400};
+  static constexpr Duration kGatewaysPause{3000};
 
   struct Listener {
     std::function<void(ObjectMirror::Changes)> on_changes;
@@ -60,6 +63,7 @@
   void on_watch(const HttpClient::Response& response);
   void failed(const PlatformUnavailable& fault);
   void retry();
+  Duration batch_pause() const;
   void deliver(ObjectMirror::Changes changes);
   template <typename Handler>
   void send(HttpCall call, Handler handler);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -16,6 +16,12 @@
 // Added wait by each request that an engine runs or holds in its queue, in ms.
 constexpr double kWaitPerRunning = 0.4;
 constexpr double kWaitPerQueued = 15;
+// Share of an engine's memory that prompts of running requests can fill before others wait, and the
+// wait of a request that finds no room, in ms.
+constexpr double kUsableMemoryShare = 0.9;
+constexpr double kNoRoomMs = 250;
+// Cost of a kilobyte that is sent to another zone, in ms.
+constexpr double kOtherZoneMsPerKb = 0.2;
 // Work of one request at a plain service, in ms; only ratios of waits matter.
 constexpr double kPlainWorkMs = 20;
 // A reported load counts half after this time.
@@ -82,7 +88,7 @@
   if (new_start) {
     Upstream upstream;
     // Finished requests of the earlier start are still reported.
-    upstream.in_flight = found == upstreams_.end() ? 0 : found->second.in_flight;
+    upstream.in_flight = found == upstreams_.end() ? InFlight{} : found->second.in_flight;
     upstream.cold_until = now + entry.cold_left;
     std::string id = entry.id;
     upstream.entry = std::move(entry);
@@ -220,20 +226,30 @@
 }
 
 double UpstreamPool::wait_ms(const Upstream& upstream,
-                             const ServiceInfo& service,
+                             const PickQuery& query,
                              Instant now) const {
   const double age = static_cast<double>((now - upstream.load_at).ms);
   const double fresh = std::exp2(-age / kLoadHalfLifeMs);
-  if (!service.engine) {
-    const double held = std::max(static_cast<double>(upstream.in_flight),
+  InFlight in_flight = board_.others(upstream.entry.id);
+  in_flight += upstream.in_flight;
+  if (!query.service->engine) {
+    const double held = std::max(static_cast<double>(in_flight.requests),
                                  fresh * (upstream.load.running + upstream.load.waiting));
     const double slots = std::max<std::uint32_t>(1, upstream.entry.slots);
     return held * kPlainWorkMs / slots;
   }
   const double running =
-      std::max(static_cast<double>(upstream.in_flight), fresh * upstream.load.running);
-  return static_cast<double>(upstream.pending_prefill_tokens) / kPrefillTokensPerMs +
-         running * kWaitPerRunning + fresh * upstream.load.waiting * kWaitPerQueued;
+      std::max(static_cast<double>(in_flight.requests), fresh * upstream.load.running);
+  double wait = static_cast<double>(in_flight.unread_tokens) / kPrefillTokensPerMs +
+                running * kWaitPerRunning + fresh * upstream.load.waiting * kWaitPerQueued;
+  // Running requests keep their prompts in memory; one that finds no room waits for others to end.
+  const double memory =
+      static_cast<double>(query.service->engine->kv_capacity_tokens) * kUsableMemoryShare;
+  const double needed = static_cast<double>(in_flight.held_tokens) + query.prompt_tokens;
+  if (needed > memory && memory > 0) {
+    wait += kNoRoomMs * needed / memory;
+  }
+  return wait;
 }
 
 const UpstreamPool::PromptKnowledge& UpstreamPool::knowledge_of(const Upstream& upstream,
@@ -256,9 +272,9 @@
                            std::size_t rank,
                            KnowledgeByVersion& knowledge,
                            Instant now) const {
-  double score = wait_ms(upstream, *query.service, now);
+  double score = wait_ms(upstream, query, now);
   if (upstream.entry.zone != query.zone) {
-    score += kOtherZoneMs;
+    score += kOtherZoneMs + kOtherZoneMsPerKb * static_cast<double>(query.body_bytes) / 1024;
   }
   if (!query.service->engine) {
     return score;
@@ -327,7 +343,7 @@
   Picked picked{.upstream_id = entry.id,
                 .endpoint = entry.endpoint,
                 .weight_version = version_of(*best->upstream, query.model),
-                .expected_ms = wait_ms(*best->upstream, *query.service, now)};
+                .expected_ms = wait_ms(*best->upstream, query, now)};
   if (query.service->engine) {
     const PromptKnowledge& known = knowledge_of(*best->upstream, query, knowledge, now);
     const CacheDirectory::Coverage coverage =
@@ -347,8 +363,9 @@
     return;
   }
   Upstream& upstream = found->second;
-  ++upstream.in_flight;
-  upstream.pending_prefill_tokens += picked.uncached_tokens;
+  upstream.in_flight += {.requests = 1,
+                         .unread_tokens = picked.uncached_tokens,
+                         .held_tokens = query.prompt_tokens};
   upstream.recent_sends.push_back(now);
   if (query.service->engine) {
     cache_.sent(picked.upstream_id, picked.cache_scope, query.prompt, picked.cache, now);
@@ -357,18 +374,23 @@
 
 void UpstreamPool::first_event(std::string_view id, std::uint32_t uncached_tokens) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
-    std::uint64_t& pending = found->second.pending_prefill_tokens;
-    pending -= std::min<std::uint64_t>(pending, uncached_tokens);
+    std::uint64_t& unread = found->second.in_flight.unread_tokens;
+    unread -= std::min<std::uint64_t>(unread, uncached_tokens);
   }
 }
 
-void UpstreamPool::finished(std::string_view id, SendEnd end, Instant now) {
+void UpstreamPool::finished(std::string_view id,
+                            std::uint32_t held_tokens,
+                            SendEnd end,
+                            Instant now) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) {
     return;
   }
   Upstream& upstream = found->second;
-  upstream.in_flight -= upstream.in_flight > 0 ? 1 : 0;
+  InFlight& in_flight = upstream.in_flight;
+  in_flight.requests -= in_flight.requests > 0 ? 1 : 0;
+  in_flight.held_tokens -= std::min<std::uint64_t>(in_flight.held_tokens, held_tokens);
   switch (end) {
     case SendEnd::kAnswered:
       upstream.failures = 0;
@@ -439,6 +461,16 @@
   return result;
 }
 
+std::vector<LoadLine> UpstreamPool::load_lines() const {
+  std::vector<LoadLine> lines;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.in_flight.requests > 0) {
+      lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = upstream.in_flight});
+    }
+  }
+  return lines;
+}
+
 std::size_t UpstreamPool::connection_share(const ServiceInfo& service) const {
   const double share = static_cast<double>(service.max_connections) * kConnectionSafetyShare /
                        static_cast<double>(gateways_);
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -18,6 +18,7 @@
 #include "base/clock.h"
 #include "gateway/cache_directory.h"
 #include "gateway/call_heads.h"
+#include "gateway/load_board.h"
 #include "gateway/serving_config.h"
 
 namespace bluebellstep {
@@ -39,6 +40,7 @@
   const ClientAccount* account = nullptr;
   std::span<const PromptPart> prompt;
   std::uint32_t prompt_tokens = 0;
+  std::size_t body_bytes = 0;
   std::span<const std::string> excluded;  // Ids of upstreams that were tried.
 };
 
@@ -75,7 +77,8 @@
 /** State of all upstreams. Times are those of one monotonic clock. */
 class UpstreamPool {
  public:
-  UpstreamPool(PoolLimits limits, CacheDirectory& cache) : limits_(limits), cache_(cache) {}
+  UpstreamPool(PoolLimits limits, CacheDirectory& cache, const LoadBoard& board)
+      : limits_(limits), cache_(cache), board_(board) {}
 
   // What the store says.
   void put(UpstreamEntry entry, Instant now);
@@ -100,7 +103,8 @@
   void sent(const Picked& picked, const PickQuery& query, Instant now);
   /** The answer of a request began: its prompt has been read. */
   void first_event(std::string_view id, std::uint32_t uncached_tokens);
-  void finished(std::string_view id, SendEnd end, Instant now);
+  /** `held_tokens` are the prompt tokens of the request. */
+  void finished(std::string_view id, std::uint32_t held_tokens, SendEnd end, Instant now);
   void reported_load(std::string_view id, const ReportedLoad& load, Instant now);
   /** An upstream showed that its weights have this version. */
   void reported_version(std::string_view id, std::string_view model, std::uint64_t version);
@@ -121,6 +125,9 @@
   /** Connections that this gateway may hold to one upstream of a service. */
   std::size_t connection_share(const ServiceInfo& service) const;
 
+  /** What this gateway has in flight, for the others. */
+  std::vector<LoadLine> load_lines() const;
+
   /** Calls `visit(const UpstreamEntry&)` for each upstream. */
   template <typename Visitor>
   void visit_entries(Visitor visit) const {
@@ -137,8 +144,7 @@
     UpstreamEntry entry;
     Instant cold_until;
     std::optional<Instant> lapsed_until;  // Gone from the store; kept until then.
-    std::size_t in_flight = 0;
-    std::uint64_t pending_prefill_tokens = 0;  // Of requests whose answer has not begun.
+    InFlight in_flight;  // Of this gateway.
     ReportedLoad load;
     Instant load_at;
     int failures = 0;  // In a row.
@@ -174,7 +180,7 @@
                                       const PickQuery& query,
                                       KnowledgeByVersion& knowledge,
                                       Instant now) const;
-  double wait_ms(const Upstream& upstream, const ServiceInfo& service, Instant now) const;
+  double wait_ms(const Upstream& upstream, const PickQuery& query, Instant now) const;
   std::optional<std::uint64_t> version_of(const Upstream& upstream, std::string_view model) const;
   bool has_older_weights(const Upstream& upstream) const;
   std::uint64_t newest_wanted(std::string_view model) const;
@@ -182,6 +188,7 @@
 
   PoolLimits limits_;
   CacheDirectory& cache_;
+  const LoadBoard& board_;
   std::map<std::string, Upstream, std::less<>> upstreams_;
   std::set<std::string, std::less<>> zones_out_;
   std::map<std::string, WantedVersions, std::less<>> wanted_;  // Never empty lists.
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -12,7 +12,8 @@
 // A pool with one service of engines and one plain service.
 struct Fixture {
   CacheDirectory cache;
-  UpstreamPool pool{PoolLimits{}, cache};
+  LoadBoard board;
+  UpstreamPool pool{PoolLimits{}, cache, board};
   ServiceInfo engines{.name = "llm",
                       .max_connections = 100,
                       .cold_requests_per_s = 33,
@@ -79,13 +80,45 @@
   CHECK(f.pick(f.plain_query()) == "o2");
 }
 
+// Load pattern: many gateways with few requests each. Guards against all of them taking the upstream
+// that each of them alone sees idle.
+TEST_CASE("what other gateways have in flight counts", "[gateway]") {
+  Fixture f;
+  f.add_engine("e1");
+  f.add_engine("e2", 1, "b");
+  REQUIRE(f.pick(f.engine_query()) == "e1");
+  f.board.apply({.gateway = "g2",
+                 .sequence = 1,
+                 .incarnation = 1,
+                 .lines = {{LoadBoard::key_of("e1"), {.requests = 2, .unread_tokens = 30'000}}}},
+                kStart);
+  CHECK(f.pick(f.engine_query()) == "e2");
+}
+
+// Load pattern: long prompts fill an engine's memory long before its slots.
+TEST_CASE("an engine without room for the prompt is not the first choice", "[gateway]") {
+  Fixture f;
+  f.add_engine("e1");
+  f.add_engine("e2", 1, "b");
+  PickQuery query = f.engine_query();
+  const std::vector<PromptPart> prompt = {{.id = 1, .tokens = 30'000}};
+  query.prompt = prompt;
+  query.prompt_tokens = 30'000;
+  f.board.apply({.gateway = "g2",
+                 .sequence = 1,
+                 .incarnation = 1,
+                 .lines = {{LoadBoard::key_of("e1"), {.requests = 1, .held_tokens = 40'000}}}},
+                kStart);
+  CHECK(f.pick(query) == "e2");
+}
+
 TEST_CASE("an upstream that failed in a row is used only where there is no other", "[gateway]") {
   Fixture f;
   f.add_plain("o1");
   f.add_plain("o2", "b");
   REQUIRE(f.pick(f.plain_query()) == "o1");
   for (int i = 0; i < 3; ++i) {
-    f.pool.finished("o1", SendEnd::kFailed, kStart);
+    f.pool.finished("o1", 0, SendEnd::kFailed, kStart);
   }
   CHECK(f.pick(f.plain_query()) == "o2");
   f.pool.remove("o2", kStart);
@@ -176,7 +209,7 @@
   f.add_engine("e2", 1, "b");
   f.pool.set_wanted_weights({.model = "m", .version = 2}, false, kStart);
   REQUIRE(f.pick(f.engine_query()) == "e1");
-  f.pool.finished("e1", SendEnd::kRejected, kStart);
+  f.pool.finished("e1", 0, SendEnd::kRejected, kStart);
   CHECK(f.pick(f.engine_query(), kStart + 700_ms) == "e2");
   CHECK(f.pick(f.engine_query(), kStart + 900_ms) == "e1");
 }
@@ -233,7 +266,7 @@
   f.add_plain("o1");
   f.add_plain("o2", "b");
   for (int i = 0; i < 3; ++i) {
-    f.pool.finished("o1", SendEnd::kFailed, kStart);
+    f.pool.finished("o1", 0, SendEnd::kFailed, kStart);
   }
   REQUIRE(f.pick(f.plain_query()) == "o2");
   f.pool.put({.id = "o1",
--- a/src/http/http_client_impl.cc
+++ b/src/http/http_client_impl.cc
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include "http/header_check.h"
+#include "http/socket_options.h"
 
 namespace bluebellstep {
 namespace {
@@ -138,6 +139,7 @@
     return nullptr;
   }
   call.sent = true;
+  notice_silence(h2o_socket_get_fd(client->sock));
   self->set_deadline(call, call.request.idle_timeout);
   call.buffers[0] = h2o_iovec_init(call.head.data(), call.head.size());
   call.buffers[1] = h2o_iovec_init(call.request.body.data(), call.request.body.size());
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -2,41 +2,17 @@
 
 #include "http1/byte_stream.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <utility>
 
-#include "base/log_event.h"
 #include "http/socket_address.h"
+#include "http/socket_options.h"
 
 namespace bluebellstep {
-namespace {
-
-void set_option(int fd, int level, int option, int value) {
-  if (::setsockopt(fd, level, option, &value, sizeof(value)) != 0) {
-    // The connection works without the option; only silent peers are noticed later.
-    LogEvent("socket_option_refused", LogEvent::Severity::kWarning).field("option", option);
-  }
-}
-
-void set_options(h2o_socket_t* socket) {
-  const int fd = h2o_socket_get_fd(socket);
-  set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ByteStream::kSilenceLimit.ms));
-  set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, 1);
-  set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
-  set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
-}
-
-}  // namespace
 
 ByteStream::ByteStream(h2o_socket_t* socket, Listener listener)
     : socket_(socket), listener_(std::move(listener)), connected_(true) {
   socket_->data = this;
-  set_options(socket_);
+  notice_silence(h2o_socket_get_fd(socket_));
   start_reading();
 }
 
@@ -48,7 +24,7 @@
   }
   if (socket_ != nullptr) {
     socket_->data = this;
-    set_options(socket_);
+    notice_silence(h2o_socket_get_fd(socket_));
   }
 }
 
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -10,7 +10,6 @@
 #include <string>
 #include <string_view>
 
-#include "base/clock.h"
 #include "http/http_types.h"
 
 namespace bluebellstep {
@@ -34,10 +33,6 @@
     std::function<void(StreamEnd)> on_end;
   };
 
-  /** Unacknowledged data breaks the connection after this time, and an idle connection is probed
-   * about as often. Connections may go silent without a reset; only such limits show it. */
-  static constexpr Duration kSilenceLimit{1500};
-
   /** Takes over an accepted socket. */
   ByteStream(h2o_socket_t* socket, Listener listener);
 
