Give way to slow sources; leave replaced upstreams alone

Change: an upstream whose address another one has is left alone until its entry is gone; the delay of fetches is averaged for each source, and a part is not fetched where reading it is faster and cheaper.

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -3,6 +3,7 @@
 #include "gateway/cache_directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/hash.h"
@@ -94,13 +95,34 @@
   return !held->second.expected_until || now < *held->second.expected_until;
 }
 
+double CacheDirectory::delay_ms(const Source& source, Instant now) {
+  const double age = static_cast<double>((now - source.delay_at).ms);
+  return source.delay_ms * std::exp2(-age / static_cast<double>(kDelayHalfLife.ms));
+}
+
+void CacheDirectory::observed(std::span<const std::optional<Endpoint>> sources,
+                              Duration delay,
+                              Instant now) {
+  for (auto& [name, source] : sources_) {
+    if (std::find(sources.begin(), sources.end(), source.info.endpoint) == sources.end()) {
+      continue;
+    }
+    const double sample = static_cast<double>(std::max<std::int64_t>(0, delay.ms));
+    source.delay_ms = (1 - kDelayWeight) * delay_ms(source, now) + kDelayWeight * sample;
+    source.delay_at = now;
+  }
+}
+
 bool CacheDirectory::may_fetch_from(const Source& source,
                                     std::string_view engine,
+                                    std::uint32_t tokens,
                                     Instant now) const {
-  if (source.info.name == engine || now < source.avoided_until || !source.polled) {
+  if (source.info.name == engine || now < source.avoided_until || !source.polled ||
+      (source.info.is_store && now >= *source.polled + kStoreKnowledge)) {
     return false;
   }
-  return !source.info.is_store || now < *source.polled + kStoreKnowledge;
+  const double limit = std::max(kShortFetchMs, kReadAgainFactor * tokens / kReadTokensPerMs);
+  return delay_ms(source, now) < limit;
 }
 
 // Returns a source of a part for an engine: stores before engines, since an engine may evict the part
@@ -116,7 +138,7 @@
     const auto held = source.parts.find(key);
     // A part that is only expected may still be under way, so it is no source.
     if (held == source.parts.end() || held->second.tokens < tokens || held->second.expected_until ||
-        !may_fetch_from(source, engine.info.name, now)) {
+        !may_fetch_from(source, engine.info.name, tokens, now)) {
       continue;
     }
     const int rank =
@@ -140,7 +162,7 @@
     result.push_back(std::any_of(sources_.begin(), sources_.end(), [&](const auto& item) {
       const auto held = item.second.parts.find(key);
       return held != item.second.parts.end() && held->second.tokens >= part.tokens &&
-             !held->second.expected_until && may_fetch_from(item.second, {}, now);
+             !held->second.expected_until && may_fetch_from(item.second, {}, part.tokens, now);
     }));
   }
   return result;
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -80,6 +80,16 @@
   static constexpr Duration kExpectation{1500};
   /** A store is filled up to this share; the rest covers saves that other gateways began. */
   static constexpr double kFillShare = 0.95;
+  /** Weight of the newest delay in the average of a source. */
+  static constexpr double kDelayWeight = 0.25;
+  /** Without new delays the average halves in this time, so that the source is tried again. */
+  static constexpr Duration kDelayHalfLife{1000};
+  /** A part is fetched if that is expected to take less than this, or than this multiple of the time
+   * to read it again, which is also charged. */
+  static constexpr double kShortFetchMs = 60;
+  static constexpr double kReadAgainFactor = 4;
+  static constexpr double kReadTokensPerMs = 50;
+
   /** Smaller parts are not worth a place in a store. Small parts at the start of many prompts are:
    * without them the parts after them are of no use. */
   static constexpr std::uint32_t kLeastSavedTokens = 16;
@@ -123,6 +133,10 @@
             const CachePlan& plan,
             Instant now);
 
+  /** Requests that fetched from these sources began to be answered `delay` later than without a
+   * fetch. Transfers of a source run one after another, so a busy or slow link delays all of them. */
+  void observed(std::span<const std::optional<Endpoint>> sources, Duration delay, Instant now);
+
   /** An engine did not answer: it is no source for a while. */
   void avoid(std::string_view engine, Instant until);
 
@@ -151,6 +165,8 @@
     std::optional<Instant> polled;
     std::int64_t clock_at_poll_ms = 0;
     Instant avoided_until;
+    double delay_ms = 0;  // Average delay of fetches, as of `delay_at`.
+    Instant delay_at;
     std::unordered_map<std::uint64_t, Held> parts;
     std::uint64_t stored_tokens = 0;  // Stores only.
   };
@@ -158,7 +174,11 @@
   static std::uint64_t key_of(std::string_view scope, std::uint64_t part);
   const Source* find(std::string_view name) const;
   bool holds(const Source& source, std::uint64_t key, std::uint32_t tokens, Instant now) const;
-  bool may_fetch_from(const Source& source, std::string_view engine, Instant now) const;
+  static double delay_ms(const Source& source, Instant now);
+  bool may_fetch_from(const Source& source,
+                      std::string_view engine,
+                      std::uint32_t tokens,
+                      Instant now) const;
   const Source* find_holder(const Source& engine,
                             std::uint64_t key,
                             std::uint32_t tokens,
--- a/src/gateway/cache_directory_test.cc
+++ b/src/gateway/cache_directory_test.cc
@@ -125,6 +125,28 @@
   CHECK_FALSE(directory.plan("e1", kScope, kPrompt, later).saves());
 }
 
+// Load pattern: a store's link turns slow and short prompts wait behind long transfers. Guards against
+// a fetch that takes longer than reading the part again.
+TEST_CASE("a source whose transfers are late gives way", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  const std::vector<PromptPart> quick = {{.id = 0xc1, .tokens = 300}, {.id = 1, .tokens = 80}};
+  directory.on_events("s1", events(1, {stored(0xc1, 300), stored(0xb1, 12'800)}), kStart);
+  const std::vector<std::optional<Endpoint>> store = {Endpoint{"10.0.1.1", 80}};
+  directory.observed(store, 400_ms, kStart);
+  CHECK_FALSE(directory.plan("e1", kScope, quick, kStart).fetches());
+  // Reading a long part again costs far more.
+  CHECK(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+  for (int i = 0; i < 20; ++i) {
+    directory.observed(store, 2000_ms, kStart);
+  }
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+  directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
+  CHECK(directory.plan("e1", kScope, kPrompt, kStart).fetch[0]->ip == "10.0.0.2");
+  // The store is tried again after a while.
+  directory.on_events("s1", events(1, {}), kStart + 4000_ms);
+  CHECK(directory.plan("e3", kScope, kPrompt, kStart + 4000_ms).fetch[0]->ip == "10.0.1.1");
+}
+
 TEST_CASE("an engine that did not answer is no source for a while", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
--- a/src/gateway/call_heads.h
+++ b/src/gateway/call_heads.h
@@ -65,7 +65,8 @@
   bool not_run = false;         // The upstream states that it did not run the request.
   bool sealed = false;          // The response is signed by the upstream.
   bool encoded = false;         // The body has a content encoding, so it is not the upstream's.
-  std::string_view request_id;  // Empty if there is none.
+  std::string_view request_id;   // Empty if there is none.
+  std::string_view upstream_id;  // Empty if the upstream does not name itself.
   std::optional<ReportedLoad> load;
   std::optional<std::uint64_t> weight_version;
   bool close = false;                  // The upstream closes the connection after the response.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -302,7 +302,9 @@
   std::string out;
   if (!request.first_event_at) {
     request.first_event_at = clock_.now();
-    pool_.first_event(request.send->picked.upstream_id, request.send->picked.uncached_tokens);
+    const Send& send = *request.send;
+    pool_.prompt_read(send.picked.upstream_id, send.picked.uncached_tokens);
+    pool_.answer_began(send.picked, *request.first_event_at - send.began, *request.first_event_at);
     if (request.account != nullptr) {
       metrics_.first_token(request.account->name, request.route->name,
                            *request.first_event_at - request.arrived);
@@ -355,7 +357,9 @@
   const int status = send.reply.status;
   if (send.reply.not_run) {
     if (status == 421) {
-      pool_.misdirected(send.picked.upstream_id, clock_.now());
+      const bool replaced = !send.reply.upstream_id.empty() &&
+                            send.reply.upstream_id != send.picked.upstream_id;
+      pool_.misdirected(send.picked.upstream_id, replaced, clock_.now());
     }
     send_failed(request, SendEnd::kRejected, false,
                 status == 421 ? "misdirected" : "upstream_refused");
@@ -561,7 +565,7 @@
   request.send.reset();
   const Instant now = clock_.now();
   if (!request.first_event_at) {
-    pool_.first_event(send.picked.upstream_id, send.picked.uncached_tokens);
+    pool_.prompt_read(send.picked.upstream_id, send.picked.uncached_tokens);
   }
   pool_.finished(send.picked.upstream_id, request.caller.prompt_tokens, end, now);
   Connections& connections = connections_[send.picked.upstream_id];
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -44,6 +44,10 @@
 // A fetch from an engine that is gone takes some hundred ms.
 constexpr Duration kAvoidAsSource{3000};
 constexpr Duration kShunMisdirected{200};
+// The entry of an upstream that crashed vanishes after three of its reports are missing.
+constexpr Duration kShunReplaced{4000};
+// Time from a read prompt to the first event, with the way there and back, in ms.
+constexpr double kFirstTokenMs = 30;
 constexpr Duration kShunFull{100};
 // About the time in which an engine lets its runs finish and loads weights.
 constexpr Duration kShunLoading{800};
@@ -372,13 +376,22 @@
   }
 }
 
-void UpstreamPool::first_event(std::string_view id, std::uint32_t uncached_tokens) {
+void UpstreamPool::prompt_read(std::string_view id, std::uint32_t uncached_tokens) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
     std::uint64_t& unread = found->second.in_flight.unread_tokens;
     unread -= std::min<std::uint64_t>(unread, uncached_tokens);
   }
 }
 
+void UpstreamPool::answer_began(const Picked& picked, Duration elapsed, Instant now) {
+  if (!picked.cache.fetches()) {
+    return;
+  }
+  const auto expected = static_cast<std::int64_t>(
+      picked.expected_ms + picked.uncached_tokens / kPrefillTokensPerMs + kFirstTokenMs);
+  cache_.observed(picked.cache.fetch, elapsed - Duration{expected}, now);
+}
+
 void UpstreamPool::finished(std::string_view id,
                             std::uint32_t held_tokens,
                             SendEnd end,
@@ -432,9 +445,9 @@
   }
 }
 
-void UpstreamPool::misdirected(std::string_view id, Instant now) {
+void UpstreamPool::misdirected(std::string_view id, bool replaced, Instant now) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
-    found->second.shunned_until = now + kShunMisdirected;
+    found->second.shunned_until = now + (replaced ? kShunReplaced : kShunMisdirected);
   }
 }
 
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -101,15 +101,17 @@
 
   /** Counts a request that is sent to an upstream, until `finished`. */
   void sent(const Picked& picked, const PickQuery& query, Instant now);
-  /** The answer of a request began: its prompt has been read. */
-  void first_event(std::string_view id, std::uint32_t uncached_tokens);
+  /** The prompt of a request has been read, or its send has ended. */
+  void prompt_read(std::string_view id, std::uint32_t uncached_tokens);
+  /** The answer of a request that was sent `elapsed` ago began. */
+  void answer_began(const Picked& picked, Duration elapsed, Instant now);
   /** `held_tokens` are the prompt tokens of the request. */
   void finished(std::string_view id, std::uint32_t held_tokens, SendEnd end, Instant now);
   void reported_load(std::string_view id, const ReportedLoad& load, Instant now);
   /** An upstream showed that its weights have this version. */
   void reported_version(std::string_view id, std::string_view model, std::uint64_t version);
-  /** The upstream at this address is another one, or has other weights. */
-  void misdirected(std::string_view id, Instant now);
+  /** The upstream at this address is another one (`replaced`), or has other weights. */
+  void misdirected(std::string_view id, bool replaced, Instant now);
 
   /** Engines whose weights are not the wanted ones. */
   struct Outdated {
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -261,6 +261,16 @@
   CHECK(f.pick(query) == home);
 }
 
+// Guards against sending to the old entry of a server that crashed and came back under another id.
+TEST_CASE("an address that another upstream has is left alone until its entry is gone",
+          "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  f.add_plain("o2", "b");
+  f.pool.misdirected("o1", true, kStart);
+  CHECK(f.pick(f.plain_query(), kStart + 3900_ms) == "o2");
+}
+
 TEST_CASE("an upstream that starts again under its id is a new one", "[gateway]") {
   Fixture f;
   f.add_plain("o1");
