Free parts of older weights in stores

Change: once all engines have had a version for 4 s, gateways free older parts in turn. Before that, no gateway fetches from stores for versions older than one that was complete.

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -7,9 +7,21 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "http1/message_parser.h"
 
 namespace bluebellstep {
 
+std::string cache_scope(std::string_view model,
+                        std::uint64_t weight_version,
+                        std::string_view account) {
+  std::string scope = "w" + std::to_string(weight_version);
+  scope.append("/").append(model);
+  if (!account.empty()) {
+    scope.append("/").append(account);
+  }
+  return scope;
+}
+
 bool CachePlan::saves() const {
   return std::any_of(save.begin(), save.end(), [](const auto& store) { return store.has_value(); });
 }
@@ -125,16 +137,20 @@
   return delay_ms(source, now) < limit;
 }
 
-// Returns a source of a part for an engine: stores before engines, since an engine may evict the part
-// within a second, and one in the engine's zone if there is any.
+// Returns a source of a part for an engine: stores before engines, since an engine may evict the
+// part within a second, and one in the engine's zone if there is any.
 const CacheDirectory::Source* CacheDirectory::find_holder(const Source& engine,
                                                           std::uint64_t key,
                                                           std::uint32_t tokens,
+                                                          StoreUse use,
                                                           Instant now) const {
   const Source* best = nullptr;
   int best_rank = 0;
   std::uint64_t best_score = 0;
   for (const auto& [name, source] : sources_) {
+    if (source.info.is_store && !use.fetch) {
+      continue;
+    }
     const auto held = source.parts.find(key);
     // A part that is only expected may still be under way, so it is no source.
     if (held == source.parts.end() || held->second.tokens < tokens || held->second.expected_until ||
@@ -155,14 +171,16 @@
 
 std::vector<bool> CacheDirectory::fetchable(std::string_view scope,
                                             std::span<const PromptPart> prompt,
+                                            StoreUse use,
                                             Instant now) const {
   std::vector<bool> result;
   for (const PromptPart& part : prompt) {
     const std::uint64_t key = key_of(scope, part.id);
     result.push_back(std::any_of(sources_.begin(), sources_.end(), [&](const auto& item) {
       const auto held = item.second.parts.find(key);
-      return held != item.second.parts.end() && held->second.tokens >= part.tokens &&
-             !held->second.expected_until && may_fetch_from(item.second, {}, part.tokens, now);
+      return (use.fetch || !item.second.info.is_store) && held != item.second.parts.end() &&
+             held->second.tokens >= part.tokens && !held->second.expected_until &&
+             may_fetch_from(item.second, {}, part.tokens, now);
     }));
   }
   return result;
@@ -225,6 +243,7 @@
 CachePlan CacheDirectory::plan(std::string_view engine_name,
                                std::string_view scope,
                                std::span<const PromptPart> prompt,
+                               StoreUse use,
                                Instant now) {
   CachePlan plan;
   const Source* engine = find(engine_name);
@@ -239,9 +258,9 @@
     const std::uint64_t key = key_of(scope, part.id);
     if (reachable) {
       const bool held = holds(*engine, key, part.tokens, now);
-      // A source is named also for parts that the engine should hold: it may have evicted them since
-      // its last event, and fetches only what it lacks.
-      const Source* holder = find_holder(*engine, key, part.tokens, now);
+      // A source is named also for parts that the engine should hold: it may have evicted them
+      // since its last event, and fetches only what it lacks.
+      const Source* holder = find_holder(*engine, key, part.tokens, use, now);
       reachable = held || holder != nullptr;
       if (holder != nullptr) {
         plan.fetch[i] = holder->info.endpoint;
@@ -253,7 +272,8 @@
       }
     }
     const bool shared = i + 1 < prompt.size();
-    if (shared && part.tokens >= kLeastSavedTokens && !stored_anywhere(key, part.tokens)) {
+    if (use.save && shared && part.tokens >= kLeastSavedTokens &&
+        !stored_anywhere(key, part.tokens)) {
       if (const Source* store = choose_store(*engine, key, part.tokens, now)) {
         plan.save[i] = store->info.endpoint;
       }
@@ -292,22 +312,35 @@
   }
 }
 
-std::vector<CacheDirectory::StoredPart> CacheDirectory::stored_under(
-    std::string_view store,
-    std::string_view prefix) const {
+std::vector<CacheDirectory::StoredPart> CacheDirectory::stored_before(std::string_view store,
+                                                                      std::string_view model,
+                                                                      std::uint64_t version) const {
   std::vector<StoredPart> parts;
   const Source* source = find(store);
   if (source == nullptr) {
     return parts;
   }
   for (const auto& [key, held] : source->parts) {
-    if (!held.expected_until && std::string_view(held.scope).starts_with(prefix)) {
+    const std::string_view scope = held.scope;
+    const std::size_t slash = scope.find('/');
+    if (held.expected_until || !scope.starts_with('w') || slash == std::string_view::npos) {
+      continue;
+    }
+    const auto stored_version = parse_decimal(scope.substr(1, slash - 1));
+    std::string_view stored_model = scope.substr(slash + 1);
+    stored_model = stored_model.substr(0, stored_model.find('/'));
+    if (stored_version && *stored_version < version && stored_model == model) {
       parts.push_back({held.scope, held.part});
     }
   }
   return parts;
 }
 
+std::optional<std::uint64_t> CacheDirectory::epoch(std::string_view name) const {
+  const Source* source = find(name);
+  return source == nullptr ? std::nullopt : source->epoch;
+}
+
 std::vector<CacheSource> CacheDirectory::sources() const {
   std::vector<CacheSource> result;
   for (const auto& [name, source] : sources_) {
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -67,6 +67,12 @@
   bool saves() const;
 };
 
+/** The scope under which parts are found: a model, its weight version, and the account where it is
+ * isolated (else empty). */
+std::string cache_scope(std::string_view model,
+                        std::uint64_t weight_version,
+                        std::string_view account);
+
 class CacheDirectory {
  public:
   /** What is known of a store counts this long after the poll that told it. */
@@ -84,8 +90,8 @@
   static constexpr double kDelayWeight = 0.25;
   /** Without new delays the average halves in this time, so that the source is tried again. */
   static constexpr Duration kDelayHalfLife{1000};
-  /** A part is fetched if that is expected to take less than this, or than this multiple of the time
-   * to read it again, which is also charged. */
+  /** A part is fetched if that is expected to take less than this, or than this multiple of the
+   * time to read it again, which is also charged. */
   static constexpr double kShortFetchMs = 60;
   static constexpr double kReadAgainFactor = 4;
   static constexpr double kReadTokensPerMs = 50;
@@ -103,9 +109,16 @@
   /** Where the next poll of a source goes on. */
   std::uint64_t next_event(std::string_view source) const;
 
+  /** What a request may do with stores. */
+  struct StoreUse {
+    bool fetch = true;
+    bool save = true;
+  };
+
   /** For each part of the prompt, whether some source has it to be fetched. */
   std::vector<bool> fetchable(std::string_view scope,
                               std::span<const PromptPart> prompt,
+                              StoreUse use,
                               Instant now) const;
 
   /** What a request to an engine would find. */
@@ -124,6 +137,7 @@
   CachePlan plan(std::string_view engine,
                  std::string_view scope,
                  std::span<const PromptPart> prompt,
+                 StoreUse use,
                  Instant now);
 
   /** The request was sent: its parts will be at the engine, and in the stores that it names. */
@@ -134,18 +148,25 @@
             Instant now);
 
   /** Requests that fetched from these sources began to be answered `delay` later than without a
-   * fetch. Transfers of a source run one after another, so a busy or slow link delays all of them. */
+   * fetch. Transfers of a source run one after another, so a busy or slow link delays all of them.
+   */
   void observed(std::span<const std::optional<Endpoint>> sources, Duration delay, Instant now);
 
   /** An engine did not answer: it is no source for a while. */
   void avoid(std::string_view engine, Instant until);
 
-  /** Parts in a store that were kept under scopes that start with `prefix`. */
+  /** A part in a store. */
   struct StoredPart {
     std::string scope;
     std::uint64_t part = 0;
   };
-  std::vector<StoredPart> stored_under(std::string_view store, std::string_view prefix) const;
+  /** Parts in a store that were kept for versions of a model before `version`. */
+  std::vector<StoredPart> stored_before(std::string_view store,
+                                        std::string_view model,
+                                        std::uint64_t version) const;
+
+  /** The epoch of a source as of the last poll. */
+  std::optional<std::uint64_t> epoch(std::string_view source) const;
 
   std::vector<CacheSource> sources() const;
 
@@ -182,6 +203,7 @@
   const Source* find_holder(const Source& engine,
                             std::uint64_t key,
                             std::uint32_t tokens,
+                            StoreUse use,
                             Instant now) const;
   bool stored_anywhere(std::uint64_t key, std::uint32_t tokens) const;
   Source* choose_store(const Source& engine, std::uint64_t key, std::uint32_t tokens, Instant now);
--- a/src/gateway/cache_directory_test.cc
+++ b/src/gateway/cache_directory_test.cc
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr Instant kStart{100'000};
-constexpr std::string_view kScope = "w1";
+constexpr std::string_view kScope = "w1/m";
+constexpr CacheDirectory::StoreUse kAllUse{};
 
 const std::vector<PromptPart> kPrompt = {{.id = 0xb1, .tokens = 12'800},
                                          {.id = 0x01, .tokens = 4000}};
@@ -41,25 +42,25 @@
           "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e3", events(1, {stored(0xb1, 12'800)}), kStart);
-  REQUIRE(directory.plan("e1", kScope, kPrompt, kStart).fetch[0]);
-  CHECK(directory.plan("e1", kScope, kPrompt, kStart).fetch[0]->ip == "10.0.0.3");
+  REQUIRE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]);
+  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.3");
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK(directory.plan("e1", kScope, kPrompt, kStart).fetch[0]->ip == "10.0.0.2");
+  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.2");
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
-  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kStart);
+  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kAllUse, kStart);
   REQUIRE(plan.fetch[0]);
   CHECK(plan.fetch[0]->ip == "10.0.1.1");
   CHECK(plan.fetched_tokens == 12'800);
   CHECK_FALSE(plan.fetch[1]);
 }
 
-// Load pattern: engines are full and evict a part between two polls. Guards against reading it again
-// because the engine was believed to hold it.
+// Load pattern: engines are full and evict a part between two polls. Guards against reading it
+// again because the engine was believed to hold it.
 TEST_CASE("a source is named also for a part that the engine holds", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e1", events(1, {stored(0xb1, 12'800)}), kStart);
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kStart);
+  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kAllUse, kStart);
   CHECK_FALSE(plan.fetches());
   CHECK(plan.fetch[0]);
 }
@@ -68,15 +69,15 @@
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
   directory.on_events("e2", events(1, {stored(0xb1, 128)}), kStart);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
 }
 
 // Guards against blocks of another weight version or of an isolated account.
 TEST_CASE("parts of another scope are not fetched", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK_FALSE(directory.plan("e1", "w2", kPrompt, kStart).fetches());
-  CHECK_FALSE(directory.plan("e1", "w1:acme", kPrompt, kStart).fetches());
+  CHECK_FALSE(directory.plan("e1", "w2/m", kPrompt, kAllUse, kStart).fetches());
+  CHECK_FALSE(directory.plan("e1", "w1/m/acme", kPrompt, kAllUse, kStart).fetches());
 }
 
 // Guards against reading a part that is still being written: what was sent to a store is not there
@@ -86,34 +87,59 @@
   directory.on_events("s1", events(1, {}), kStart);
   const Instant later = kStart + CacheDirectory::kSaveHold;
   directory.on_events("s1", events(1, {}), later);
-  const CachePlan first = directory.plan("e1", kScope, kPrompt, later);
+  const CachePlan first = directory.plan("e1", kScope, kPrompt, kAllUse, later);
   REQUIRE(first.save[0]);
   CHECK_FALSE(first.save[1]);  // The last part belongs to the request alone.
   directory.sent("e1", kScope, kPrompt, first, later);
-  const CachePlan second = directory.plan("e2", kScope, kPrompt, later + 100_ms);
+  const CachePlan second = directory.plan("e2", kScope, kPrompt, kAllUse, later + 100_ms);
   CHECK_FALSE(second.fetches());
   CHECK_FALSE(second.saves());
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), later + 200_ms);
-  CHECK(directory.plan("e2", kScope, kPrompt, later + 200_ms).fetches());
+  CHECK(directory.plan("e2", kScope, kPrompt, kAllUse, later + 200_ms).fetches());
 }
 
 // Guards against fetching a part that another gateway saves again after a restart of the store.
 TEST_CASE("knowledge of a store runs out and saves wait after its restart", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK(directory.plan("e1", kScope, kPrompt, kStart + 1499_ms).fetches());
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart + 1500_ms).fetches());
+  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 1499_ms).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 1500_ms).fetches());
   const Instant restart = kStart + 60_s;
   directory.on_events("s1", events(2, {}), restart);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, restart).fetches());
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, restart + 1000_ms).saves());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, restart).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, restart + 1000_ms).saves());
   static_assert(CacheDirectory::kSaveHold > CacheDirectory::kFetchLimit);
 }
 
+// Guards against freeing a part while it is fetched: parts of older weights are freed only when no
+// gateway fetches them any more.
+TEST_CASE("stores can be left out for a scope", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, {.fetch = false}, kStart).fetches());
+  const Instant later = kStart + CacheDirectory::kSaveHold;
+  directory.on_events("s1", events(1, {stored(0xb1, 0)}), later);
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, {.save = false}, later).saves());
+}
+
+TEST_CASE("parts of older weights of a model are found in a store", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  directory.on_events("s1",
+                      events(1, {{cache_scope("m", 1, ""), 1, 100},
+                                 {cache_scope("m", 2, "acme"), 2, 100},
+                                 {cache_scope("other", 1, ""), 3, 100},
+                                 {cache_scope("m", 3, ""), 4, 100},
+                                 {"foreign", 5, 100}}),
+                      kStart);
+  const auto parts = directory.stored_before("s1", "m", 3);
+  REQUIRE(parts.size() == 2);
+  CHECK(parts[0].part + parts[1].part == 3);
+}
+
 TEST_CASE("fetches from a store carry the end of what is known of it", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
-  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kStart + 500_ms);
+  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 500_ms);
   CHECK(plan.fetch_until_ms == 5000 + CacheDirectory::kFetchLimit.ms);
 }
 
@@ -122,37 +148,38 @@
   directory.on_events("s1", events(1, {stored(0xb2, 12'000)}), kStart);
   const Instant later = kStart + CacheDirectory::kSaveHold;
   directory.on_events("s1", events(1, {}), later);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, later).saves());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, later).saves());
 }
 
-// Load pattern: a store's link turns slow and short prompts wait behind long transfers. Guards against
-// a fetch that takes longer than reading the part again.
+// Load pattern: a store's link turns slow and short prompts wait behind long transfers. Guards
+// against a fetch that takes longer than reading the part again.
 TEST_CASE("a source whose transfers are late gives way", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   const std::vector<PromptPart> quick = {{.id = 0xc1, .tokens = 300}, {.id = 1, .tokens = 80}};
   directory.on_events("s1", events(1, {stored(0xc1, 300), stored(0xb1, 12'800)}), kStart);
   const std::vector<std::optional<Endpoint>> store = {Endpoint{"10.0.1.1", 80}};
   directory.observed(store, 400_ms, kStart);
-  CHECK_FALSE(directory.plan("e1", kScope, quick, kStart).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, quick, kAllUse, kStart).fetches());
   // Reading a long part again costs far more.
-  CHECK(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
   for (int i = 0; i < 20; ++i) {
     directory.observed(store, 2000_ms, kStart);
   }
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK(directory.plan("e1", kScope, kPrompt, kStart).fetch[0]->ip == "10.0.0.2");
+  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.2");
   // The store is tried again after a while.
   directory.on_events("s1", events(1, {}), kStart + 4000_ms);
-  CHECK(directory.plan("e3", kScope, kPrompt, kStart + 4000_ms).fetch[0]->ip == "10.0.1.1");
+  CHECK(directory.plan("e3", kScope, kPrompt, kAllUse, kStart + 4000_ms).fetch[0]->ip ==
+        "10.0.1.1");
 }
 
 TEST_CASE("an engine that did not answer is no source for a while", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
   directory.avoid("e2", kStart + 1000_ms);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
-  CHECK(directory.plan("e1", kScope, kPrompt, kStart + 1000_ms).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
+  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 1000_ms).fetches());
 }
 
 TEST_CASE("an engine that started again holds nothing", "[gateway][cache]") {
@@ -163,7 +190,7 @@
     source.started_ms = source.name == "e2" ? 77 : source.started_ms;
   }
   directory.set_sources(sources);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kStart).fetches());
+  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
 }
 
 }  // namespace bluebellstep
--- a/src/gateway/cache_follower.cc
+++ b/src/gateway/cache_follower.cc
@@ -28,6 +28,27 @@
   }
 }
 
+void CacheFollower::free_older(std::string_view model, std::uint64_t version) {
+  for (const auto& [name, source] : polled_) {
+    const auto parts = source.is_store ? directory_.stored_before(name, model, version)
+                                       : std::vector<CacheDirectory::StoredPart>{};
+    const auto epoch = directory_.epoch(name);
+    if (parts.empty() || !epoch) {
+      continue;
+    }
+    LogEvent("cache_parts_freed")
+        .field("store", name)
+        .field("parts", static_cast<std::uint64_t>(parts.size()))
+        .field("before_version", version);
+    client_.send(
+        platform::free_parts_call(source.endpoint, *epoch, parts, kCallTimeout),
+        [name = name](const HttpClient::Response& response) {
+          // The store's events tell what was freed; what was not is freed next time.
+          LogEvent("cache_free_answered").field("store", name).field("status", response.status);
+        });
+  }
+}
+
 void CacheFollower::after(Duration delay, const std::string& name) {
   loop_.post_after(delay, [this, name, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) {
--- a/src/gateway/cache_follower.h
+++ b/src/gateway/cache_follower.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "gateway/cache_directory.h"
@@ -35,6 +36,9 @@
   /** The directory's sources changed: starts to poll new ones. */
   void update();
 
+  /** Frees the parts in stores that were kept for versions of `model` before `version`. */
+  void free_older(std::string_view model, std::uint64_t version);
+
  private:
   void poll(const std::string& name);
   void on_events(const std::string& name, const HttpClient::Response& response);
--- a/src/gateway/call_heads.h
+++ b/src/gateway/call_heads.h
@@ -62,9 +62,9 @@
 /** What an upstream's response says of itself. */
 struct UpstreamReply {
   int status = 0;
-  bool not_run = false;         // The upstream states that it did not run the request.
-  bool sealed = false;          // The response is signed by the upstream.
-  bool encoded = false;         // The body has a content encoding, so it is not the upstream's.
+  bool not_run = false;          // The upstream states that it did not run the request.
+  bool sealed = false;           // The response is signed by the upstream.
+  bool encoded = false;          // The body has a content encoding, so it is not the upstream's.
   std::string_view request_id;   // Empty if there is none.
   std::string_view upstream_id;  // Empty if the upstream does not name itself.
   std::optional<ReportedLoad> load;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -357,8 +357,8 @@
   const int status = send.reply.status;
   if (send.reply.not_run) {
     if (status == 421) {
-      const bool replaced = !send.reply.upstream_id.empty() &&
-                            send.reply.upstream_id != send.picked.upstream_id;
+      const bool replaced =
+          !send.reply.upstream_id.empty() && send.reply.upstream_id != send.picked.upstream_id;
       pool_.misdirected(send.picked.upstream_id, replaced, clock_.now());
     }
     send_failed(request, SendEnd::kRejected, false,
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -49,9 +49,8 @@
         gossip(loop, settings.peers, settings.name, board, [this] { return pool.load_lines(); }),
         callers(loop, settings.callers, forwarder) {
     knowledge.on_weights_changed([this] { rollout.update(); });
-    knowledge.on_peers_changed([this](std::vector<Endpoint> peers) {
-      gossip.set_peers(std::move(peers));
-    });
+    knowledge.on_peers_changed(
+        [this](std::vector<Endpoint> peers) { gossip.set_peers(std::move(peers)); });
     knowledge.start();
     flush_log(loop);
   }
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -20,6 +20,8 @@
 constexpr ObjectKind kFollowed[] = {ObjectKind::kConfiguration, ObjectKind::kUpstreams,
                                     ObjectKind::kZonesOut, ObjectKind::kWantedWeights,
                                     ObjectKind::kGateways};
+// Pause between the turns of two gateways to free parts; above the pause between two polls.
+constexpr Duration kFreePause{1500};
 constexpr std::string_view kPeerPath = "/v1/objects?known=";
 
 std::string_view text_of(ObjectKind kind) {
@@ -277,8 +279,24 @@
       });
 }
 
+// Each gateway frees once for a version, in turn: the first in the list of gateways begins, and the
+// later ones find nothing left unless it was down.
+void Knowledge::free_older_parts() {
+  const Instant now = clock_.now();
+  pool_.note_rollouts(now);
+  const auto& gateways = mirror(ObjectKind::kGateways).objects();
+  const auto turn = std::distance(gateways.begin(), gateways.find(settings_.name));
+  for (const auto& [model, version] : pool_.settled_versions(now - kFreePause * turn)) {
+    if (freed_before_[model] < version) {
+      freed_before_[model] = version;
+      cache_follower_.free_older(model, version);
+    }
+  }
+}
+
 void Knowledge::tick() {
   pool_.drop_lapsed(clock_.now());
+  free_older_parts();
   if (!store_reachable_ && !asking_peer_) {
     ask_peer();
   }
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -77,6 +78,7 @@
   void on_wanted_weights(const platform::StoredObject& object);
   void on_gateways();
   void update_cache_sources();
+  void free_older_parts();
   void on_contact(platform::ObjectKind kind, bool reachable);
   bool may_probe(platform::ObjectKind kind) const;
   const ObjectMirror& mirror(platform::ObjectKind kind) const;
@@ -103,6 +105,7 @@
   std::vector<Endpoint> peers_;
   bool store_reachable_ = true;
   bool asking_peer_ = false;
+  std::map<std::string, std::uint64_t> freed_before_;  // By model.
   bool weights_listed_ = false;  // The first list of wanted weights has been taken.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/load_board.cc
+++ b/src/gateway/load_board.cc
@@ -39,11 +39,10 @@
                       .sequence = json.at(2).get<std::uint64_t>(),
                       .incarnation = json.at(1).get<std::uint64_t>()};
     for (const auto& line : json.at(3)) {
-      report.lines.push_back(
-          {.upstream = line.at(0).get<std::uint32_t>(),
-           .in_flight = {.requests = line.at(1).get<std::uint32_t>(),
-                         .unread_tokens = line.at(2).get<std::uint64_t>(),
-                         .held_tokens = line.at(3).get<std::uint64_t>()}});
+      report.lines.push_back({.upstream = line.at(0).get<std::uint32_t>(),
+                              .in_flight = {.requests = line.at(1).get<std::uint32_t>(),
+                                            .unread_tokens = line.at(2).get<std::uint64_t>(),
+                                            .held_tokens = line.at(3).get<std::uint64_t>()}});
     }
     return report;
   } catch (const nlohmann::json::exception&) {
--- a/src/gateway/load_board_test.cc
+++ b/src/gateway/load_board_test.cc
@@ -48,8 +48,8 @@
 
 TEST_CASE("reports survive their encoding, other bytes are no report", "[gateway]") {
   const std::string bytes = encode_load_report(report(7, 8, 9));
-  const auto decoded = decode_load_report(
-      {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+  const auto decoded =
+      decode_load_report({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
   REQUIRE(decoded);
   CHECK(decoded->incarnation == 7);
   CHECK(decoded->lines.at(0).in_flight.requests == 9);
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -25,9 +25,9 @@
 
 int open_datagram_socket(const Endpoint& endpoint) {
   std::optional<SocketAddress> address = to_socket_address(endpoint);
-  const int fd = address ? ::socket(address->get()->sa_family,
-                                    SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
-                         : -1;
+  const int fd =
+      address ? ::socket(address->get()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
+              : -1;
   if (fd < 0 || ::bind(fd, address->get(), address->length) != 0) {
     const int error = address ? errno : EINVAL;
     if (fd >= 0) {
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -76,14 +76,6 @@
 
 }  // namespace
 
-std::string cache_scope(std::uint64_t weight_version, const ClientAccount* account) {
-  std::string scope = "w" + std::to_string(weight_version);
-  if (account != nullptr && account->isolated) {
-    scope.append(":").append(account->name);
-  }
-  return scope;
-}
-
 void UpstreamPool::put(UpstreamEntry entry, Instant now) {
   const auto found = upstreams_.find(entry.id);
   const bool new_start = found == upstreams_.end() ||
@@ -229,9 +221,7 @@
   return version && !is_outdated(*version, query.model, now);
 }
 
-double UpstreamPool::wait_ms(const Upstream& upstream,
-                             const PickQuery& query,
-                             Instant now) const {
+double UpstreamPool::wait_ms(const Upstream& upstream, const PickQuery& query, Instant now) const {
   const double age = static_cast<double>((now - upstream.load_at).ms);
   const double fresh = std::exp2(-age / kLoadHalfLifeMs);
   InFlight in_flight = board_.others(upstream.entry.id);
@@ -266,8 +256,12 @@
     return known->second;
   }
   PromptKnowledge added;
-  added.scope = cache_scope(version, query.account);
-  added.fetchable = cache_.fetchable(added.scope, query.prompt, now);
+  const bool isolated = query.account != nullptr && query.account->isolated;
+  added.scope = cache_scope(query.model, version, isolated ? query.account->name : "");
+  const auto rollout = rollouts_.find(query.model);
+  added.stores = {.fetch = rollout == rollouts_.end() || version >= rollout->second.complete,
+                  .save = version >= newest_wanted(query.model)};
+  added.fetchable = cache_.fetchable(added.scope, query.prompt, added.stores, now);
   return knowledge.emplace(version, std::move(added)).first->second;
 }
 
@@ -353,7 +347,7 @@
     const CacheDirectory::Coverage coverage =
         cache_.coverage(entry.id, known.scope, query.prompt, known.fetchable, now);
     picked.cache_scope = known.scope;
-    picked.cache = cache_.plan(entry.id, known.scope, query.prompt, now);
+    picked.cache = cache_.plan(entry.id, known.scope, query.prompt, known.stores, now);
     picked.uncached_tokens =
         query.prompt_tokens -
         std::min(query.prompt_tokens, coverage.held_tokens + picked.cache.fetched_tokens);
@@ -367,9 +361,8 @@
     return;
   }
   Upstream& upstream = found->second;
-  upstream.in_flight += {.requests = 1,
-                         .unread_tokens = picked.uncached_tokens,
-                         .held_tokens = query.prompt_tokens};
+  upstream.in_flight +=
+      {.requests = 1, .unread_tokens = picked.uncached_tokens, .held_tokens = query.prompt_tokens};
   upstream.recent_sends.push_back(now);
   if (query.service->engine) {
     cache_.sent(picked.upstream_id, picked.cache_scope, query.prompt, picked.cache, now);
@@ -474,6 +467,37 @@
   return result;
 }
 
+void UpstreamPool::note_rollouts(Instant now) {
+  std::map<std::string, std::uint64_t, std::less<>> oldest;
+  for (const auto& [id, upstream] : upstreams_) {
+    for (const auto& [model, version] : upstream.entry.weight_versions) {
+      const auto [known, added] = oldest.try_emplace(model, version);
+      known->second = std::min(known->second, version);
+    }
+  }
+  for (const auto& [model, version] : oldest) {
+    Rollout& rollout = rollouts_[model];
+    const std::uint64_t wanted = newest_wanted(model);
+    const bool complete = wanted > 0 && version >= wanted;
+    if (complete && (rollout.complete < wanted || rollout.outdated_now)) {
+      rollout.complete = wanted;
+      rollout.complete_since = now;
+    }
+    rollout.outdated_now = version < rollout.complete;
+  }
+}
+
+std::map<std::string, std::uint64_t> UpstreamPool::settled_versions(Instant now) const {
+  std::map<std::string, std::uint64_t> settled;
+  for (const auto& [model, rollout] : rollouts_) {
+    if (rollout.complete > 0 && !rollout.outdated_now &&
+        now >= rollout.complete_since + kSettleTime) {
+      settled[model] = rollout.complete;
+    }
+  }
+  return settled;
+}
+
 std::vector<LoadLine> UpstreamPool::load_lines() const {
   std::vector<LoadLine> lines;
   for (const auto& [id, upstream] : upstreams_) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -55,9 +55,6 @@
   CachePlan cache;
 };
 
-/** The scope of cached parts: a weight version, and the account where it is isolated. */
-std::string cache_scope(std::uint64_t weight_version, const ClientAccount* account);
-
 /** No upstream may get the request now. */
 struct NonePicked {
   Duration retry_after{0};
@@ -124,6 +121,13 @@
   };
   std::vector<Outdated> outdated(std::size_t& engines) const;
 
+  /** Notes which versions all engines have; call after changes. */
+  void note_rollouts(Instant now);
+  /** A version that all engines have had for `kSettleTime`, by model. Parts of older ones in stores
+   * are of no use, and no gateway fetches them any more. */
+  static constexpr Duration kSettleTime{4000};
+  std::map<std::string, std::uint64_t> settled_versions(Instant now) const;
+
   /** Connections that this gateway may hold to one upstream of a service. */
   std::size_t connection_share(const ServiceInfo& service) const;
 
@@ -146,7 +150,7 @@
     UpstreamEntry entry;
     Instant cold_until;
     std::optional<Instant> lapsed_until;  // Gone from the store; kept until then.
-    InFlight in_flight;  // Of this gateway.
+    InFlight in_flight;                   // Of this gateway.
     ReportedLoad load;
     Instant load_at;
     int failures = 0;  // In a row.
@@ -169,6 +173,7 @@
   // Parts of a query's prompt that can be fetched, by the weight version of their scope.
   struct PromptKnowledge {
     std::string scope;
+    CacheDirectory::StoreUse stores;
     std::vector<bool> fetchable;
   };
   using KnowledgeByVersion = std::map<std::uint64_t, PromptKnowledge>;
@@ -194,6 +199,12 @@
   std::map<std::string, Upstream, std::less<>> upstreams_;
   std::set<std::string, std::less<>> zones_out_;
   std::map<std::string, WantedVersions, std::less<>> wanted_;  // Never empty lists.
+  struct Rollout {
+    std::uint64_t complete = 0;  // Newest version that all engines were seen to have.
+    Instant complete_since;
+    bool outdated_now = false;  // An engine has an older version again.
+  };
+  std::map<std::string, Rollout, std::less<>> rollouts_;  // By model.
   std::size_t gateways_ = 1;
   std::optional<Instant> unreachable_since_;
   std::optional<Instant> reachable_since_;
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -80,8 +80,8 @@
   CHECK(f.pick(f.plain_query()) == "o2");
 }
 
-// Load pattern: many gateways with few requests each. Guards against all of them taking the upstream
-// that each of them alone sees idle.
+// Load pattern: many gateways with few requests each. Guards against all of them taking the
+// upstream that each of them alone sees idle.
 TEST_CASE("what other gateways have in flight counts", "[gateway]") {
   Fixture f;
   f.add_engine("e1");
@@ -194,6 +194,23 @@
   CHECK(f.pick(f.engine_query(), kStart + 3000_ms).empty());
 }
 
+// Guards against freeing parts of older weights while an engine can still fetch them.
+TEST_CASE("a version is settled when all engines have had it for a while", "[gateway]") {
+  Fixture f;
+  f.add_engine("e1", 1);
+  f.add_engine("e2", 2);
+  f.pool.set_wanted_weights({.model = "m", .version = 2}, false, kStart);
+  f.pool.note_rollouts(kStart);
+  CHECK(f.pool.settled_versions(kStart + 60_s).empty());
+  f.pool.reported_version("e1", "m", 2);
+  f.pool.note_rollouts(kStart + 1000_ms);
+  CHECK(f.pool.settled_versions(kStart + 4999_ms).empty());
+  CHECK(f.pool.settled_versions(kStart + 5000_ms).at("m") == 2);
+  f.add_engine("e3", 1);  // Comes back with the weights that it had.
+  f.pool.note_rollouts(kStart + 6000_ms);
+  CHECK(f.pool.settled_versions(kStart + 60_s).empty());
+}
+
 TEST_CASE("engines with the wanted weights come first", "[gateway]") {
   Fixture f;
   f.add_engine("e1", 1);
@@ -229,7 +246,8 @@
   PickQuery query = f.engine_query();
   query.prompt = prompt;
   query.prompt_tokens = 16'800;
-  f.cache.on_events("e2", {.epoch = 1, .next = 1, .events = {{"w1", 0xb1, 12'800}}}, kStart);
+  f.cache.on_events(
+      "e2", {.epoch = 1, .next = 1, .events = {{cache_scope("m", 1, ""), 0xb1, 12'800}}}, kStart);
   CHECK(f.pick(query) == "e2");
 
   SECTION("a busy holder serves as a source instead") {
