Probe an unreachable store with short calls; stand-in for the users' platform and a fault soak

Ruled out: peers (none of them knew it yet). Change: watches wait 3 s, and a store that did not answer is asked by calls of 0.1 s. The stand-in 'fleet' speaks the users' dialect for process tests and for the soak (signals, a loopback proxy, faults). The new process test failed with the long wait and passes now.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_process.h"
 
+#include <cstdio>
 #include <memory>
 
 #include "base/log_event.h"
@@ -123,6 +124,9 @@
           metrics->respond(exchange, 200, {{"content-type", "text/plain"}}, parts->metrics.text());
         });
       }});
+  std::printf("listening callers=%u peers=%u metrics=%u\n", unsigned{settings.callers.port},
+              unsigned{peers->port()}, unsigned{metrics->port()});
+  std::fflush(stdout);
   LogEvent("gateway_started").field("name", settings.name).field("zone", settings.zone);
   const int exit_code = drain_process(
       signals, DrainController(DrainRole::kEntry, drain_times(settings)),
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -69,11 +69,11 @@
   listed_ = true;
   deliver(mirror_.replace(std::exchange(pages_, {}), list_revision_));
   listener_.on_contact(true);
-  watch();
+  watch(kWatchWait);
 }
 
-void StoreFollower::watch() {
-  send(platform::watch_call(store_, kind_, mirror_.revision(), kWatchWait, kCallTimeout),
+void StoreFollower::watch(Duration wait) {
+  send(platform::watch_call(store_, kind_, mirror_.revision(), wait, kCallTimeout),
        &StoreFollower::on_watch);
 }
 
@@ -85,9 +85,9 @@
                           const bool changed = !changes.changes.empty();
                           deliver(mirror_.apply(std::move(changes)));
                           if (changed) {
-                            after(batch_pause(), [this] { watch(); });
+                            after(batch_pause(), [this] { watch(kWatchWait); });
                           } else {
-                            watch();
+                            watch(kWatchWait);
                           }
                         },
                         [&](const platform::HistoryGone&) {
@@ -130,7 +130,7 @@
     return;
   }
   if (listed_) {
-    watch();
+    watch(kProbeWait);
   } else {
     list({});
   }
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -19,8 +19,12 @@
 /** Runs on the HTTP thread. */
 class StoreFollower {
  public:
-  /** Longest wait of a watch. Silent connections are noticed earlier, by probes. */
-  static constexpr Duration kWatchWait{6000};
+  /** Longest wait of a watch. Bounds how late a store that accepts calls and stays silent is
+   * noticed. */
+  static constexpr Duration kWatchWait{3000};
+  /** Wait of a watch that asks whether the store answers again. A longer one that falls into an
+   * outage would hide the store's return until it times out. */
+  static constexpr Duration kProbeWait{100};
   /** Silence of the store, beyond the wait of a watch, that counts as unreachable. */
   static constexpr Duration kCallTimeout{800};
   /** Pause after a call that failed. Refused calls are charged too. */
@@ -58,7 +62,7 @@
 
  private:
   void list(std::string after);
-  void watch();
+  void watch(Duration wait);
   void on_page(const HttpClient::Response& response);
   void on_watch(const HttpClient::Response& response);
   void failed(const PlatformUnavailable& fault);
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -8,6 +8,7 @@
 #include "http/http_loop.h"
 #include "standins/engine_command.h"
 #include "standins/engine_standin.h"
+#include "standins/fleet_standin.h"
 #include "standins/orders_standin.h"
 #include "standins/platform_standin.h"
 #include "standins/standin_options.h"
@@ -50,6 +51,8 @@
   add_weights_command(app);
   add_command<EngineStandin, EngineOptions>(app, "engine", "model engine", add_engine_options);
   add_command<StoreStandin, StoreOptions>(app, "store", "cache store", add_store_options);
+  add_command<FleetStandin, FleetOptions>(app, "fleet", "the users' platform: store and servers",
+                                          add_fleet_options);
   try {
     // Runs the subcommand.
     CLI11_PARSE(app, argc, argv);
--- /dev/null
+++ b/tests/process/gateway_fleet.cc
@@ -0,0 +1,147 @@
+// Start and calls of gateways under test.
+
+#include "tests/process/gateway_fleet.h"
+
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <unistd.h>
+
+#include "http/listening_socket.h"
+
+namespace bluebellstep::testing {
+namespace {
+
+constexpr int kEvents = 10;
+constexpr Duration kStartLimit{10'000};
+
+// Ports that were free a moment ago, all held until the last is chosen.
+std::vector<std::uint16_t> free_ports(int count) {
+  std::vector<ListeningSocket> sockets;
+  std::vector<std::uint16_t> ports;
+  for (int i = 0; i < count; ++i) {
+    sockets.push_back(open_listening_socket({"127.0.0.1", 0}));
+    ports.push_back(sockets.back().port);
+  }
+  for (const ListeningSocket& socket : sockets) {
+    ::close(socket.fd);
+  }
+  return ports;
+}
+
+}  // namespace
+
+GatewayFleet::GatewayFleet(int gateways) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
+  if (::mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("cannot make a folder");
+  }
+  folder_ = pattern;
+  processes_["fleet"] = std::make_unique<ChildProcess>(
+      std::vector<std::string>{STANDINS_BINARY, "fleet", "--ip", "127.0.0.1", "--port", "0",
+                               "--events", std::to_string(kEvents)},
+      (folder_ / "fleet").string());
+  process("fleet").wait_for_listening();
+  for (int i = 1; i <= gateways; ++i) {
+    ports_["g" + std::to_string(i)] = free_ports(4);
+  }
+  for (const auto& [name, ports] : ports_) {
+    start_gateway(name);
+  }
+  for (const auto& [name, ports] : ports_) {
+    if (!wait_until_ready(name, kStartLimit)) {
+      throw std::runtime_error(name + " is not ready");
+    }
+  }
+}
+
+GatewayFleet::~GatewayFleet() {
+  processes_.clear();
+  std::error_code ignored;  // A folder that stays in /tmp does no harm.
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void GatewayFleet::start_gateway(const std::string& name) {
+  processes_.erase(name);
+  const auto& ports = ports_.at(name);
+  const auto at = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
+  const std::string file = (folder_ / (name + ".yaml")).string();
+  std::string peers;
+  for (const auto& [other, other_ports] : ports_) {
+    peers += (peers.empty() ? "" : ",") + at(other_ports[2]);
+  }
+  std::ofstream(file) << "name: " << name << "\nzone: a\ncallers: " << at(ports[0])
+                      << "\nready: " << at(ports[1]) << "\npeers: " << at(ports[2])
+                      << "\nmetrics: " << at(ports[3])
+                      << "\nstore: " << at(process("fleet").port("port")) << "\nfirst_peers: ["
+                      << peers << "]\nbounds:\n  stop_limit: 8s\n";
+  processes_[name] = std::make_unique<ChildProcess>(
+      std::vector<std::string>{BLUEBELLSTEP_BINARY, "gateway", "--settings", file},
+      (folder_ / name).string());
+  process(name).wait_for_listening();
+}
+
+bool GatewayFleet::wait_until_ready(const std::string& name, Duration limit) {
+  return wait_until(limit, [&] {
+    return client_.send_and_wait({.endpoint = {"127.0.0.1", ports_.at(name)[1]}, .path = "/ready"})
+               .status == 200;
+  });
+}
+
+HttpCall GatewayFleet::call(const std::string& gateway,
+                            const std::string& route,
+                            const std::string& id,
+                            const std::string& key) {
+  HttpCall call{.endpoint = {"127.0.0.1", caller_port(gateway)},
+                .method = route == "lookups" ? "GET" : "POST",
+                .path = "/" + route + "/x"};
+  call.headers = {{"request-id", id}, {"credential", key},       {"deadline-ms", "4000"},
+                  {"model", "clerk"}, {"token-usage", "100,10"}, {"prompt-prefix", "1:60,2:40"}};
+  if (route != "lookups") {
+    call.body = "body of " + id;
+  }
+  return call;
+}
+
+GatewayFleet::Response GatewayFleet::request(const std::string& gateway,
+                                             const std::string& route,
+                                             const std::string& id,
+                                             const std::string& key) {
+  return client_.send_and_wait(call(gateway, route, id, key));
+}
+
+void GatewayFleet::send(const std::string& gateway,
+                        const std::string& route,
+                        const std::string& id,
+                        std::function<void(Response)> on_response) {
+  client_.send(call(gateway, route, id, "key-1"), std::move(on_response));
+}
+
+GatewayFleet::Response GatewayFleet::store(const std::string& method,
+                                           const std::string& path,
+                                           const Json& body) {
+  HttpCall call{
+      .endpoint = {"127.0.0.1", process("fleet").port("port")}, .method = method, .path = path};
+  call.headers = {{"content-type", "application/json"}};
+  call.body = body.is_null() ? "" : body.dump();
+  return client_.send_and_wait(call);
+}
+
+void GatewayFleet::set_faults(const Json& faults) {
+  store("POST", "/faults", faults);
+}
+
+std::map<std::string, int> GatewayFleet::runs() {
+  return Json::parse(store("GET", "/runs", nullptr).body).get<std::map<std::string, int>>();
+}
+
+std::string GatewayFleet::whole_stream(const std::string& id) {
+  std::string body;
+  for (int i = 1; i <= kEvents; ++i) {
+    body += "id: " + std::to_string(i) + "\ndata: " + id + "-" + std::to_string(i) + "\n\n";
+  }
+  return body;
+}
+
+}  // namespace bluebellstep::testing
--- /dev/null
+++ b/tests/process/gateway_process_test.cc
@@ -0,0 +1,132 @@
+// Fault tests on real gateways in front of the stand-in for the users' platform.
+
+#include <sys/types.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+#include "tests/process/gateway_fleet.h"
+#include "tests/support/raw_socket.h"
+
+namespace bluebellstep::testing {
+
+TEST_CASE("process: a gateway serves orders, lookups and streams") {
+  GatewayFleet fleet(1);
+  const auto order = fleet.request("g1", "orders", "o1");
+  CHECK(order.status == 200);
+  CHECK(order.body == "answer to o1 body of o1");
+  CHECK(fleet.request("g1", "lookups", "l1").status == 200);
+  CHECK(fleet.request("g1", "prompts", "p1").body == GatewayFleet::whole_stream("p1"));
+  CHECK(fleet.request("g1", "chats", "c1").body == GatewayFleet::whole_stream("c1"));
+  CHECK(fleet.request("g1", "unknown", "u1").status == 404);
+  CHECK(fleet.request("g1", "orders", "k1", "key-2").status == 401);
+  CHECK(fleet.runs() == std::map<std::string, int>{{"o1", 1}, {"l1", 1}, {"p1", 1}, {"c1", 1}});
+}
+
+// Guards against an order that runs twice because its answer was lost, and against saying "not
+// run".
+TEST_CASE("process: an order whose answer is lost is not sent again") {
+  GatewayFleet fleet(1);
+  fleet.set_faults({{"lose_answers", 1}});
+  CHECK(fleet.request("g1", "orders", "o1").status == 502);
+  CHECK(fleet.runs().at("o1") == 1);
+  fleet.set_faults({{"lose_answers", 1}});
+  CHECK(fleet.request("g1", "lookups", "l1").status == 200);
+  CHECK(fleet.runs().at("l1") == 2);
+}
+
+TEST_CASE("process: a refused order goes to another server, or back as not run") {
+  GatewayFleet fleet(1);
+  fleet.set_faults({{"refuse", 1}});
+  CHECK(fleet.request("g1", "orders", "o1").status == 200);
+  fleet.set_faults({{"refuse", 100}});
+  const auto refused = fleet.request("g1", "orders", "o2");
+  CHECK(refused.status == 503);
+  CHECK(find_header(refused.headers, "retry-after"));
+  CHECK_FALSE(fleet.runs().contains("o2"));
+}
+
+// Guards against streams that are joined in the middle of an event, or look complete when cut.
+TEST_CASE("process: a cut stream is continued where it may be, and broken off where not") {
+  GatewayFleet fleet(1);
+  fleet.set_faults({{"cut_streams", 1}});
+  const auto resumed = fleet.request("g1", "prompts", "p1");
+  CHECK(resumed.status == 200);
+  CHECK(resumed.body == GatewayFleet::whole_stream("p1"));
+  fleet.set_faults({{"cut_streams", 1}});
+  const auto cut = fleet.request("g1", "chats", "c1");
+  CHECK(std::holds_alternative<HttpClient::Failed>(cut.outcome));
+}
+
+// Guards against requests that wait for the store, and against a start that needs it.
+TEST_CASE("process: gateways serve and start while the store is down") {
+  GatewayFleet fleet(2);
+  fleet.set_faults({{"store_down", true}});
+  CHECK(fleet.request("g1", "orders", "o1").status == 200);
+  fleet.process("g2").kill_now();
+  fleet.start_gateway("g2");
+  // Its peer knows the configuration and the servers.
+  CHECK(fleet.wait_until_ready("g2", Duration{5000}));
+  CHECK(fleet.request("g2", "orders", "o2").status == 200);
+}
+
+// Guards against a call that falls into an outage and hides the store's return: in a played day new
+// configurations came into force 4 s after the store was back.
+TEST_CASE("process: a change after an outage of the store is in force within seconds") {
+  GatewayFleet fleet(1);
+  fleet.set_faults({{"store_silent", true}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(8000));
+  fleet.set_faults(GatewayFleet::Json::object());
+  const GatewayFleet::Json evacuation = {{"metadata", {{"name", "a"}}},
+                                         {"spec", GatewayFleet::Json::object()}};
+  fleet.store("POST", "/objects/evacuations", evacuation);
+  CHECK(wait_until(Duration{1500},
+                   [&] { return fleet.request("g1", "orders", "o1").status == 503; }));
+}
+
+TEST_CASE("process: new weights are loaded everywhere by one gateway") {
+  GatewayFleet fleet(2);
+  fleet.store("POST", "/objects/versions",
+              {{"metadata", {{"name", "clerk"}}}, {"spec", {{"model", "clerk"}, {"version", 2}}}});
+  const auto loads = [&] {
+    return GatewayFleet::Json::parse(fleet.store("GET", "/counters", nullptr).body)
+        .value("loads", 0);
+  };
+  CHECK(wait_until(Duration{10'000}, [&] { return loads() == 2; }));
+  CHECK(fleet.request("g1", "prompts", "p1").status == 200);
+}
+
+// Guards against cut requests in a planned stop, and against a stop that waits for idle callers.
+TEST_CASE("process: a stop answers what was sent and ends in time") {
+  GatewayFleet fleet(1);
+  fleet.set_faults({{"delay_ms", 800}});
+  std::atomic<int> answered{0};
+  for (int i = 0; i < 20; ++i) {
+    fleet.send("g1", "orders", "o" + std::to_string(i),
+               [&](const GatewayFleet::Response& response) {
+                 answered += response.status == 200 ? 1 : 0;
+               });
+  }
+  auto idle = RawSocket::connect(fleet.caller_port("g1"));
+  CHECK(wait_until(Duration{3000}, [&] { return fleet.runs().size() == 20; }));
+  fleet.process("g1").send_signal(SIGTERM);
+  CHECK(fleet.process("g1").wait_for_exit(Duration{8000}) == 0);
+  CHECK(wait_until(Duration{1000}, [&] { return answered == 20; }));
+}
+
+// Guards against framing that hides a second request in the body of the first.
+TEST_CASE("process: a request with contradictory framing is refused and its connection closed") {
+  GatewayFleet fleet(1);
+  auto socket = RawSocket::connect(fleet.caller_port("g1"));
+  socket.send(
+      "POST /orders/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: s1\r\nCredential: key-1\r\n"
+      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+      "POST /orders/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: s2\r\nCredential: key-1\r\n\r\n");
+  CHECK(socket.receive_all().starts_with("HTTP/1.1 400"));
+  CHECK(fleet.runs().empty());
+}
+
+}  // namespace bluebellstep::testing
--- /dev/null
+++ b/tests/soak/fault_proxy.cc
@@ -0,0 +1,99 @@
+// Copies bytes between two sockets, with faults.
+
+#include "tests/soak/fault_proxy.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include "http/socket_address.h"
+
+namespace bluebellstep::testing {
+namespace {
+
+constexpr int kPollMs = 50;
+constexpr std::chrono::milliseconds kDelay{30};
+
+void reset(int fd) {
+  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
+// Copies what is there. Returns false once the source has ended or the target takes nothing.
+bool copy(int from, int to, bool drop) {
+  std::array<char, 16384> buffer;
+  const ssize_t count = ::recv(from, buffer.data(), buffer.size(), 0);
+  if (count <= 0) {
+    return false;
+  }
+  return drop || ::send(to, buffer.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
+}
+
+}  // namespace
+
+FaultProxy::FaultProxy(std::uint16_t target)
+    : target_(target), listener_(open_listening_socket({"127.0.0.1", 0})) {
+  acceptor_ = std::thread([this] { accept_all(); });
+}
+
+FaultProxy::~FaultProxy() {
+  stopping_ = true;
+  acceptor_.join();
+  for (std::thread& connection : connections_) {
+    connection.join();
+  }
+  ::close(listener_.fd);
+}
+
+void FaultProxy::accept_all() {
+  while (!stopping_) {
+    pollfd waiting{.fd = listener_.fd, .events = POLLIN, .revents = 0};
+    if (::poll(&waiting, 1, kPollMs) <= 0 || fault_ == ProxyFault::kSilent) {
+      continue;
+    }
+    const int caller = ::accept4(listener_.fd, nullptr, nullptr, SOCK_CLOEXEC);
+    if (caller >= 0) {
+      const std::lock_guard lock(mutex_);
+      connections_.emplace_back([this, caller] { serve(caller); });
+    }
+  }
+}
+
+void FaultProxy::serve(int caller) {
+  auto address = to_socket_address({"127.0.0.1", target_}).value();
+  const int target = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool open = ::connect(target, address.get(), address.length) == 0;
+  while (open && !stopping_) {
+    std::array<pollfd, 2> waiting = {{{.fd = caller, .events = POLLIN, .revents = 0},
+                                      {.fd = target, .events = POLLIN, .revents = 0}}};
+    const ProxyFault fault = fault_;
+    if (fault == ProxyFault::kReset) {
+      reset(caller);
+      break;
+    }
+    if (fault == ProxyFault::kSilent) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
+      continue;
+    }
+    if (::poll(waiting.data(), waiting.size(), kPollMs) <= 0) {
+      continue;
+    }
+    if (fault == ProxyFault::kDelay) {
+      std::this_thread::sleep_for(kDelay);
+    }
+    if (waiting[0].revents != 0) {
+      open = copy(caller, target, false);
+    }
+    if (open && waiting[1].revents != 0) {
+      open = copy(target, caller, fault == ProxyFault::kNoAnswer);
+    }
+  }
+  ::close(caller);
+  ::close(target);
+}
+
+}  // namespace bluebellstep::testing
