--- a/src/cli/settings_commands.cc
+++ b/src/cli/settings_commands.cc
@@ -4,6 +4,7 @@
 
 #include "cli/command_context.h"
 #include "settings/entry_settings.h"
+#include "settings/gateway_settings.h"
 #include "settings/operator_settings.h"
 #include "settings/sidecar_settings.h"
 
@@ -18,6 +19,8 @@
 boost::leaf::result<ExitCode> check(CommandContext& context, const CheckOptions& options) {
   if (options.role == "entry") {
     BOOST_LEAF_CHECK(load_entry_settings(options.file));
+  } else if (options.role == "gateway") {
+    BOOST_LEAF_CHECK(load_gateway_settings(options.file));
   } else if (options.role == "sidecar") {
     BOOST_LEAF_CHECK(load_sidecar_settings(options.file));
   } else {
@@ -36,7 +39,7 @@
   const auto options = std::make_shared<CheckOptions>();
   command->add_option("--role", options->role, "role that the file is for")
       ->required()
-      ->check(CLI::IsMember({"entry", "sidecar", "operator"}));
+      ->check(CLI::IsMember({"entry", "gateway", "sidecar", "operator"}));
   command->add_option("file", options->file, "settings file")->required();
   command->callback(
       [&context, options] { run_command(context, [&] { return check(context, *options); }); });
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -26,17 +26,13 @@
 constexpr Duration kLeastTimeLeft{10};
 // The upstream stops at the deadline it is given; this is for the way back.
 constexpr Duration kReturnTime{4};
-// Connections are not reused this close to their announced end.
-constexpr Duration kKeepAliveMargin{700};
-constexpr std::uint32_t kMaxNotReached = 3;
+// Attempts that reach no upstream cost a few ms each; a third of a pool may be down at once.
+constexpr std::uint32_t kMaxNotReached = 8;
 constexpr std::uint32_t kMaxRejected = 3;
 constexpr std::size_t kMaxBufferedBody = 4u << 20;
 // A caller that leaves this much of a stream unread is disconnected.
 constexpr std::size_t kMaxUnsent = 1u << 20;
 constexpr Duration kRetryNoConfig{500};
-constexpr Duration kRetryRejected{300};
-// Callers honour a longer time only up to a third of what they have left.
-constexpr std::int64_t kRetryShareOfTime = 3;
 
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
@@ -63,18 +59,6 @@
   return route.targets.front();
 }
 
-std::string_view kind_text(RequestKind kind) {
-  switch (kind) {
-    case RequestKind::kIdempotent:
-      return "idempotent";
-    case RequestKind::kOnce:
-      return "once";
-    case RequestKind::kStream:
-      return "stream";
-  }
-  return {};
-}
-
 }  // namespace
 
 Forwarder::Forwarder(HttpLoop& loop,
@@ -86,7 +70,10 @@
       pool_(pool),
       metrics_(metrics),
       zone_(std::move(zone)),
-      repeat_limits_(repeat_limits) {}
+      repeat_limits_(repeat_limits),
+      connections_(loop, [](const MessageHead& head) {
+        return platform::decode_upstream_reply(head).request_id;
+      }) {}
 
 Forwarder::~Forwarder() = default;
 
@@ -185,25 +172,18 @@
 
 bool Forwarder::open_connection(Request& request, const Picked& picked) {
   const Instant now = clock_.now();
-  Connections& connections = connections_[picked.upstream_id];
-  std::erase_if(connections.idle, [now](const IdleConnection& idle) {
-    return !idle.connection->idle() || idle.usable_until <= now;
-  });
-  Send send{.picked = picked, .began = now};
-  if (!connections.idle.empty()) {
-    send.connection = std::move(connections.idle.back().connection);
-    connections.idle.pop_back();
-    send.reused = true;
-  } else if (connections.in_use < pool_.connection_share(*request.service)) {
-    send.connection = std::make_unique<UpstreamConnection>(
-        loop_.impl().loop(), picked.endpoint,
-        [](const MessageHead& head) { return platform::decode_upstream_reply(head).request_id; });
-    metrics_.count("bluebellstep_gateway_connections_total", "opened");
-  } else {
+  ConnectionPool::Taken taken = connections_.take(picked.upstream_id, picked.endpoint,
+                                                  pool_.connection_share(*request.service), now);
+  if (taken.connection == nullptr) {
     return false;
   }
-  ++connections.in_use;
-  request.send.emplace(std::move(send));
+  if (!taken.reused) {
+    metrics_.count("bluebellstep_gateway_connections_total", "opened");
+  }
+  request.send.emplace(Send{.picked = picked,
+                            .connection = std::move(taken.connection),
+                            .began = now,
+                            .reused = taken.reused});
   return true;
 }
 
@@ -269,7 +249,8 @@
   if (send.reply.close) {
     send.connection->set_unusable();
   }
-  connections_[send.picked.upstream_id].keep_alive = send.reply.keep_alive.value_or(4_s);
+  connections_.set_keep_alive(send.picked.upstream_id,
+                              send.reply.keep_alive.value_or(ConnectionPool::kDefaultKeepAlive));
   const bool success = send.reply.status >= 200 && send.reply.status < 300;
   if ((success && !send.reply.sealed) || send.reply.encoded) {
     send_failed(*request, SendEnd::kFailed, true, "not_the_upstreams_answer");
@@ -458,108 +439,6 @@
          allowance(request).take(repeat_limits_, pool_.gateways(), clock_.now());
 }
 
-void Forwarder::fail(Request& request, bool may_have_run, std::string_view why) {
-  if (request.head_sent) {
-    request.sink.abort();
-    finish(request, "cut_off", 0);
-    return;
-  }
-  if (!may_have_run) {
-    refuse(request, why, kRetryRejected);
-    return;
-  }
-  reply_own(request, why == "deadline" || why == "timeout" ? 504 : 502, why, std::nullopt);
-}
-
-void Forwarder::refuse(Request& request, std::string_view why, Duration retry_after) {
-  if (request.caller.time_left) {
-    const Instant now = clock_.now();
-    const Duration left = *request.caller.time_left - (now - request.arrived);
-    retry_after = std::min(retry_after, std::max(Duration{0}, left) / kRetryShareOfTime);
-  }
-  reply_own(request, 503, why, retry_after);
-}
-
-void Forwarder::reply_own(Request& request,
-                          int status,
-                          std::string_view why,
-                          std::optional<Duration> retry_after) {
-  const bool close = stopping_ || request.caller.close;
-  request.sink.send(platform::encode_own_reply({.status = status,
-                                                .request_id = request.caller.request_id,
-                                                .retry_after = retry_after,
-                                                .reason = why,
-                                                .close = close}));
-  request.sink.done(close);
-  request.last_problem = why;
-  finish(request, status == 503 ? "refused" : "failed", status);
-}
-
-std::string Forwarder::fault_reply(CallerFault fault) {
-  platform::OwnReply reply{.status = 400, .reason = "malformed request", .close = true};
-  switch (fault) {
-    case CallerFault::kMalformed:
-      break;
-    case CallerFault::kHeadTooLarge:
-      reply.status = 431;
-      reply.reason = "request head too large";
-      break;
-    case CallerFault::kBodyTooLarge:
-      reply.status = 413;
-      reply.reason = "request body too large";
-      break;
-    case CallerFault::kTooSlow:
-      reply.status = 408;
-      reply.reason = "request took too long to arrive";
-      break;
-  }
-  return platform::encode_own_reply(reply);
-}
-
-void Forwarder::finish(Request& request, std::string_view outcome, int status) {
-  const Instant now = clock_.now();
-  log_end(request, outcome, status, now);
-  metrics_.count("bluebellstep_gateway_requests_total", std::string(outcome));
-  if (request.account != nullptr && outcome == "answered") {
-    metrics_.request_done(request.account->name, request.route->name, now - request.arrived);
-  }
-  if (request.due) {
-    due_.erase({*request.due, request.id});
-  }
-  requests_.erase(request.id);
-}
-
-void Forwarder::log_end(const Request& request,
-                        std::string_view outcome,
-                        int status,
-                        Instant now) const {
-  LogEvent event("request_end");
-  event.field("request", request.caller.request_id)
-      .field("outcome", outcome)
-      .field("status", status)
-      .field("route", request.route != nullptr ? request.route->name : "")
-      .field("kind", request.route != nullptr ? kind_text(request.route->kind) : "")
-      .field("config", request.config != nullptr ? request.config->version : 0)
-      .field("sends", request.sends)
-      .field("runs", request.runs)
-      .field("ms", (now - request.arrived).ms);
-  if (request.first_event_at) {
-    event.field("first_event_ms", (*request.first_event_at - request.arrived).ms);
-    event.field("events", static_cast<std::uint64_t>(request.events.events()));
-  }
-  if (!request.caller.prompt.empty()) {
-    event.field("uncached_tokens", request.uncached_tokens)
-        .field("fetched_tokens", request.fetched_tokens)
-        .field("prompt_tokens", request.caller.prompt_tokens);
-  }
-  if (!request.upstream.empty()) {
-    event.field("upstream", request.upstream);
-  }
-  if (!request.last_problem.empty()) {
-    event.field("why", request.last_problem);
-  }
-}
-
 void Forwarder::end_send(Request& request, SendEnd end, bool keep) {
   Send send = std::move(*request.send);
   request.send.reset();
@@ -568,16 +447,7 @@
     pool_.prompt_read(send.picked.upstream_id, send.picked.uncached_tokens);
   }
   pool_.finished(send.picked.upstream_id, request.caller.prompt_tokens, end, now);
-  Connections& connections = connections_[send.picked.upstream_id];
-  --connections.in_use;
-  const Duration usable = connections.keep_alive - kKeepAliveMargin;
-  if (keep && send.connection->idle() && usable > Duration{0}) {
-    connections.idle.push_back({std::move(send.connection), now + usable});
-    return;
-  }
-  // The connection may be in one of its callbacks.
-  loop_.impl().defer([connection = std::shared_ptr<UpstreamConnection>(
-                          std::move(send.connection))]() mutable { connection.reset(); });
+  connections_.give_back(send.picked.upstream_id, std::move(send.connection), keep, now);
 }
 
 void Forwarder::caller_left(RequestId id) {
@@ -591,17 +461,6 @@
   finish(*request, "caller_left", 0);
 }
 
-void Forwarder::close_unused(Instant now) {
-  for (auto& [id, connections] : connections_) {
-    std::erase_if(connections.idle, [now](const IdleConnection& idle) {
-      return !idle.connection->idle() || idle.usable_until <= now;
-    });
-  }
-  std::erase_if(connections_, [](const auto& item) {
-    return item.second.idle.empty() && item.second.in_use == 0;
-  });
-}
-
 Instant Forwarder::next_due(const Request& request) const {
   Instant due = request.give_up_at;
   if (!request.send) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -9,7 +9,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +23,7 @@
 #include "base/verdict.h"
 #include "gateway/call_heads.h"
 #include "gateway/caller_connection.h"
+#include "gateway/connection_pool.h"
 #include "gateway/event_cutter.h"
 #include "gateway/repeat_allowance.h"
 #include "gateway/serving_config.h"
@@ -73,24 +73,12 @@
   void caller_left(RequestId id);
 
   /** Closes idle connections that were not used for long. */
-  void close_unused(Instant now);
+  void close_unused(Instant now) { connections_.close_unused(now); }
 
   std::size_t open_requests() const { return requests_.size(); }
   bool contains(RequestId id) const { return requests_.contains(id); }
 
  private:
-  struct IdleConnection {
-    std::unique_ptr<UpstreamConnection> connection;
-    Instant usable_until;
-  };
-
-  /** Connections to one upstream. */
-  struct Connections {
-    std::list<IdleConnection> idle;  // The most recently used one is last.
-    std::size_t in_use = 0;
-    Duration keep_alive{4000};  // As the upstream announced.
-  };
-
   /** The send that is under way. */
   struct Send {
     Picked picked;
@@ -175,7 +163,7 @@
   bool stopping_ = false;
   std::uint64_t next_id_ = 1;
   std::map<RequestId, std::unique_ptr<Request>> requests_;
-  std::map<std::string, Connections, std::less<>> connections_;     // By upstream id.
+  ConnectionPool connections_;
   std::map<std::string, RepeatAllowance, std::less<>> allowances_;  // By service.
   std::set<Due> due_;
   std::optional<Instant> armed_for_;
--- /dev/null
+++ b/src/settings/gateway_settings_test.cc
@@ -0,0 +1,58 @@
+// Tests of the settings of a gateway.
+
+#include "settings/gateway_settings.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+namespace bluebellstep {
+namespace {
+
+constexpr std::string_view kWhole = R"(name: g1
+zone: a
+callers: 10.0.0.1:80
+ready: 10.0.0.1:81
+peers: 10.0.0.1:82
+metrics: 10.0.0.1:83
+store: 10.0.0.9:80
+first_peers: [10.0.0.1:82,10.0.0.2:82]
+bounds:
+  stop_limit: 8s
+  lease_term: 3000ms
+  repeat_ratio: 0.2
+  engines_check_fences: true
+)";
+
+std::string errors_of(std::string_view text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::string> {
+        BOOST_LEAF_CHECK(parse_gateway_settings("g.yaml", text));
+        return std::string();
+      },
+      [](const SettingsErrors& errors) { return errors.to_string(); },
+      [] { return std::string("another error"); });
+}
+
+}  // namespace
+
+TEST_CASE("settings of a gateway are read", "[settings][gateway]") {
+  CHECK(errors_of(kWhole).empty());
+  const auto settings = parse_gateway_settings("g.yaml", kWhole);
+  REQUIRE(settings);
+  CHECK(settings->first_peers.size() == 2);
+  CHECK(settings->bounds.lease_term == Duration{3000});
+  CHECK(settings->bounds.engines_check_fences);
+  CHECK(settings->bounds.repeat_window == Duration{10'000});
+}
+
+TEST_CASE("wrong settings of a gateway name the key and the line", "[settings][gateway]") {
+  const std::string text =
+      "name: g1\nzone: a\ncallers: nowhere\nready: 10.0.0.1:81\n"
+      "peers: 10.0.0.1:82\nmetrics: 10.0.0.1:83\nunknown: 1\n";
+  const std::string errors = errors_of(text);
+  CHECK(errors.find("g.yaml:3: callers") != std::string::npos);
+  CHECK(errors.find("store") != std::string::npos);
+  CHECK(errors.find("unknown") != std::string::npos);
+}
+
+}  // namespace bluebellstep
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -135,6 +135,11 @@
   echo
   echo "entry instances: $entry $other_entry     bundle and keys: $work"
   echo "try: curl -N -H '$auth' -d '{\"model\":\"manual\",\"prompt\":\"How wide is the stove clearance?\",\"max_tokens\":20,\"stream\":true}' $entry/v1/completions"
-  read -r -p "Press Enter to stop. " || true
+  if [ -t 0 ]; then
+    read -r -p "Press Enter to stop. " || true
+  else
+    echo "Runs until it is ended by SIGTERM or SIGINT."
+    while sleep 1; do :; done
+  fi
 fi
 exit "$failed"
