--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -25,8 +25,9 @@
 // The balancer takes an instance out after two questions in a row without a good answer, one each
 // second; connections that it opened before may come a little later.
 constexpr Duration kBalancerDelay{2600};
-// Of the time until the process is killed, the part that is left for its end.
-constexpr Duration kExitReserve{700};
+// Of the time until the process is killed, the part that is left for its end. With 700 ms, a
+// gateway on a machine with a tenth of a core was killed.
+constexpr Duration kExitReserve{1200};
 // Log lines are written together this often.
 constexpr Duration kLogPause{250};
 
