--- a/tests/soak/gateway_soak_test.cc
+++ b/tests/soak/gateway_soak_test.cc
@@ -196,7 +196,9 @@
   soak.run();
   CHECK(soak.recovers());
   CHECK(soak.wait_for_answers());
-  CHECK(soak.violations() == "");
+  const std::string violations = soak.violations();
+  CAPTURE(violations);
+  CHECK(violations.empty());
 }
 
 }  // namespace bluebellstep::testing
