Let each request order equal upstreams in its own way

Upstreams whose scores differ by less than 20 ms (engines) or 3 ms (plain services) now count as equal.

The end of a request is logged with the sources of its prompt.

--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -21,6 +21,11 @@
   return combine_hashes(key_hash, member_hash);
 }
 
+/** Maps a hash to a number from 0 to 1, 1 excluded. */
+inline double unit_interval(std::uint64_t hash) {
+  return static_cast<double>(hash >> 11) * 0x1.0p-53;
+}
+
 }  // namespace bluebellstep
 
 #endif  // BLUEBELLSTEP_BASE_HASH_H_
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -141,6 +141,7 @@
                    .prompt = request.caller.prompt,
                    .prompt_tokens = request.caller.prompt_tokens,
                    .body_bytes = request.body.size(),
+                   .spread = hash64(request.caller.request_id),
                    .excluded = request.tried};
 }
 
@@ -213,8 +214,10 @@
   ++request.runs;
   ++request.sends;
   request.upstream = send.picked.upstream_id;
-  request.uncached_tokens = send.picked.uncached_tokens;
-  request.fetched_tokens = send.picked.cache.fetched_tokens;
+  request.cache_use = {.uncached_tokens = send.picked.uncached_tokens,
+                       .held_tokens = send.picked.held_tokens,
+                       .fetched_tokens = send.picked.cache.fetched_tokens,
+                       .saves = send.picked.cache.saves()};
   request.last_progress = now;
   pool_.sent(send.picked, query_for(request), now);
   const RequestId id = request.id;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -92,6 +92,14 @@
     bool streaming = false;
   };
 
+  /** Where the tokens of a prompt come from, as planned for a send. */
+  struct PromptSources {
+    std::uint32_t uncached_tokens = 0;
+    std::uint32_t held_tokens = 0;
+    std::uint32_t fetched_tokens = 0;
+    bool saves = false;  // Shared parts are kept in stores.
+  };
+
   struct Request {
     RequestId id;
     CallerSink sink;
@@ -115,9 +123,8 @@
     Instant last_progress;
     std::optional<Instant> first_event_at;
     std::string_view last_problem;
-    std::string upstream;  // Of the last send; for the log, like the next two.
-    std::uint32_t uncached_tokens = 0;
-    std::uint32_t fetched_tokens = 0;
+    std::string upstream;  // Of the last send; for the log, like the next one.
+    PromptSources cache_use;
     std::optional<Instant> due;  // Where it stands in `due_`.
   };
 
--- a/src/gateway/forwarder_replies.cc
+++ b/src/gateway/forwarder_replies.cc
@@ -1,6 +1,10 @@
 // What callers are told when their request got no answer, and the log line of each request.
 
 #include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <string>
 
 #include "base/log_event.h"
 #include "gateway/forwarder.h"
@@ -13,6 +17,13 @@
 // Callers honour a longer time only up to a third of what they have left.
 constexpr std::int64_t kRetryShareOfTime = 3;
 
+// As callers write the ids of prompt parts.
+std::string hex_text(std::uint64_t value) {
+  std::array<char, 16> digits;
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16).ptr;
+  return {digits.data(), end};
+}
+
 std::string_view kind_text(RequestKind kind) {
   switch (kind) {
     case RequestKind::kIdempotent:
@@ -117,9 +128,12 @@
     event.field("events", static_cast<std::uint64_t>(request.events.events()));
   }
   if (!request.caller.prompt.empty()) {
-    event.field("uncached_tokens", request.uncached_tokens)
-        .field("fetched_tokens", request.fetched_tokens)
-        .field("prompt_tokens", request.caller.prompt_tokens);
+    event.field("prompt_tokens", request.caller.prompt_tokens)
+        .field("first_part", hex_text(request.caller.prompt.front().id))
+        .field("uncached_tokens", request.cache_use.uncached_tokens)
+        .field("held_tokens", request.cache_use.held_tokens)
+        .field("fetched_tokens", request.cache_use.fetched_tokens)
+        .field("saves", request.cache_use.saves);
   }
   if (!request.upstream.empty()) {
     event.field("upstream", request.upstream);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -33,6 +33,11 @@
 // Share of the time to read a shared part that the choice of an upstream of this rank costs where
 // nothing is known of its cache: other gateways send the part to the first ranks too.
 constexpr double kRankCost[] = {0.35, 0.7, 1.0};
+// Upstreams whose scores differ by less than this count as equal, and each request orders them in
+// its own way: gateways that choose within the time of a report see the same loads, and would all
+// choose the same upstream. About the wait that all gateways together add in that time, in ms.
+constexpr double kEngineSpreadMs = 20;
+constexpr double kPlainSpreadMs = 3;
 // Tokens that are fetched in a millisecond, by the stores' links.
 constexpr double kFetchTokensPerMs = 350;
 // Shared parts that are read again are charged besides the time that they take.
@@ -87,6 +92,7 @@
     upstream.in_flight = found == upstreams_.end() ? InFlight{} : found->second.in_flight;
     upstream.cold_until = now + entry.cold_left;
     std::string id = entry.id;
+    upstream.id_hash = hash64(id);
     upstream.entry = std::move(entry);
     upstreams_.insert_or_assign(std::move(id), std::move(upstream));
     return;
@@ -265,12 +271,17 @@
   return knowledge.emplace(version, std::move(added)).first->second;
 }
 
+double UpstreamPool::spread_ms(const Upstream& upstream, const PickQuery& query) {
+  const double limit = query.service->engine ? kEngineSpreadMs : kPlainSpreadMs;
+  return limit * unit_interval(rendezvous_score(query.spread, upstream.id_hash));
+}
+
 double UpstreamPool::score(const Upstream& upstream,
                            const PickQuery& query,
                            std::size_t rank,
                            KnowledgeByVersion& knowledge,
                            Instant now) const {
-  double score = wait_ms(upstream, query, now);
+  double score = wait_ms(upstream, query, now) + spread_ms(upstream, query);
   if (upstream.entry.zone != query.zone) {
     score += kOtherZoneMs + kOtherZoneMsPerKb * static_cast<double>(query.body_bytes) / 1024;
   }
@@ -316,7 +327,7 @@
         continue;
       }
       candidates.push_back(
-          {&upstream, shared ? rendezvous_score(shared->id, hash64(id)) : std::uint64_t{0}});
+          {&upstream, shared ? rendezvous_score(shared->id, upstream.id_hash) : std::uint64_t{0}});
     }
   }
   if (candidates.empty()) {
@@ -347,6 +358,7 @@
     const CacheDirectory::Coverage coverage =
         cache_.coverage(entry.id, known.scope, query.prompt, known.fetchable, now);
     picked.cache_scope = known.scope;
+    picked.held_tokens = coverage.held_tokens;
     picked.cache = cache_.plan(entry.id, known.scope, query.prompt, known.stores, now);
     picked.uncached_tokens =
         query.prompt_tokens -
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -57,7 +57,8 @@
   std::optional<std::uint64_t> weight_version;
   double expected_ms = 0;  // Wait before the answer begins, as estimated for the choice.
   std::uint32_t uncached_tokens = 0;
-  std::string cache_scope;  // Cached parts are found only under the same scope. Engines only.
+  std::uint32_t held_tokens = 0;  // That the engine should hold.
+  std::string cache_scope;        // Cached parts are found only under the same scope. Engines only.
   CachePlan cache;
 };
 
@@ -159,6 +160,7 @@
  private:
   struct Upstream {
     UpstreamEntry entry;
+    std::uint64_t id_hash = 0;
     Instant cold_until;
     std::optional<Instant> lapsed_until;  // Gone from the store; kept until then.
     InFlight in_flight;                   // Of this gateway.
@@ -189,6 +191,7 @@
   };
   using KnowledgeByVersion = std::map<std::uint64_t, PromptKnowledge>;
 
+  static double spread_ms(const Upstream& upstream, const PickQuery& query);
   double score(const Upstream& upstream,
                const PickQuery& query,
                std::size_t rank,
