Choose sources of cached parts by the time their transfer takes

Half of the stores start each transfer only after 6 ms, and transfers of a source run one after another.

Now the configuration's link speeds and start times, the fetches that all gateways have under way, and the zones say how long a fetch takes; sources and engines are compared by that. Small parts are kept by stores that start at once, long ones by the others.

Ruled out: the engines' own queues (prompts without a fetch, sent to the same engines at the same time, had their first token within 100 ms).

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <compare>
+#include <set>
 #include <utility>
 
 #include "base/hash.h"
@@ -37,6 +39,7 @@
 
 void CacheDirectory::set_sources(std::vector<CacheSource> sources) {
   std::map<std::string, Source, std::less<>> next;
+  std::set<std::string> zones;
   for (CacheSource& info : sources) {
     const auto known = sources_.find(info.name);
     std::string name = info.name;
@@ -44,9 +47,12 @@
                       known->second.info.started_ms == info.started_ms;
     Source source = same ? std::move(known->second) : Source{};
     source.info = std::move(info);
+    source.name_hash = hash64(name);
+    zones.insert(source.info.zone);
     next.emplace(std::move(name), std::move(source));
   }
   sources_ = std::move(next);
+  zones_.assign(zones.begin(), zones.end());
 }
 
 void CacheDirectory::clear(Source& source) {
@@ -125,63 +131,74 @@
   }
 }
 
-bool CacheDirectory::may_fetch_from(const Source& source,
-                                    std::string_view engine,
-                                    std::uint32_t tokens,
-                                    Instant now) const {
-  if (source.info.name == engine || now < source.avoided_until || !source.polled ||
-      (source.info.is_store && now >= *source.polled + kStoreKnowledge)) {
-    return false;
-  }
-  const double limit = std::max(kShortFetchMs, kReadAgainFactor * tokens / kReadTokensPerMs);
-  return delay_ms(source, now) < limit;
+bool CacheDirectory::is_usable(const Source& source, Instant now) {
+  return now >= source.avoided_until && source.polled &&
+         (!source.info.is_store || now < *source.polled + kStoreKnowledge);
 }
 
-// Returns a source of a part for an engine: stores before engines, since an engine may evict the
-// part within a second, and one in the engine's zone if there is any.
-const CacheDirectory::Source* CacheDirectory::find_holder(const Source& engine,
-                                                          std::uint64_t key,
-                                                          std::uint32_t tokens,
-                                                          StoreUse use,
-                                                          Instant now) const {
-  const Source* best = nullptr;
-  int best_rank = 0;
-  std::uint64_t best_score = 0;
-  for (const auto& [name, source] : sources_) {
-    if (source.info.is_store && !use.fetch) {
-      continue;
-    }
-    const auto held = source.parts.find(key);
-    // A part that is only expected may still be under way, so it is no source.
-    if (held == source.parts.end() || held->second.tokens < tokens || held->second.expected_until ||
-        !may_fetch_from(source, engine.info.name, tokens, now)) {
-      continue;
-    }
-    const int rank =
-        (source.info.is_store ? 2 : 0) + (source.info.zone == engine.info.zone ? 1 : 0);
-    const std::uint64_t score = rendezvous_score(hash64(engine.info.name), hash64(name));
-    if (best == nullptr || rank > best_rank || (rank == best_rank && score > best_score)) {
-      best = &source;
-      best_rank = rank;
-      best_score = score;
-    }
+double CacheDirectory::transfer_ms(const Source& source,
+                                   std::string_view zone,
+                                   std::uint32_t tokens) const {
+  const double factor = source.info.zone == zone ? 1 : kOtherZoneFactor;
+  return source.info.start_ms + factor * tokens / source.info.tokens_per_ms;
+}
+
+double CacheDirectory::wait_ms(const Source& source, Instant now) const {
+  const std::uint64_t under_way = source.transfer_ms + board_.others(source.info.name).transfer_ms;
+  return static_cast<double>(under_way) + delay_ms(source, now);
+}
+
+CacheDirectory::Holders::Candidate CacheDirectory::Holders::find(std::size_t part,
+                                                                 const Source& engine) const {
+  const auto zone = std::find(zones_.begin(), zones_.end(), engine.info.zone);
+  if (zone == zones_.end()) {
+    return {};
   }
-  return best;
+  const Best& best = parts_[part][static_cast<std::size_t>(zone - zones_.begin())];
+  return best[0].source == &engine ? best[1] : best[0];
 }
 
-std::vector<bool> CacheDirectory::fetchable(std::string_view scope,
-                                            std::span<const PromptPart> prompt,
-                                            StoreUse use,
-                                            Instant now) const {
-  std::vector<bool> result;
+CacheDirectory::Holders CacheDirectory::holders(std::string_view scope,
+                                                std::span<const PromptPart> prompt,
+                                                StoreUse use,
+                                                std::uint64_t spread,
+                                                Instant now) const {
+  Holders result;
+  result.zones_ = zones_;
   for (const PromptPart& part : prompt) {
+    std::vector<Holders::Best>& by_zone = result.parts_.emplace_back(zones_.size());
     const std::uint64_t key = key_of(scope, part.id);
-    result.push_back(std::any_of(sources_.begin(), sources_.end(), [&](const auto& item) {
-      const auto held = item.second.parts.find(key);
-      return (use.fetch || !item.second.info.is_store) && held != item.second.parts.end() &&
-             held->second.tokens >= part.tokens && !held->second.expected_until &&
-             may_fetch_from(item.second, {}, part.tokens, now);
-    }));
+    const double read_ms = kReadAgainFactor * part.tokens / kReadTokensPerMs;
+    const double limit = std::max(kShortFetchMs, read_ms);
+    for (const auto& [name, source] : sources_) {
+      const auto held = source.parts.find(key);
+      // A part that is only expected may still be under way, so it is no source.
+      if (held == source.parts.end() || held->second.tokens < part.tokens ||
+          held->second.expected_until || (source.info.is_store && !use.fetch) ||
+          !is_usable(source, now)) {
+        continue;
+      }
+      const double wait = wait_ms(source, now);
+      const double extra =
+          (source.info.is_store ? 0 : kEvictedShare * read_ms) +
+          kSourceSpreadMs * unit_interval(rendezvous_score(spread, source.name_hash));
+      for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
+        const double transfer = transfer_ms(source, zones_[zone], part.tokens);
+        const Holders::Candidate candidate{.source = &source,
+                                           .cost_ms = wait + transfer + extra,
+                                           .wait_ms = wait,
+                                           .transfer_ms = transfer};
+        auto& [first, second] = by_zone[zone];
+        if (wait + transfer >= limit) {
+          continue;
+        }
+        if (first.source == nullptr || candidate.cost_ms < first.cost_ms) {
+          second = std::exchange(first, candidate);
+        } else if (second.source == nullptr || candidate.cost_ms < second.cost_ms) {
+          second = candidate;
+        }
+      }
+    }
   }
   return result;
 }
@@ -189,20 +206,26 @@
 CacheDirectory::Coverage CacheDirectory::coverage(std::string_view engine,
                                                   std::string_view scope,
                                                   std::span<const PromptPart> prompt,
-                                                  const std::vector<bool>& fetchable,
+                                                  const Holders& holders,
                                                   Instant now) const {
   const Source* source = find(engine);
   Coverage result;
+  double wait = 0;
   // A part is of use only if all parts before it are there.
   for (std::size_t i = 0; source != nullptr && i < prompt.size(); ++i) {
     if (holds(*source, key_of(scope, prompt[i].id), prompt[i].tokens, now)) {
       result.held_tokens += prompt[i].tokens;
-    } else if (fetchable[i]) {
-      result.fetched_tokens += prompt[i].tokens;
-    } else {
+      continue;
+    }
+    const Holders::Candidate holder = holders.find(i, *source);
+    if (holder.source == nullptr) {
       break;
     }
+    result.fetched_tokens += prompt[i].tokens;
+    result.fetch_ms += holder.transfer_ms;
+    wait = std::max(wait, holder.wait_ms);
   }
+  result.fetch_ms += wait;
   return result;
 }
 
@@ -214,27 +237,37 @@
   });
 }
 
-// Returns the store for a part: with room, in the engine's zone if there is one.
-CacheDirectory::Source* CacheDirectory::choose_store(const Source& engine,
-                                                     std::uint64_t key,
-                                                     std::uint32_t tokens,
-                                                     Instant now) {
-  Source* best = nullptr;
-  bool best_near = false;
-  std::uint64_t best_score = 0;
-  for (auto& [name, source] : sources_) {
+// Returns the store for a part: with room, and if possible one whose start does not take longer
+// than the part is worth, in the engine's zone, with the longest start. Stores that start at once
+// are few, and small parts need them most.
+const CacheDirectory::Source* CacheDirectory::choose_store(const Source& engine,
+                                                           std::uint64_t key,
+                                                           std::uint32_t tokens,
+                                                           Instant now) const {
+  struct Rank {
+    bool start_is_short = false;
+    bool near = false;
+    double start_ms = 0;
+    std::uint64_t score = 0;
+    auto operator<=>(const Rank&) const = default;
+  };
+  const Source* best = nullptr;
+  Rank best_rank;
+  for (const auto& [name, source] : sources_) {
     const double limit = static_cast<double>(source.info.capacity_tokens) * kFillShare;
-    if (!source.info.is_store || !source.polled || now >= *source.polled + kStoreKnowledge ||
-        now < source.epoch_since + kSaveHold ||
+    if (!source.info.is_store || !is_usable(source, now) || now < source.epoch_since + kSaveHold ||
         static_cast<double>(source.stored_tokens + tokens) > limit) {
       continue;
     }
-    const bool near = source.info.zone == engine.info.zone;
-    const std::uint64_t score = rendezvous_score(key, hash64(name));
-    if (best == nullptr || near > best_near || (near == best_near && score > best_score)) {
+    const bool start_is_short =
+        tokens >= kSmallPartStarts * source.info.start_ms * source.info.tokens_per_ms;
+    const Rank rank{.start_is_short = start_is_short,
+                    .near = source.info.zone == engine.info.zone,
+                    .start_ms = start_is_short ? source.info.start_ms : -source.info.start_ms,
+                    .score = rendezvous_score(key, source.name_hash)};
+    if (best == nullptr || rank > best_rank) {
       best = &source;
-      best_near = near;
-      best_score = score;
+      best_rank = rank;
     }
   }
   return best;
@@ -243,8 +276,9 @@
 CachePlan CacheDirectory::plan(std::string_view engine_name,
                                std::string_view scope,
                                std::span<const PromptPart> prompt,
+                               const Holders& holders,
                                StoreUse use,
-                               Instant now) {
+                               Instant now) const {
   CachePlan plan;
   const Source* engine = find(engine_name);
   if (engine == nullptr) {
@@ -252,6 +286,7 @@
   }
   plan.fetch.resize(prompt.size());
   plan.save.resize(prompt.size());
+  plan.transfer_ms.resize(prompt.size());
   bool reachable = true;  // All parts so far are at the engine or fetched.
   for (std::size_t i = 0; i < prompt.size(); ++i) {
     const PromptPart& part = prompt[i];
@@ -260,13 +295,18 @@
       const bool held = holds(*engine, key, part.tokens, now);
       // A source is named also for parts that the engine should hold: it may have evicted them
       // since its last event, and fetches only what it lacks.
-      const Source* holder = find_holder(*engine, key, part.tokens, use, now);
-      reachable = held || holder != nullptr;
-      if (holder != nullptr) {
-        plan.fetch[i] = holder->info.endpoint;
-        plan.fetched_tokens += held ? 0 : part.tokens;
-        if (holder->info.is_store) {
-          const std::int64_t until = holder->clock_at_poll_ms + kFetchLimit.ms;
+      const Holders::Candidate holder = holders.find(i, *engine);
+      reachable = held || holder.source != nullptr;
+      if (holder.source != nullptr) {
+        const CacheSource& source = holder.source->info;
+        plan.fetch[i] = source.endpoint;
+        if (!held) {
+          plan.fetched_tokens += part.tokens;
+          plan.fetch_ms = std::max(plan.fetch_ms, holder.wait_ms) + holder.transfer_ms;
+          plan.transfer_ms[i] = static_cast<std::uint32_t>(std::ceil(holder.transfer_ms));
+        }
+        if (source.is_store) {
+          const std::int64_t until = holder.source->clock_at_poll_ms + kFetchLimit.ms;
           plan.fetch_until_ms = std::min(plan.fetch_until_ms.value_or(until), until);
         }
       }
@@ -289,6 +329,9 @@
                           Instant now) {
   for (auto& [name, source] : sources_) {
     for (std::size_t i = 0; i < prompt.size(); ++i) {
+      if (i < plan.fetch.size() && plan.fetch[i] == source.info.endpoint) {
+        source.transfer_ms += plan.transfer_ms[i];
+      }
       const bool arrives = source.info.is_store
                                ? i < plan.save.size() && plan.save[i] == source.info.endpoint
                                : name == engine_name;
@@ -306,6 +349,27 @@
   }
 }
 
+void CacheDirectory::fetched(const CachePlan& plan) {
+  for (auto& [name, source] : sources_) {
+    for (std::size_t i = 0; i < plan.fetch.size(); ++i) {
+      if (plan.fetch[i] == source.info.endpoint) {
+        source.transfer_ms -= std::min<std::uint64_t>(source.transfer_ms, plan.transfer_ms[i]);
+      }
+    }
+  }
+}
+
+std::vector<LoadLine> CacheDirectory::transfer_lines() const {
+  std::vector<LoadLine> lines;
+  for (const auto& [name, source] : sources_) {
+    if (source.transfer_ms > 0) {
+      lines.push_back(
+          {.upstream = LoadBoard::key_of(name), .in_flight = {.transfer_ms = source.transfer_ms}});
+    }
+  }
+  return lines;
+}
+
 void CacheDirectory::avoid(std::string_view engine, Instant until) {
   if (const auto found = sources_.find(engine); found != sources_.end()) {
     found->second.avoided_until = std::max(found->second.avoided_until, until);
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -13,6 +13,7 @@
 #ifndef BLUEBELLSTEP_GATEWAY_CACHE_DIRECTORY_H_
 #define BLUEBELLSTEP_GATEWAY_CACHE_DIRECTORY_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -25,6 +26,7 @@
 
 #include "base/clock.h"
 #include "gateway/call_heads.h"
+#include "gateway/load_board.h"
 #include "http/http_types.h"
 
 namespace bluebellstep {
@@ -37,6 +39,8 @@
   bool is_store = false;
   std::uint64_t capacity_tokens = 0;  // Stores only.
   std::int64_t started_ms = 0;        // Engines only; another start holds nothing.
+  double start_ms = 0;                // Each transfer waits this long before it begins.
+  double tokens_per_ms = 350;         // Of a transfer to the same zone.
 };
 
 /** One event of a source. */
@@ -62,6 +66,9 @@
   std::vector<std::optional<Endpoint>> save;
   std::optional<std::int64_t> fetch_until_ms;  // On the sources' clock.
   std::uint32_t fetched_tokens = 0;
+  double fetch_ms = 0;  // Time until all parts that the engine lacks are there.
+  // Time of the transfer of each part that the engine lacks, 0 for the others; see `sent`.
+  std::vector<std::uint32_t> transfer_ms;
 
   bool fetches() const { return fetched_tokens > 0; }
   bool saves() const;
@@ -75,6 +82,9 @@
 
 class CacheDirectory {
  public:
+  /** `board` tells of the other gateways' fetches. */
+  explicit CacheDirectory(const LoadBoard& board) : board_(board) {}
+
   /** What is known of a store counts this long after the poll that told it. */
   static constexpr Duration kStoreKnowledge{1500};
   /** Fetches from a store end this long after the poll that they rest on. */
@@ -92,9 +102,19 @@
   static constexpr Duration kDelayHalfLife{1000};
   /** A part is fetched if that is expected to take less than this, or than this multiple of the
    * time to read it again, which is also charged. */
-  static constexpr double kShortFetchMs = 60;
+  static constexpr double kShortFetchMs = 40;
   static constexpr double kReadAgainFactor = 4;
   static constexpr double kReadTokensPerMs = 50;
+  /** Transfers between zones take this multiple of the time. */
+  static constexpr double kOtherZoneFactor = 2;
+  /** Share of the parts of an engine that are evicted before a fetch, with the lag of events. */
+  static constexpr double kEvictedShare = 0.25;
+  /** Sources whose costs differ by less than this count as equal, and each request orders them in
+   * its own way. In ms. */
+  static constexpr double kSourceSpreadMs = 2;
+  /** A part is small for a store if its transfer takes less than this multiple of the store's
+   * start. */
+  static constexpr double kSmallPartStarts = 4;
 
   /** Smaller parts are not worth a place in a store. Small parts at the start of many prompts are:
    * without them the parts after them are of no use. */
@@ -115,30 +135,35 @@
     bool save = true;
   };
 
-  /** For each part of the prompt, whether some source has it to be fetched. */
-  std::vector<bool> fetchable(std::string_view scope,
-                              std::span<const PromptPart> prompt,
-                              StoreUse use,
-                              Instant now) const;
+  /** Sources that a prompt's parts can be fetched from, one entry for each part. */
+  class Holders;
+  /** `spread` differs between requests. */
+  Holders holders(std::string_view scope,
+                  std::span<const PromptPart> prompt,
+                  StoreUse use,
+                  std::uint64_t spread,
+                  Instant now) const;
 
   /** What a request to an engine would find. */
   struct Coverage {
     std::uint32_t held_tokens = 0;     // At the start of the prompt, at the engine.
     std::uint32_t fetched_tokens = 0;  // Fetched from other sources.
+    double fetch_ms = 0;               // Time that the fetches take, with their waits.
   };
-  /** `fetchable` is what the method of that name returned for the same scope and prompt. */
+  /** `holders` is what the method of that name returned for the same scope and prompt. */
   Coverage coverage(std::string_view engine,
                     std::string_view scope,
                     std::span<const PromptPart> prompt,
-                    const std::vector<bool>& fetchable,
+                    const Holders& holders,
                     Instant now) const;
 
   /** Plans a request to an engine. The last part belongs to the request alone and is not saved. */
   CachePlan plan(std::string_view engine,
                  std::string_view scope,
                  std::span<const PromptPart> prompt,
+                 const Holders& holders,
                  StoreUse use,
-                 Instant now);
+                 Instant now) const;
 
   /** The request was sent: its parts will be at the engine, and in the stores that it names. */
   void sent(std::string_view engine,
@@ -147,9 +172,14 @@
             const CachePlan& plan,
             Instant now);
 
-  /** Requests that fetched from these sources began to be answered `delay` later than without a
-   * fetch. Transfers of a source run one after another, so a busy or slow link delays all of them.
-   */
+  /** The fetches of a plan that was sent have ended. */
+  void fetched(const CachePlan& plan);
+
+  /** Fetches of this gateway that are under way, for the others. */
+  std::vector<LoadLine> transfer_lines() const;
+
+  /** Requests that fetched from these sources began to be answered `delay` later than expected.
+   * Transfers of a source run one after another, so a slow link delays all of them. */
   void observed(std::span<const std::optional<Endpoint>> sources, Duration delay, Instant now);
 
   /** An engine did not answer: it is no source for a while. */
@@ -190,27 +220,50 @@
     Instant delay_at;
     std::unordered_map<std::uint64_t, Held> parts;
     std::uint64_t stored_tokens = 0;  // Stores only.
+    std::uint64_t name_hash = 0;
+    std::uint64_t transfer_ms = 0;  // Of this gateway's fetches that are under way.
   };
 
   static std::uint64_t key_of(std::string_view scope, std::uint64_t part);
   const Source* find(std::string_view name) const;
   bool holds(const Source& source, std::uint64_t key, std::uint32_t tokens, Instant now) const;
   static double delay_ms(const Source& source, Instant now);
-  bool may_fetch_from(const Source& source,
-                      std::string_view engine,
-                      std::uint32_t tokens,
-                      Instant now) const;
-  const Source* find_holder(const Source& engine,
-                            std::uint64_t key,
-                            std::uint32_t tokens,
-                            StoreUse use,
-                            Instant now) const;
+  static bool is_usable(const Source& source, Instant now);
+  double transfer_ms(const Source& source, std::string_view zone, std::uint32_t tokens) const;
+  double wait_ms(const Source& source, Instant now) const;
   bool stored_anywhere(std::uint64_t key, std::uint32_t tokens) const;
-  Source* choose_store(const Source& engine, std::uint64_t key, std::uint32_t tokens, Instant now);
+  const Source* choose_store(const Source& engine,
+                             std::uint64_t key,
+                             std::uint32_t tokens,
+                             Instant now) const;
   void set_part(Source& source, std::uint64_t key, Held held);
   void clear(Source& source);
 
+  const LoadBoard& board_;
   std::map<std::string, Source, std::less<>> sources_;
+  std::vector<std::string> zones_;  // Of all sources.
+};
+
+/** The two best sources of each part for engines of each zone. Valid until the directory changes.
+ */
+class CacheDirectory::Holders {
+ public:
+  struct Candidate {
+    const Source* source = nullptr;
+    double cost_ms = 0;  // By which sources are compared.
+    double wait_ms = 0;  // Until the transfer begins.
+    double transfer_ms = 0;
+  };
+
+  /** The best source of a part for an engine, which is no source for itself; or none. */
+  Candidate find(std::size_t part, const Source& engine) const;
+
+ private:
+  friend class CacheDirectory;
+  using Best = std::array<Candidate, 2>;
+
+  std::span<const std::string> zones_;
+  std::vector<std::vector<Best>> parts_;  // By part and zone.
 };
 
 }  // namespace bluebellstep
--- a/src/gateway/cache_directory_test.cc
+++ b/src/gateway/cache_directory_test.cc
@@ -14,8 +14,10 @@
 const std::vector<PromptPart> kPrompt = {{.id = 0xb1, .tokens = 12'800},
                                          {.id = 0x01, .tokens = 4000}};
 
+const LoadBoard kNoOthers;
+
 CacheDirectory make_directory() {
-  CacheDirectory directory;
+  CacheDirectory directory(kNoOthers);
   directory.set_sources({{.name = "e1", .endpoint = {"10.0.0.1", 80}, .zone = "a"},
                          {.name = "e2", .endpoint = {"10.0.0.2", 80}, .zone = "a"},
                          {.name = "e3", .endpoint = {"10.0.0.3", 80}, .zone = "b"},
@@ -27,6 +29,16 @@
   return directory;
 }
 
+CachePlan plan_of(const CacheDirectory& directory,
+                  std::string_view engine,
+                  std::string_view scope,
+                  std::span<const PromptPart> prompt,
+                  CacheDirectory::StoreUse use,
+                  Instant now) {
+  const auto holders = directory.holders(scope, prompt, use, 0, now);
+  return directory.plan(engine, scope, prompt, holders, use, now);
+}
+
 CacheEvents events(std::uint64_t epoch, std::vector<CacheEvent> list) {
   return {.epoch = epoch, .next = 10, .clock_ms = 5000, .events = std::move(list)};
 }
@@ -42,12 +54,12 @@
           "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e3", events(1, {stored(0xb1, 12'800)}), kStart);
-  REQUIRE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]);
-  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.3");
+  REQUIRE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetch[0]);
+  CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.3");
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.2");
+  CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.2");
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
-  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kAllUse, kStart);
+  const CachePlan plan = plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart);
   REQUIRE(plan.fetch[0]);
   CHECK(plan.fetch[0]->ip == "10.0.1.1");
   CHECK(plan.fetched_tokens == 12'800);
@@ -60,7 +72,7 @@
   CacheDirectory directory = make_directory();
   directory.on_events("e1", events(1, {stored(0xb1, 12'800)}), kStart);
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kAllUse, kStart);
+  const CachePlan plan = plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart);
   CHECK_FALSE(plan.fetches());
   CHECK(plan.fetch[0]);
 }
@@ -69,15 +81,15 @@
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
   directory.on_events("e2", events(1, {stored(0xb1, 128)}), kStart);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetches());
 }
 
 // Guards against blocks of another weight version or of an isolated account.
 TEST_CASE("parts of another scope are not fetched", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK_FALSE(directory.plan("e1", "w2/m", kPrompt, kAllUse, kStart).fetches());
-  CHECK_FALSE(directory.plan("e1", "w1/m/acme", kPrompt, kAllUse, kStart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", "w2/m", kPrompt, kAllUse, kStart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", "w1/m/acme", kPrompt, kAllUse, kStart).fetches());
 }
 
 // Guards against reading a part that is still being written: what was sent to a store is not there
@@ -87,27 +99,27 @@
   directory.on_events("s1", events(1, {}), kStart);
   const Instant later = kStart + CacheDirectory::kSaveHold;
   directory.on_events("s1", events(1, {}), later);
-  const CachePlan first = directory.plan("e1", kScope, kPrompt, kAllUse, later);
+  const CachePlan first = plan_of(directory, "e1", kScope, kPrompt, kAllUse, later);
   REQUIRE(first.save[0]);
   CHECK_FALSE(first.save[1]);  // The last part belongs to the request alone.
   directory.sent("e1", kScope, kPrompt, first, later);
-  const CachePlan second = directory.plan("e2", kScope, kPrompt, kAllUse, later + 100_ms);
+  const CachePlan second = plan_of(directory, "e2", kScope, kPrompt, kAllUse, later + 100_ms);
   CHECK_FALSE(second.fetches());
   CHECK_FALSE(second.saves());
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), later + 200_ms);
-  CHECK(directory.plan("e2", kScope, kPrompt, kAllUse, later + 200_ms).fetches());
+  CHECK(plan_of(directory, "e2", kScope, kPrompt, kAllUse, later + 200_ms).fetches());
 }
 
 // Guards against fetching a part that another gateway saves again after a restart of the store.
 TEST_CASE("knowledge of a store runs out and saves wait after its restart", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 1499_ms).fetches());
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 1500_ms).fetches());
+  CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart + 1499_ms).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart + 1500_ms).fetches());
   const Instant restart = kStart + 60_s;
   directory.on_events("s1", events(2, {}), restart);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, restart).fetches());
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, restart + 1000_ms).saves());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, restart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, restart + 1000_ms).saves());
   static_assert(CacheDirectory::kSaveHold > CacheDirectory::kFetchLimit);
 }
 
@@ -116,10 +128,10 @@
 TEST_CASE("stores can be left out for a scope", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, {.fetch = false}, kStart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, {.fetch = false}, kStart).fetches());
   const Instant later = kStart + CacheDirectory::kSaveHold;
   directory.on_events("s1", events(1, {stored(0xb1, 0)}), later);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, {.save = false}, later).saves());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, {.save = false}, later).saves());
 }
 
 TEST_CASE("parts of older weights of a model are found in a store", "[gateway][cache]") {
@@ -139,7 +151,7 @@
 TEST_CASE("fetches from a store carry the end of what is known of it", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("s1", events(1, {stored(0xb1, 12'800)}), kStart);
-  const CachePlan plan = directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 500_ms);
+  const CachePlan plan = plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart + 500_ms);
   CHECK(plan.fetch_until_ms == 5000 + CacheDirectory::kFetchLimit.ms);
 }
 
@@ -148,7 +160,7 @@
   directory.on_events("s1", events(1, {stored(0xb2, 12'000)}), kStart);
   const Instant later = kStart + CacheDirectory::kSaveHold;
   directory.on_events("s1", events(1, {}), later);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, later).saves());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, later).saves());
 }
 
 // Load pattern: a store's link turns slow and short prompts wait behind long transfers. Guards
@@ -159,18 +171,18 @@
   directory.on_events("s1", events(1, {stored(0xc1, 300), stored(0xb1, 12'800)}), kStart);
   const std::vector<std::optional<Endpoint>> store = {Endpoint{"10.0.1.1", 80}};
   directory.observed(store, 400_ms, kStart);
-  CHECK_FALSE(directory.plan("e1", kScope, quick, kAllUse, kStart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, quick, kAllUse, kStart).fetches());
   // Reading a long part again costs far more.
-  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
+  CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetches());
   for (int i = 0; i < 20; ++i) {
     directory.observed(store, 2000_ms, kStart);
   }
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetches());
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
-  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.2");
+  CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetch[0]->ip == "10.0.0.2");
   // The store is tried again after a while.
   directory.on_events("s1", events(1, {}), kStart + 4000_ms);
-  CHECK(directory.plan("e3", kScope, kPrompt, kAllUse, kStart + 4000_ms).fetch[0]->ip ==
+  CHECK(plan_of(directory, "e3", kScope, kPrompt, kAllUse, kStart + 4000_ms).fetch[0]->ip ==
         "10.0.1.1");
 }
 
@@ -178,8 +190,8 @@
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
   directory.avoid("e2", kStart + 1000_ms);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
-  CHECK(directory.plan("e1", kScope, kPrompt, kAllUse, kStart + 1000_ms).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetches());
+  CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart + 1000_ms).fetches());
 }
 
 TEST_CASE("an engine that started again holds nothing", "[gateway][cache]") {
@@ -190,7 +202,7 @@
     source.started_ms = source.name == "e2" ? 77 : source.started_ms;
   }
   directory.set_sources(sources);
-  CHECK_FALSE(directory.plan("e1", kScope, kPrompt, kAllUse, kStart).fetches());
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart).fetches());
 }
 
 }  // namespace bluebellstep
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -287,7 +287,7 @@
   if (!request.first_event_at) {
     request.first_event_at = clock_.now();
     const Send& send = *request.send;
-    pool_.prompt_read(send.picked.upstream_id, send.picked.uncached_tokens);
+    pool_.prompt_read(send.picked);
     pool_.answer_began(send.picked, *request.first_event_at - send.began, *request.first_event_at);
     if (request.account != nullptr) {
       metrics_.first_token(request.account->name, request.route->name,
@@ -447,7 +447,7 @@
   request.send.reset();
   const Instant now = clock_.now();
   if (!request.first_event_at) {
-    pool_.prompt_read(send.picked.upstream_id, send.picked.uncached_tokens);
+    pool_.prompt_read(send.picked);
   }
   pool_.finished(send.picked.upstream_id, request.caller.prompt_tokens, end, now);
   connections_.give_back(send.picked.upstream_id, std::move(send.connection), keep, now);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -64,8 +64,8 @@
   }
 
   Metrics metrics;
-  CacheDirectory cache;
   LoadBoard board;
+  CacheDirectory cache{board};
   UpstreamPool pool;
   Forwarder forwarder;
   Knowledge knowledge;
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -230,6 +230,15 @@
   if (config == nullptr) {
     return;
   }
+  double bytes_per_token = 0;  // Of the largest model, so that transfers are not underrated.
+  for (const auto& [name, service] : config->services) {
+    bytes_per_token =
+        std::max(bytes_per_token, service.engine ? service.engine->kv_bytes_per_token : 0);
+  }
+  const auto tokens_per_ms = [bytes_per_token](double link_bytes_per_ms) {
+    return link_bytes_per_ms > 0 && bytes_per_token > 0 ? link_bytes_per_ms / bytes_per_token
+                                                        : CacheSource{}.tokens_per_ms;
+  };
   std::vector<CacheSource> sources;
   pool_.visit_entries([&](const UpstreamEntry& entry) {
     const ServiceInfo* service = config->find_service(entry.service);
@@ -237,7 +246,8 @@
       sources.push_back({.name = entry.id,
                          .endpoint = entry.endpoint,
                          .zone = entry.zone,
-                         .started_ms = entry.started_ms});
+                         .started_ms = entry.started_ms,
+                         .tokens_per_ms = tokens_per_ms(service->engine->link_bytes_per_ms)});
     }
   });
   for (const auto& [name, service] : config->services) {
@@ -246,7 +256,9 @@
                          .endpoint = service.store->endpoint,
                          .zone = service.store->zone,
                          .is_store = true,
-                         .capacity_tokens = service.store->capacity_tokens});
+                         .capacity_tokens = service.store->capacity_tokens,
+                         .start_ms = service.store->start_ms,
+                         .tokens_per_ms = tokens_per_ms(service.store->link_bytes_per_ms)});
     }
   }
   cache_.set_sources(std::move(sources));
--- a/src/gateway/load_board.cc
+++ b/src/gateway/load_board.cc
@@ -13,6 +13,15 @@
   requests += other.requests;
   unread_tokens += other.unread_tokens;
   held_tokens += other.held_tokens;
+  transfer_ms += other.transfer_ms;
+  return *this;
+}
+
+InFlight& InFlight::operator-=(const InFlight& other) {
+  requests -= other.requests;
+  unread_tokens -= other.unread_tokens;
+  held_tokens -= other.held_tokens;
+  transfer_ms -= other.transfer_ms;
   return *this;
 }
 
@@ -20,7 +29,7 @@
   nlohmann::json lines = nlohmann::json::array();
   for (const LoadLine& line : report.lines) {
     lines.push_back({line.upstream, line.in_flight.requests, line.in_flight.unread_tokens,
-                     line.in_flight.held_tokens});
+                     line.in_flight.held_tokens, line.in_flight.transfer_ms});
   }
   std::string out;
   nlohmann::json::to_msgpack(
@@ -42,7 +51,8 @@
       report.lines.push_back({.upstream = line.at(0).get<std::uint32_t>(),
                               .in_flight = {.requests = line.at(1).get<std::uint32_t>(),
                                             .unread_tokens = line.at(2).get<std::uint64_t>(),
-                                            .held_tokens = line.at(3).get<std::uint64_t>()}});
+                                            .held_tokens = line.at(3).get<std::uint64_t>(),
+                                            .transfer_ms = line.at(4).get<std::uint64_t>()}});
     }
     return report;
   } catch (const nlohmann::json::exception&) {
@@ -63,10 +73,8 @@
 void LoadBoard::subtract(const std::vector<LoadLine>& lines) {
   for (const LoadLine& line : lines) {
     InFlight& sum = sums_[line.upstream];
-    sum.requests -= line.in_flight.requests;
-    sum.unread_tokens -= line.in_flight.unread_tokens;
-    sum.held_tokens -= line.in_flight.held_tokens;
-    if (sum.requests == 0) {
+    sum -= line.in_flight;
+    if (sum == InFlight{}) {
       sums_.erase(line.upstream);
     }
   }
--- a/src/gateway/load_board.h
+++ b/src/gateway/load_board.h
@@ -19,13 +19,16 @@
 
 namespace bluebellstep {
 
-/** Work that is in flight at one upstream. */
+/** Work that is in flight at one upstream or store. */
 struct InFlight {
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;  // Of prompts whose answer has not begun.
   std::uint64_t held_tokens = 0;    // Prompt tokens that the requests keep in memory.
+  std::uint64_t transfer_ms = 0;    // Time that fetches from its cache take, one after another.
 
   InFlight& operator+=(const InFlight& other);
+  InFlight& operator-=(const InFlight& other);
+  bool operator==(const InFlight&) const = default;
 };
 
 /** One line of a gateway's report. */
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -55,6 +55,8 @@
 struct EngineTraits {
   std::uint32_t slots = 0;
   std::uint64_t kv_capacity_tokens = 0;
+  double kv_bytes_per_token = 0;
+  double link_bytes_per_ms = 0;  // For transfers of KV cache; 0 if not known.
 };
 
 /** A store for KV cache. */
@@ -62,6 +64,8 @@
   Endpoint endpoint;
   std::string zone;
   std::uint64_t capacity_tokens = 0;
+  double start_ms = 0;           // Each transfer waits this long before it begins.
+  double link_bytes_per_ms = 0;  // 0 if not known.
 };
 
 /** A service: a pool of upstreams, or a store for KV cache. */
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -38,8 +38,6 @@
 // choose the same upstream. About the wait that all gateways together add in that time, in ms.
 constexpr double kEngineSpreadMs = 20;
 constexpr double kPlainSpreadMs = 3;
-// Tokens that are fetched in a millisecond, by the stores' links.
-constexpr double kFetchTokensPerMs = 350;
 // Shared parts that are read again are charged besides the time that they take.
 constexpr double kReadAgainFactor = 3;
 
@@ -267,7 +265,7 @@
   const auto rollout = rollouts_.find(query.model);
   added.stores = {.fetch = rollout == rollouts_.end() || version >= rollout->second.complete,
                   .save = version >= newest_wanted(query.model)};
-  added.fetchable = cache_.fetchable(added.scope, query.prompt, added.stores, now);
+  added.holders = cache_.holders(added.scope, query.prompt, added.stores, query.spread, now);
   return knowledge.emplace(version, std::move(added)).first->second;
 }
 
@@ -290,8 +288,8 @@
   }
   const PromptKnowledge& known = knowledge_of(upstream, query, knowledge, now);
   const CacheDirectory::Coverage coverage =
-      cache_.coverage(upstream.entry.id, known.scope, query.prompt, known.fetchable, now);
-  score += coverage.fetched_tokens / kFetchTokensPerMs;
+      cache_.coverage(upstream.entry.id, known.scope, query.prompt, known.holders, now);
+  score += coverage.fetch_ms;
   const std::uint32_t own = query.prompt.empty() ? 0 : query.prompt.back().tokens;
   const std::uint32_t shared = query.prompt_tokens - std::min(own, query.prompt_tokens);
   const std::uint32_t covered = coverage.held_tokens + coverage.fetched_tokens;
@@ -356,10 +354,11 @@
   if (query.service->engine) {
     const PromptKnowledge& known = knowledge_of(*best->upstream, query, knowledge, now);
     const CacheDirectory::Coverage coverage =
-        cache_.coverage(entry.id, known.scope, query.prompt, known.fetchable, now);
+        cache_.coverage(entry.id, known.scope, query.prompt, known.holders, now);
     picked.cache_scope = known.scope;
     picked.held_tokens = coverage.held_tokens;
-    picked.cache = cache_.plan(entry.id, known.scope, query.prompt, known.stores, now);
+    picked.cache =
+        cache_.plan(entry.id, known.scope, query.prompt, known.holders, known.stores, now);
     picked.uncached_tokens =
         query.prompt_tokens -
         std::min(query.prompt_tokens, coverage.held_tokens + picked.cache.fetched_tokens);
@@ -384,10 +383,11 @@
   }
 }
 
-void UpstreamPool::prompt_read(std::string_view id, std::uint32_t uncached_tokens) {
-  if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+void UpstreamPool::prompt_read(const Picked& picked) {
+  cache_.fetched(picked.cache);
+  if (const auto found = upstreams_.find(picked.upstream_id); found != upstreams_.end()) {
     std::uint64_t& unread = found->second.in_flight.unread_tokens;
-    unread -= std::min<std::uint64_t>(unread, uncached_tokens);
+    unread -= std::min<std::uint64_t>(unread, picked.uncached_tokens);
   }
 }
 
@@ -395,8 +395,9 @@
   if (!picked.cache.fetches()) {
     return;
   }
-  const auto expected = static_cast<std::int64_t>(
-      picked.expected_ms + picked.uncached_tokens / kPrefillTokensPerMs + kFirstTokenMs);
+  const auto expected =
+      static_cast<std::int64_t>(picked.expected_ms + picked.cache.fetch_ms +
+                                picked.uncached_tokens / kPrefillTokensPerMs + kFirstTokenMs);
   cache_.observed(picked.cache.fetch, elapsed - Duration{expected}, now);
 }
 
@@ -514,7 +515,7 @@
 }
 
 std::vector<LoadLine> UpstreamPool::load_lines() const {
-  std::vector<LoadLine> lines;
+  std::vector<LoadLine> lines = cache_.transfer_lines();
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.in_flight.requests > 0) {
       lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = upstream.in_flight});
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -111,7 +111,7 @@
   /** Counts a request that is sent to an upstream, until `finished`. */
   void sent(const Picked& picked, const PickQuery& query, Instant now);
   /** The prompt of a request has been read, or its send has ended. */
-  void prompt_read(std::string_view id, std::uint32_t uncached_tokens);
+  void prompt_read(const Picked& picked);
   /** The answer of a request that was sent `elapsed` ago began. */
   void answer_began(const Picked& picked, Duration elapsed, Instant now);
   /** `held_tokens` are the prompt tokens of the request. */
@@ -187,7 +187,7 @@
   struct PromptKnowledge {
     std::string scope;
     CacheDirectory::StoreUse stores;
-    std::vector<bool> fetchable;
+    CacheDirectory::Holders holders;
   };
   using KnowledgeByVersion = std::map<std::uint64_t, PromptKnowledge>;
 
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -16,8 +16,8 @@
 
 // A pool with one service of engines and one plain service.
 struct Fixture {
-  CacheDirectory cache;
   LoadBoard board;
+  CacheDirectory cache{board};
   UpstreamPool pool{PoolLimits{}, cache, board};
   ServiceInfo engines{.name = "llm",
                       .max_connections = 100,
--- a/tests/support/fleet_simulation.cc
+++ b/tests/support/fleet_simulation.cc
@@ -94,9 +94,8 @@
   free_at = std::max(free_at, now) + Duration{std::lround(tokens / kReadTokensPerMs)};
   const Instant first = free_at + kFirstToken;
   late += first - now > (is_long ? kLongLimit : kShortLimit) ? 1 : 0;
-  events_.after(first - now, [&pool = *gateway.pool, id = picked->upstream_id, tokens] {
-    pool.prompt_read(id, tokens);
-  });
+  events_.after(first - now,
+                [&pool = *gateway.pool, picked = *picked] { pool.prompt_read(picked); });
   events_.after(first + kAnswer - now,
                 [this, &pool = *gateway.pool, id = picked->upstream_id, tokens] {
                   pool.finished(id, tokens, SendEnd::kAnswered, events_.now());
--- a/tests/support/fleet_simulation.h
+++ b/tests/support/fleet_simulation.h
@@ -46,8 +46,8 @@
 
  private:
   struct Gateway {
-    CacheDirectory cache;
     LoadBoard board;
+    CacheDirectory cache{board};
     std::unique_ptr<UpstreamPool> pool;
     ReportPacer pacer;
     std::uint64_t sequence = 0;
