Weigh a gateway's part of an upstream by the requests that it sends

Cause: to guard upstreams that turn cold unnoticed, a gateway sent each engine at most two requests a second (grown Sapu Jaya: 47 x 0.85 x 2 / 30 gateways). The balancer divides callers unevenly: the busiest gateway got 73 requests a second, was at that limit in 421 of 1,103 cases in which it used an engine within a second, and so chose busy engines while others were idle.

Reports now tell how much a gateway sends; the limit of upstreams that are not cold follows its part of all requests, up to four even shares. A gateway that hears nobody keeps the even share. Cold upstreams are shared evenly as before.

Tests of that load, of the choice of sources and of the reports.

--- a/src/gateway/cache_directory_test.cc
+++ b/src/gateway/cache_directory_test.cc
@@ -186,6 +186,65 @@
         "10.0.1.1");
 }
 
+// Load pattern: small parts of many short prompts among long transfers. Guards against short
+// prompts that wait at a store whose link is taken, and against small parts in stores that start
+// late.
+TEST_CASE("transfers under way and start times decide where parts lie and come from",
+          "[gateway][cache][load]") {
+  LoadBoard board;
+  CacheDirectory directory(board);
+  const CacheSource engine{.name = "e1", .endpoint = {"10.0.0.1", 80}, .zone = "a"};
+  const CacheSource quick{.name = "quick",
+                          .endpoint = {"10.0.1.1", 80},
+                          .zone = "b",
+                          .is_store = true,
+                          .capacity_tokens = 300'000,
+                          .start_ms = 0.5,
+                          .tokens_per_ms = 450};
+  const CacheSource large{.name = "large",
+                          .endpoint = {"10.0.1.2", 80},
+                          .zone = "b",
+                          .is_store = true,
+                          .capacity_tokens = 800'000,
+                          .start_ms = 6,
+                          .tokens_per_ms = 280};
+  directory.set_sources({engine, quick, large});
+  const std::vector<PromptPart> small = {{.id = 0xc1, .tokens = 55}, {.id = 1, .tokens = 80}};
+  directory.on_events("quick", events(1, {}), kStart);
+  directory.on_events("large", events(1, {}), kStart);
+  const Instant later = kStart + CacheDirectory::kSaveHold;
+  directory.on_events("quick", events(1, {stored(0xc2, 55)}), later);
+  directory.on_events("large", events(1, {stored(0xc2, 55), stored(0xb2, 12'800)}), later);
+
+  CHECK(plan_of(directory, "e1", kScope, small, kAllUse, later).save[0] == quick.endpoint);
+  CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, later).save[0] == large.endpoint);
+
+  const std::vector<PromptPart> kept = {{.id = 0xc2, .tokens = 55}, {.id = 1, .tokens = 80}};
+  const CachePlan plan = plan_of(directory, "e1", kScope, kept, kAllUse, later);
+  CHECK(plan.fetch[0] == quick.endpoint);
+  // Of other gateways, then of this one.
+  board.apply({.gateway = "g2",
+               .sequence = 1,
+               .lines = {{LoadBoard::key_of("quick"), {.transfer_ms = 20}}}},
+              later);
+  CHECK(plan_of(directory, "e1", kScope, kept, kAllUse, later).fetch[0] == large.endpoint);
+  const std::vector<PromptPart> returning = {{.id = 0xb2, .tokens = 12'800},
+                                             {.id = 1, .tokens = 4000}};
+  const CachePlan transfer = plan_of(directory, "e1", kScope, returning, kAllUse, later);
+  REQUIRE(transfer.fetch[0] == large.endpoint);
+  directory.sent("e1", kScope, returning, transfer, later);
+  CHECK(plan_of(directory, "e1", kScope, kept, kAllUse, later).fetch[0] == quick.endpoint);
+  directory.fetched(transfer);
+  CHECK(directory.transfer_lines().empty());
+  // Reading 55 tokens again takes a millisecond.
+  board.apply({.gateway = "g2",
+               .sequence = 2,
+               .lines = {{LoadBoard::key_of("quick"), {.transfer_ms = 200}},
+                         {LoadBoard::key_of("large"), {.transfer_ms = 200}}}},
+              later);
+  CHECK_FALSE(plan_of(directory, "e1", kScope, kept, kAllUse, later).fetches());
+}
+
 TEST_CASE("an engine that did not answer is no source for a while", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -48,7 +48,11 @@
                    .window = settings.bounds.repeat_window}),
         knowledge(loop, client, settings, pool, cache, forwarder),
         rollout(loop, client, settings, pool),
-        gossip(loop, settings.peers, settings.name, board, [this] { return pool.load_lines(); }),
+        gossip(loop,
+               settings.peers,
+               settings.name,
+               board,
+               [this] { return pool.load_report(Clock().now()); }),
         callers(loop, settings.callers, forwarder) {
     knowledge.on_weights_changed([this] { rollout.update(); });
     knowledge.on_peers_changed(
--- a/src/gateway/load_board.cc
+++ b/src/gateway/load_board.cc
@@ -32,22 +32,24 @@
                      line.in_flight.held_tokens, line.in_flight.transfer_ms});
   }
   std::string out;
-  nlohmann::json::to_msgpack(
-      nlohmann::json{report.gateway, report.incarnation, report.sequence, std::move(lines)}, out);
+  nlohmann::json::to_msgpack(nlohmann::json{report.gateway, report.incarnation, report.sequence,
+                                            report.sends, std::move(lines)},
+                             out);
   return out;
 }
 
 std::optional<LoadReport> decode_load_report(std::span<const std::uint8_t> bytes) {
   const auto json =
       nlohmann::json::from_msgpack(bytes.data(), bytes.data() + bytes.size(), true, false);
-  if (!json.is_array() || json.size() != 4) {
+  if (!json.is_array() || json.size() != 5) {
     return std::nullopt;
   }
   try {
     LoadReport report{.gateway = json.at(0).get<std::string>(),
                       .sequence = json.at(2).get<std::uint64_t>(),
-                      .incarnation = json.at(1).get<std::uint64_t>()};
-    for (const auto& line : json.at(3)) {
+                      .incarnation = json.at(1).get<std::uint64_t>(),
+                      .sends = json.at(3).get<std::uint32_t>()};
+    for (const auto& line : json.at(4)) {
       report.lines.push_back({.upstream = line.at(0).get<std::uint32_t>(),
                               .in_flight = {.requests = line.at(1).get<std::uint32_t>(),
                                             .unread_tokens = line.at(2).get<std::uint64_t>(),
@@ -90,6 +92,7 @@
   gateway = {.incarnation = report.incarnation,
              .sequence = report.sequence,
              .heard = now,
+             .sends = report.sends,
              .lines = std::move(report.lines)};
   add(gateway.lines);
 }
@@ -110,4 +113,12 @@
   return found == sums_.end() ? InFlight{} : found->second;
 }
 
+std::uint64_t LoadBoard::others_sends() const {
+  std::uint64_t sends = 0;
+  for (const auto& [name, gateway] : gateways_) {
+    sends += gateway.sends;
+  }
+  return sends;
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/load_board.h
+++ b/src/gateway/load_board.h
@@ -42,6 +42,7 @@
   std::string gateway;
   std::uint64_t sequence = 0;  // Rises with each report of one start of the gateway.
   std::uint64_t incarnation = 0;
+  std::uint32_t sends = 0;      // Requests that it sent to upstreams within the last second.
   std::vector<LoadLine> lines;  // Upstreams that are left out have nothing in flight.
 };
 
@@ -67,11 +68,15 @@
   /** What the others have in flight at an upstream. */
   InFlight others(std::string_view upstream_id) const;
 
+  /** Requests that the others sent to all upstreams within a second. */
+  std::uint64_t others_sends() const;
+
  private:
   struct Gateway {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     Instant heard;
+    std::uint32_t sends = 0;
     std::vector<LoadLine> lines;
   };
 
--- a/src/gateway/load_board_test.cc
+++ b/src/gateway/load_board_test.cc
@@ -46,13 +46,26 @@
   CHECK(board.others("e1").requests == 0);
 }
 
+TEST_CASE("what the others send is the sum of their last reports", "[gateway]") {
+  LoadBoard board;
+  board.apply({.gateway = "g1", .sequence = 1, .sends = 5}, Instant{1000});
+  board.apply({.gateway = "g2", .sequence = 1, .sends = 7}, Instant{1000});
+  board.apply({.gateway = "g1", .sequence = 2, .sends = 3}, Instant{2000});
+  CHECK(board.others_sends() == 10);
+  board.drop_silent(Instant{2500});
+  CHECK(board.others_sends() == 3);
+}
+
 TEST_CASE("reports survive their encoding, other bytes are no report", "[gateway]") {
-  const std::string bytes = encode_load_report(report(7, 8, 9));
+  LoadReport sent = report(7, 8, 9);
+  sent.sends = 12;
+  const std::string bytes = encode_load_report(sent);
   const auto decoded =
       decode_load_report({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
   REQUIRE(decoded);
   CHECK(decoded->incarnation == 7);
-  CHECK(decoded->lines.at(0).in_flight.requests == 9);
+  CHECK(decoded->sends == 12);
+  CHECK(decoded->lines.at(0).in_flight == InFlight{9, 100, 200, 0});
   const std::uint8_t junk[] = {0x93, 1, 2};
   CHECK_FALSE(decode_load_report(junk));
   CHECK_FALSE(decode_load_report({}));
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -46,11 +46,11 @@
                        const Endpoint& listen,
                        std::string name,
                        LoadBoard& board,
-                       std::function<std::vector<LoadLine>()> lines)
+                       std::function<LoadReport()> report)
     : loop_(loop),
       name_(std::move(name)),
       board_(board),
-      lines_(std::move(lines)),
+      report_(std::move(report)),
       fd_(open_datagram_socket(listen)),
       incarnation_(make_incarnation()) {
   socket_ = h2o_evloop_socket_create(loop_.impl().loop(), fd_, H2O_SOCKET_FLAG_DONT_READ);
@@ -85,8 +85,10 @@
 
 void LoadGossip::send_report() {
   board_.drop_silent(clock_.now());
-  LoadReport report{.gateway = name_, .sequence = ++sequence_, .incarnation = incarnation_};
-  report.lines = lines_();
+  LoadReport report = report_();
+  report.gateway = name_;
+  report.sequence = ++sequence_;
+  report.incarnation = incarnation_;
   // An idle gateway says so once; its silence means the same.
   if (!report.lines.empty() || !told_nothing_) {
     const std::string bytes = encode_load_report(report);
--- a/src/gateway/load_gossip.h
+++ b/src/gateway/load_gossip.h
@@ -23,12 +23,13 @@
 /** Runs on the HTTP thread. */
 class LoadGossip {
  public:
-  /** Reports `lines()` of the gateway `name`. Throws `std::system_error` if `listen` is in use. */
+  /** Sends what `report` returns, in the name of the gateway. Throws `std::system_error` if
+   * `listen` is in use. */
   LoadGossip(HttpLoop& loop,
              const Endpoint& listen,
              std::string name,
              LoadBoard& board,
-             std::function<std::vector<LoadLine>()> lines);
+             std::function<LoadReport()> report);
   LoadGossip(const LoadGossip&) = delete;
   LoadGossip& operator=(const LoadGossip&) = delete;
   ~LoadGossip();
@@ -48,7 +49,7 @@
   HttpLoop& loop_;
   std::string name_;
   LoadBoard& board_;
-  std::function<std::vector<LoadLine>()> lines_;
+  std::function<LoadReport()> report_;
   std::vector<Endpoint> peers_;
   ReportPacer pacer_;
   std::optional<Instant> armed_for_;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -59,6 +59,8 @@
 constexpr double kColdSafetyShare = 0.85;
 // An upstream that is not known to be cold may get this multiple, in case it turned cold.
 constexpr double kWarmFactor = 2;
+// A gateway counts with at most this multiple of an even share of all requests.
+constexpr double kLargestShareInEven = 4;
 // Requests stop going to older weights this long before they must not begin there.
 // They may wait in the engine's queue.
 constexpr Duration kVersionMargin{2500};
@@ -77,6 +79,12 @@
   return std::nullopt;
 }
 
+void drop_before(std::deque<Instant>& times, Instant limit) {
+  while (!times.empty() && times.front() <= limit) {
+    times.pop_front();
+  }
+}
+
 }  // namespace
 
 void UpstreamPool::put(UpstreamEntry entry, Instant now) {
@@ -190,19 +198,33 @@
   return now < upstream.cold_until;
 }
 
-bool UpstreamPool::has_room(Upstream& upstream, const ServiceInfo& service, Instant now) const {
-  while (!upstream.recent_sends.empty() && upstream.recent_sends.front() + kRateWindow <= now) {
-    upstream.recent_sends.pop_front();
-  }
+// The part of all gateways' requests that this one sends. The balancer divides connections
+// unevenly, so that an even share would bind the busiest gateways long before the upstreams are
+// busy.
+double UpstreamPool::traffic_share(Instant now) {
+  drop_before(recent_sends_, now - kRateWindow);
+  const auto own = static_cast<double>(recent_sends_.size()) + 1;
+  const auto others = static_cast<double>(board_.others_sends());
+  const double even = 1 / static_cast<double>(gateways_);
+  if (others == 0) {
+    return even;  // Nobody is heard, which does not mean that nobody sends.
+  }
+  return std::clamp(own / (own + others), even, std::min(1.0, kLargestShareInEven * even));
+}
+
+bool UpstreamPool::has_room(Upstream& upstream,
+                            const ServiceInfo& service,
+                            double traffic_share,
+                            Instant now) const {
+  drop_before(upstream.recent_sends, now - kRateWindow);
   if (service.cold_requests_per_s <= 0) {
     return true;
   }
   const double bound = service.cold_requests_per_s * limits_.cold_overage + limits_.cold_slack;
-  double share = bound * kColdSafetyShare / static_cast<double>(gateways_);
-  if (!is_cold(upstream, now)) {
-    share *= kWarmFactor;
-  }
-  return static_cast<double>(upstream.recent_sends.size()) + 1 <= std::max(1.0, share);
+  const double share =
+      is_cold(upstream, now) ? 1 / static_cast<double>(gateways_) : kWarmFactor * traffic_share;
+  return static_cast<double>(upstream.recent_sends.size()) + 1 <=
+         std::max(1.0, bound * kColdSafetyShare * share);
 }
 
 std::optional<std::uint64_t> UpstreamPool::version_of(const Upstream& upstream,
@@ -312,6 +334,7 @@
   };
   std::vector<Candidate> candidates;
   const auto shared = shared_part(query);
+  const double own_share = traffic_share(now);
   bool limited = false;
   for (int pass = 0; pass < 2 && candidates.empty(); ++pass) {
     // Upstreams that failed just now are used only where there is no other.
@@ -320,7 +343,7 @@
       if (!may_get(upstream, query, now) || (!take_shunned && now < upstream.shunned_until)) {
         continue;
       }
-      if (!has_room(upstream, *query.service, now)) {
+      if (!has_room(upstream, *query.service, own_share, now)) {
         limited = true;
         continue;
       }
@@ -375,6 +398,7 @@
   upstream.in_flight +=
       {.requests = 1, .unread_tokens = picked.uncached_tokens, .held_tokens = query.prompt_tokens};
   upstream.recent_sends.push_back(now);
+  recent_sends_.push_back(now);
   if (query.service->engine) {
     cache_.sent(picked.upstream_id, picked.cache_scope, query.prompt, picked.cache, now);
   }
@@ -514,14 +538,17 @@
   return settled;
 }
 
-std::vector<LoadLine> UpstreamPool::load_lines() const {
-  std::vector<LoadLine> lines = cache_.transfer_lines();
+LoadReport UpstreamPool::load_report(Instant now) {
+  drop_before(recent_sends_, now - kRateWindow);
+  LoadReport report;
+  report.sends = static_cast<std::uint32_t>(recent_sends_.size());
+  report.lines = cache_.transfer_lines();
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.in_flight.requests > 0) {
-      lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = upstream.in_flight});
+      report.lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = upstream.in_flight});
     }
   }
-  return lines;
+  return report;
 }
 
 std::size_t UpstreamPool::connection_share(const ServiceInfo& service) const {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -143,8 +143,8 @@
   /** Connections that this gateway may hold to one upstream of a service. */
   std::size_t connection_share(const ServiceInfo& service) const;
 
-  /** What this gateway has in flight, for the others. */
-  std::vector<LoadLine> load_lines() const;
+  /** What this gateway has in flight and how much it sends, for the others. */
+  LoadReport load_report(Instant now);
 
   /** Calls `visit(const UpstreamEntry&)` for each upstream. */
   template <typename Visitor>
@@ -181,7 +181,11 @@
   using WantedVersions = std::vector<Wanted>;
 
   bool is_cold(const Upstream& upstream, Instant now) const;
-  bool has_room(Upstream& upstream, const ServiceInfo& service, Instant now) const;
+  bool has_room(Upstream& upstream,
+                const ServiceInfo& service,
+                double traffic_share,
+                Instant now) const;
+  double traffic_share(Instant now);
   bool may_get(const Upstream& upstream, const PickQuery& query, Instant now) const;
   // Parts of a query's prompt that can be fetched, by the weight version of their scope.
   struct PromptKnowledge {
@@ -220,6 +224,7 @@
   };
   std::map<std::string, Rollout, std::less<>> rollouts_;  // By model.
   std::function<void(std::uint32_t)> prompt_sent_;
+  std::deque<Instant> recent_sends_;  // To all upstreams, within the last second.
   std::size_t gateways_ = 1;
   std::optional<Instant> unreachable_since_;
   std::optional<Instant> reachable_since_;
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -177,6 +177,21 @@
 }
 
 // The platform's store lets entries lapse in an outage, and live upstreams register again.
+// Load pattern: the balancer sends most callers to a few gateways. Guards against an even share
+// that drives their prompts to busy engines while idle ones are left alone.
+TEST_CASE("a busy gateway may send a larger part to an upstream", "[gateway][load]") {
+  Fixture f;
+  f.add_engine("e1");
+  f.pool.set_gateways(30);
+  const int even = f.send_all(f.engine_query(), kStart);
+  // The others send as much as this one together, so that it has far more than a thirtieth.
+  f.board.apply({.gateway = "g2", .sequence = 1, .incarnation = 1, .sends = 3}, kStart);
+  const int busy = even + f.send_all(f.engine_query(), kStart);
+  CHECK(busy >= 3 * even);
+  // Reports may be missing: no gateway takes more than a few even shares.
+  CHECK(busy <= 4 * (even + 1));
+}
+
 TEST_CASE("entries that vanish around an outage of the store are kept for a while", "[gateway]") {
   Fixture f;
   f.add_plain("o1");
--- a/tests/support/fleet_simulation.cc
+++ b/tests/support/fleet_simulation.cc
@@ -107,9 +107,9 @@
   if (events_.now() < gateway.pacer.due()) {
     return;
   }
-  const LoadReport report{.gateway = std::to_string(index),
-                          .sequence = ++gateway.sequence,
-                          .lines = gateway.pool->load_lines()};
+  LoadReport report = gateway.pool->load_report(events_.now());
+  report.gateway = std::to_string(index);
+  report.sequence = ++gateway.sequence;
   events_.after(kDatagramDelay, [this, index, report] {
     for (std::size_t other = 0; other < gateways_.size(); ++other) {
       if (other != index) {
