Keep slow links free of cache events; tell of long parts that were sent

Now two first polls are under way at a time, stores first; engines are followed from their newest event; a gateway behind a slow link follows the engines of its own zone only. Reports between gateways name the long parts that were sent, so that the others expect them at their engines.

Ruled out: limits of the engines on connections and on waiting polls (429 answers are few after the start), processor time.

Also renames a type that stood twice in one namespace (CacheEvent, in src/cache and src/gateway): the linker kept one of the two destructors, and a test crashed in it.

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -40,6 +40,7 @@
 void CacheDirectory::set_sources(std::vector<CacheSource> sources) {
   std::map<std::string, Source, std::less<>> next;
   std::set<std::string> zones;
+  engines_.clear();
   for (CacheSource& info : sources) {
     const auto known = sources_.find(info.name);
     std::string name = info.name;
@@ -49,6 +50,9 @@
     source.info = std::move(info);
     source.name_hash = hash64(name);
     zones.insert(source.info.zone);
+    if (!source.info.is_store) {
+      engines_.emplace(LoadBoard::key_of(name), name);
+    }
     next.emplace(std::move(name), std::move(source));
   }
   sources_ = std::move(next);
@@ -88,7 +92,7 @@
   source.polled = now;
   source.clock_at_poll_ms = events.clock_ms;
   source.next = events.next;
-  for (const CacheEvent& event : events.events) {
+  for (const PartEvent& event : events.events) {
     Held held{.tokens = event.tokens, .expected_until = std::nullopt, .part = event.part};
     if (source.info.is_store) {
       held.scope = event.scope;
@@ -99,7 +103,11 @@
 
 std::uint64_t CacheDirectory::next_event(std::string_view name) const {
   const Source* source = find(name);
-  return source == nullptr ? 0 : source->next;
+  if (source == nullptr) {
+    return 0;
+  }
+  // What an engine stored long ago it has evicted since.
+  return source->info.is_store || source->polled ? source->next : kFromNewestEvent;
 }
 
 bool CacheDirectory::holds(const Source& source,
@@ -343,12 +351,28 @@
       held.part = prompt[i].id;
       if (source.info.is_store) {
         held.scope = std::string(scope);
+      } else if (i + 1 < prompt.size() && prompt[i].tokens >= kLeastToldTokens) {
+        sent_parts_.push_back(
+            {.upstream = LoadBoard::key_of(name), .key = key, .tokens = prompt[i].tokens});
       }
       set_part(source, key, std::move(held));
     }
   }
 }
 
+void CacheDirectory::sent_by_others(std::span<const SentPart> parts, Instant now) {
+  for (const SentPart& part : parts) {
+    const auto name = engines_.find(part.upstream);
+    if (name == engines_.end()) {
+      continue;  // An engine that this gateway does not know yet.
+    }
+    Source& source = sources_.at(name->second);
+    if (!holds(source, part.key, part.tokens, now)) {
+      set_part(source, part.key, {.tokens = part.tokens, .expected_until = now + kExpectation});
+    }
+  }
+}
+
 void CacheDirectory::fetched(const CachePlan& plan) {
   for (auto& [name, source] : sources_) {
     for (std::size_t i = 0; i < plan.fetch.size(); ++i) {
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -44,7 +45,7 @@
 };
 
 /** One event of a source. */
-struct CacheEvent {
+struct PartEvent {
   std::string scope;  // The text under which the part is found.
   std::uint64_t part = 0;
   std::uint32_t tokens = 0;  // Stored now; 0 if the part is gone.
@@ -56,7 +57,7 @@
   std::uint64_t next = 0;     // Where the next poll goes on.
   bool lost = false;          // Events are missing before these.
   std::int64_t clock_ms = 0;  // The source's clock.
-  std::vector<CacheEvent> events;
+  std::vector<PartEvent> events;
 };
 
 /** What a request says of cached parts, one entry for each part; an unset endpoint stands for none.
@@ -116,6 +117,9 @@
    * start. */
   static constexpr double kSmallPartStarts = 4;
 
+  /** Smaller parts are read sooner than others can be told of them. */
+  static constexpr std::uint32_t kLeastToldTokens = 512;
+
   /** Smaller parts are not worth a place in a store. Small parts at the start of many prompts are:
    * without them the parts after them are of no use. */
   static constexpr std::uint32_t kLeastSavedTokens = 16;
@@ -126,6 +130,10 @@
   /** Takes the answer to a poll. */
   void on_events(std::string_view source, const CacheEvents& events, Instant now);
 
+  /** A poll from here is answered with the number of the newest event alone: it is above every
+   * number that a source reaches, and the largest that all JSON libraries can hold. */
+  static constexpr std::uint64_t kFromNewestEvent = (std::uint64_t{1} << 53) - 1;
+
   /** Where the next poll of a source goes on. */
   std::uint64_t next_event(std::string_view source) const;
 
@@ -172,6 +180,13 @@
             const CachePlan& plan,
             Instant now);
 
+  /** Parts that were sent to engines which did not hold them, since the last call. Small parts are
+   * left out. */
+  std::vector<SentPart> take_sent_parts() { return std::exchange(sent_parts_, {}); }
+
+  /** Another gateway sent these parts. */
+  void sent_by_others(std::span<const SentPart> parts, Instant now);
+
   /** The fetches of a plan that was sent have ended. */
   void fetched(const CachePlan& plan);
 
@@ -241,7 +256,9 @@
 
   const LoadBoard& board_;
   std::map<std::string, Source, std::less<>> sources_;
-  std::vector<std::string> zones_;  // Of all sources.
+  std::vector<std::string> zones_;                          // Of all sources.
+  std::unordered_map<std::uint32_t, std::string> engines_;  // Names by `LoadBoard::key_of`.
+  std::vector<SentPart> sent_parts_;
 };
 
 /** The two best sources of each part for engines of each zone. Valid until the directory changes.
--- a/src/gateway/cache_directory_test.cc
+++ b/src/gateway/cache_directory_test.cc
@@ -39,11 +39,11 @@
   return directory.plan(engine, scope, prompt, holders, use, now);
 }
 
-CacheEvents events(std::uint64_t epoch, std::vector<CacheEvent> list) {
+CacheEvents events(std::uint64_t epoch, std::vector<PartEvent> list) {
   return {.epoch = epoch, .next = 10, .clock_ms = 5000, .events = std::move(list)};
 }
 
-CacheEvent stored(std::uint64_t part, std::uint32_t tokens) {
+PartEvent stored(std::uint64_t part, std::uint32_t tokens) {
   return {.scope = std::string(kScope), .part = part, .tokens = tokens};
 }
 
@@ -245,6 +245,30 @@
   CHECK_FALSE(plan_of(directory, "e1", kScope, kept, kAllUse, later).fetches());
 }
 
+// Load pattern: a long prompt is asked through several gateways within a second. Guards against
+// engines that each read the same shared part.
+TEST_CASE("a part that another gateway sent is expected at its engine", "[gateway][cache][load]") {
+  CacheDirectory sender = make_directory();
+  const std::vector<PromptPart> prompt = {
+      {.id = 0xc1, .tokens = 55}, {.id = 0xb1, .tokens = 12'800}, {.id = 1, .tokens = 4000}};
+  sender.sent("e2", kScope, prompt, plan_of(sender, "e2", kScope, prompt, kAllUse, kStart), kStart);
+  const std::vector<SentPart> parts = sender.take_sent_parts();
+  REQUIRE(parts.size() == 1);  // Neither the small part nor the request's own.
+  CHECK(sender.take_sent_parts().empty());
+
+  CacheDirectory other = make_directory();
+  other.sent_by_others(parts, kStart);
+  const auto held = [&other](std::string_view engine, Instant now) {
+    const auto holders = other.holders(kScope, kPrompt, kAllUse, 0, now);
+    return other.coverage(engine, kScope, kPrompt, holders, now).held_tokens;
+  };
+  CHECK(held("e2", kStart) == 12'800);
+  CHECK(held("e1", kStart) == 0);
+  // It may still be read, so that it is no source.
+  CHECK_FALSE(plan_of(other, "e1", kScope, kPrompt, kAllUse, kStart).fetches());
+  CHECK(held("e2", kStart + CacheDirectory::kExpectation) == 0);
+}
+
 TEST_CASE("an engine that did not answer is no source for a while", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
@@ -253,6 +277,19 @@
   CHECK(plan_of(directory, "e1", kScope, kPrompt, kAllUse, kStart + 1000_ms).fetches());
 }
 
+// Load pattern: gateways start again beside engines that have stored thousands of parts. Guards
+// against reading their whole history.
+TEST_CASE("engines are followed from their newest event, stores from their oldest",
+          "[gateway][cache][load]") {
+  CacheDirectory directory = make_directory();
+  CHECK(directory.next_event("e1") == CacheDirectory::kFromNewestEvent);
+  CHECK(directory.next_event("s1") == 0);
+  CacheEvents answer = events(1, {});
+  answer.lost = true;
+  directory.on_events("e1", answer, kStart);
+  CHECK(directory.next_event("e1") == 10);
+}
+
 TEST_CASE("an engine that started again holds nothing", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
--- a/src/gateway/cache_follower.cc
+++ b/src/gateway/cache_follower.cc
@@ -9,27 +9,32 @@
 
 namespace bluebellstep {
 
-CacheFollower::CacheFollower(HttpLoop& loop, HttpClient& client, CacheDirectory& directory)
-    : loop_(loop), client_(client), directory_(directory) {}
+CacheFollower::CacheFollower(HttpLoop& loop,
+                             HttpClient& client,
+                             CacheDirectory& directory,
+                             CachePollOrder order)
+    : loop_(loop), client_(client), directory_(directory), order_(std::move(order)) {}
 
 CacheFollower::~CacheFollower() = default;
 
 void CacheFollower::update() {
-  std::map<std::string, CacheSource> sources;
-  for (CacheSource& source : directory_.sources()) {
-    std::string name = source.name;
-    sources.emplace(std::move(name), std::move(source));
+  const std::vector<CacheSource> sources = directory_.sources();
+  order_.set_sources(sources);
+  sources_.clear();
+  for (const CacheSource& source : sources) {
+    sources_.emplace(source.name, source);
   }
-  sources.swap(polled_);
-  for (const auto& [name, source] : polled_) {
-    if (!sources.contains(name)) {
-      poll(name);
-    }
+  begin_polls();
+}
+
+void CacheFollower::begin_polls() {
+  while (const auto name = order_.begin()) {
+    poll(*name);
   }
 }
 
 void CacheFollower::free_older(std::string_view model, std::uint64_t version) {
-  for (const auto& [name, source] : polled_) {
+  for (const auto& [name, source] : sources_) {
     const auto parts = source.is_store ? directory_.stored_before(name, model, version)
                                        : std::vector<CacheDirectory::StoredPart>{};
     const auto epoch = directory_.epoch(name);
@@ -58,8 +63,8 @@
 }
 
 void CacheFollower::poll(const std::string& name) {
-  const auto source = polled_.find(name);
-  if (source == polled_.end()) {
+  const auto source = sources_.find(name);
+  if (source == sources_.end() || !order_.contains(name)) {
     return;
   }
   HttpCall call = platform::cache_events_call(source->second.endpoint, directory_.next_event(name),
@@ -73,8 +78,10 @@
 }
 
 void CacheFollower::on_events(const std::string& name, const HttpClient::Response& response) {
-  const auto source = polled_.find(name);
-  if (source == polled_.end()) {
+  order_.ended(name);
+  begin_polls();
+  const auto source = sources_.find(name);
+  if (source == sources_.end()) {
     return;
   }
   const auto events = platform::decode_cache_events(response);
--- a/src/gateway/cache_follower.h
+++ b/src/gateway/cache_follower.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "gateway/cache_directory.h"
+#include "gateway/cache_poll_order.h"
 #include "http/http_client.h"
 #include "http/http_loop.h"
 
@@ -28,7 +29,10 @@
   /** A source that did not answer is asked again after this time. */
   static constexpr Duration kFaultPause{1500};
 
-  CacheFollower(HttpLoop& loop, HttpClient& client, CacheDirectory& directory);
+  CacheFollower(HttpLoop& loop,
+                HttpClient& client,
+                CacheDirectory& directory,
+                CachePollOrder order);
   CacheFollower(const CacheFollower&) = delete;
   CacheFollower& operator=(const CacheFollower&) = delete;
   ~CacheFollower();
@@ -40,6 +44,7 @@
   void free_older(std::string_view model, std::uint64_t version);
 
  private:
+  void begin_polls();
   void poll(const std::string& name);
   void on_events(const std::string& name, const HttpClient::Response& response);
   void after(Duration delay, const std::string& name);
@@ -48,7 +53,8 @@
   HttpClient& client_;
   CacheDirectory& directory_;
   Clock clock_;
-  std::map<std::string, CacheSource> polled_;
+  CachePollOrder order_;
+  std::map<std::string, CacheSource> sources_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/gateway/cache_poll_order.h
@@ -0,0 +1,62 @@
+// Which sources of cache events a gateway polls, and in which order it begins.
+//
+// Load pattern: all gateways start again after a loss of power, some of them behind a slow link,
+// and engines read all prompts again. A source answers the first poll with thousands of events, and
+// 54 busy engines make 1 MB of them a second. That filled a link of 10 Mbit/s for 10 s, in which no
+// connection to an upstream could be made.
+
+#ifndef BLUEBELLSTEP_GATEWAY_CACHE_POLL_ORDER_H_
+#define BLUEBELLSTEP_GATEWAY_CACHE_POLL_ORDER_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "gateway/cache_directory.h"
+
+namespace bluebellstep {
+
+/** Stores come before engines: they keep what is fetched most. */
+class CachePollOrder {
+ public:
+  /** First polls that are under way at once. */
+  static constexpr std::size_t kFirstPolls = 2;
+
+  /** Below this speed of its own link a gateway follows only the engines of its own zone. Ten times
+   * the rate of events of 54 busy engines. */
+  static constexpr double kAllZonesMbps = 80;
+
+  /** `zone` is that of the gateway; a `link_mbps` of 0 is not known and counts as fast. */
+  CachePollOrder(std::string zone, double link_mbps)
+      : zone_(std::move(zone)), all_zones_(link_mbps <= 0 || link_mbps >= kAllZonesMbps) {}
+
+  /** Sets all sources; those that are left out are forgotten. */
+  void set_sources(std::span<const CacheSource> sources);
+
+  /** The next source that may get its first poll now, if any. */
+  std::optional<std::string> begin();
+
+  /** The first poll of a source has ended. */
+  void ended(std::string_view name);
+
+  /** Whether the source is still to be polled. */
+  bool contains(std::string_view name) const { return states_.find(name) != states_.end(); }
+
+ private:
+  enum class State { kWaiting, kFirstPoll, kFollowed };
+  struct Source {
+    State state = State::kWaiting;
+    bool is_store = false;
+  };
+
+  std::string zone_;
+  bool all_zones_;
+  std::map<std::string, Source, std::less<>> states_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_CACHE_POLL_ORDER_H_
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -48,11 +48,12 @@
                    .window = settings.bounds.repeat_window}),
         knowledge(loop, client, settings, pool, cache, forwarder),
         rollout(loop, client, settings, pool),
-        gossip(loop,
-               settings.peers,
-               settings.name,
-               board,
-               [this] { return pool.load_report(Clock().now()); }),
+        gossip(
+            loop,
+            settings.peers,
+            settings.name,
+            [this] { return report(); },
+            [this](LoadReport report) { take_report(std::move(report)); }),
         callers(loop, settings.callers, forwarder) {
     knowledge.on_weights_changed([this] { rollout.update(); });
     knowledge.on_peers_changed(
@@ -62,11 +63,24 @@
     flush_log(loop);
   }
 
+  LoadReport report() {
+    const Instant now = clock.now();
+    board.drop_silent(now);
+    return pool.load_report(now);
+  }
+
+  void take_report(LoadReport report) {
+    const Instant now = clock.now();
+    cache.sent_by_others(report.parts, now);
+    board.apply(std::move(report), now);
+  }
+
   static void flush_log(HttpLoop& loop) {
     flush_line_output();
     loop.post_after(kLogPause, [&loop] { flush_log(loop); });
   }
 
+  Clock clock;
   Metrics metrics;
   LoadBoard board;
   CacheDirectory cache{board};
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -59,7 +59,7 @@
       settings_(settings),
       pool_(pool),
       cache_(cache),
-      cache_follower_(loop, client, cache),
+      cache_follower_(loop, client, cache, CachePollOrder(settings.zone, settings.link_mbps)),
       forwarder_(forwarder),
       random_(hash64(settings.name)),
       peers_(settings.first_peers) {
--- a/src/gateway/load_board.cc
+++ b/src/gateway/load_board.cc
@@ -31,9 +31,13 @@
     lines.push_back({line.upstream, line.in_flight.requests, line.in_flight.unread_tokens,
                      line.in_flight.held_tokens, line.in_flight.transfer_ms});
   }
+  nlohmann::json parts = nlohmann::json::array();
+  for (const SentPart& part : report.parts) {
+    parts.push_back({part.upstream, part.key, part.tokens});
+  }
   std::string out;
   nlohmann::json::to_msgpack(nlohmann::json{report.gateway, report.incarnation, report.sequence,
-                                            report.sends, std::move(lines)},
+                                            report.sends, std::move(lines), std::move(parts)},
                              out);
   return out;
 }
@@ -41,7 +45,7 @@
 std::optional<LoadReport> decode_load_report(std::span<const std::uint8_t> bytes) {
   const auto json =
       nlohmann::json::from_msgpack(bytes.data(), bytes.data() + bytes.size(), true, false);
-  if (!json.is_array() || json.size() != 5) {
+  if (!json.is_array() || json.size() != 6) {
     return std::nullopt;
   }
   try {
@@ -56,6 +60,11 @@
                                             .held_tokens = line.at(3).get<std::uint64_t>(),
                                             .transfer_ms = line.at(4).get<std::uint64_t>()}});
     }
+    for (const auto& part : json.at(5)) {
+      report.parts.push_back({.upstream = part.at(0).get<std::uint32_t>(),
+                              .key = part.at(1).get<std::uint64_t>(),
+                              .tokens = part.at(2).get<std::uint32_t>()});
+    }
     return report;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;  // Not one of our datagrams.
--- a/src/gateway/load_board.h
+++ b/src/gateway/load_board.h
@@ -37,6 +37,15 @@
   InFlight in_flight;
 };
 
+/** A shared part of a prompt that is on its way to an engine. */
+struct SentPart {
+  std::uint32_t upstream = 0;  // See `LoadBoard::key_of`.
+  std::uint64_t key = 0;       // Of the part and its scope.
+  std::uint32_t tokens = 0;
+
+  bool operator==(const SentPart&) const = default;
+};
+
 /** What one gateway tells the others. */
 struct LoadReport {
   std::string gateway;
@@ -44,6 +53,7 @@
   std::uint64_t incarnation = 0;
   std::uint32_t sends = 0;      // Requests that it sent to upstreams within the last second.
   std::vector<LoadLine> lines;  // Upstreams that are left out have nothing in flight.
+  std::vector<SentPart> parts;  // Since the last report.
 };
 
 /** Encodes a report for a datagram. */
--- a/src/gateway/load_board_test.cc
+++ b/src/gateway/load_board_test.cc
@@ -59,12 +59,14 @@
 TEST_CASE("reports survive their encoding, other bytes are no report", "[gateway]") {
   LoadReport sent = report(7, 8, 9);
   sent.sends = 12;
+  sent.parts = {{LoadBoard::key_of("e1"), 0xb1, 12'800}};
   const std::string bytes = encode_load_report(sent);
   const auto decoded =
       decode_load_report({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
   REQUIRE(decoded);
   CHECK(decoded->incarnation == 7);
   CHECK(decoded->sends == 12);
+  CHECK(decoded->parts == sent.parts);
   CHECK(decoded->lines.at(0).in_flight == InFlight{9, 100, 200, 0});
   const std::uint8_t junk[] = {0x93, 1, 2};
   CHECK_FALSE(decode_load_report(junk));
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -45,12 +45,12 @@
 LoadGossip::LoadGossip(HttpLoop& loop,
                        const Endpoint& listen,
                        std::string name,
-                       LoadBoard& board,
-                       std::function<LoadReport()> report)
+                       std::function<LoadReport()> report,
+                       std::function<void(LoadReport)> on_report)
     : loop_(loop),
       name_(std::move(name)),
-      board_(board),
       report_(std::move(report)),
+      on_report_(std::move(on_report)),
       fd_(open_datagram_socket(listen)),
       incarnation_(make_incarnation()) {
   socket_ = h2o_evloop_socket_create(loop_.impl().loop(), fd_, H2O_SOCKET_FLAG_DONT_READ);
@@ -78,13 +78,12 @@
     }
     const std::span<const std::uint8_t> bytes(buffer.data(), static_cast<std::size_t>(size));
     if (auto report = decode_load_report(bytes)) {
-      board_.apply(std::move(*report), clock_.now());
+      on_report_(std::move(*report));
     }
   }
 }
 
 void LoadGossip::send_report() {
-  board_.drop_silent(clock_.now());
   LoadReport report = report_();
   report.gateway = name_;
   report.sequence = ++sequence_;
--- a/src/gateway/load_gossip.h
+++ b/src/gateway/load_gossip.h
@@ -23,13 +23,13 @@
 /** Runs on the HTTP thread. */
 class LoadGossip {
  public:
-  /** Sends what `report` returns, in the name of the gateway. Throws `std::system_error` if
-   * `listen` is in use. */
+  /** Sends what `report` returns, in the name of the gateway, and passes on what others tell.
+   * Throws `std::system_error` if `listen` is in use. */
   LoadGossip(HttpLoop& loop,
              const Endpoint& listen,
              std::string name,
-             LoadBoard& board,
-             std::function<LoadReport()> report);
+             std::function<LoadReport()> report,
+             std::function<void(LoadReport)> on_report);
   LoadGossip(const LoadGossip&) = delete;
   LoadGossip& operator=(const LoadGossip&) = delete;
   ~LoadGossip();
@@ -48,8 +48,8 @@
 
   HttpLoop& loop_;
   std::string name_;
-  LoadBoard& board_;
   std::function<LoadReport()> report_;
+  std::function<void(LoadReport)> on_report_;
   std::vector<Endpoint> peers_;
   ReportPacer pacer_;
   std::optional<Instant> armed_for_;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -543,6 +543,7 @@
   LoadReport report;
   report.sends = static_cast<std::uint32_t>(recent_sends_.size());
   report.lines = cache_.transfer_lines();
+  report.parts = cache_.take_sent_parts();
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.in_flight.requests > 0) {
       report.lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = upstream.in_flight});
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -34,6 +34,7 @@
   root.read("metrics", settings.metrics);
   root.read("store", settings.store);
   root.read("first_peers", settings.first_peers, Presence::kOptional);
+  root.read("link_mbps", settings.link_mbps, Presence::kOptional);
   if (auto bounds = root.section("bounds", Presence::kOptional)) {
     read_bounds(*bounds, settings.bounds);
   }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -36,6 +36,7 @@
   Endpoint metrics;
   Endpoint store;                     // The platform's metadata store.
   std::vector<Endpoint> first_peers;  // Some gateways, which may be down.
+  double link_mbps = 0;               // Of the instance's own link; 0 if not known.
   GatewayBounds bounds;
 };
 
--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -16,6 +16,7 @@
 metrics: 10.0.0.1:83
 store: 10.0.0.9:80
 first_peers: [10.0.0.1:82,10.0.0.2:82]
+link_mbps: 10.0
 bounds:
   stop_limit: 8s
   lease_term: 3000ms
@@ -40,6 +41,7 @@
   const auto settings = parse_gateway_settings("g.yaml", kWhole);
   REQUIRE(settings);
   CHECK(settings->first_peers.size() == 2);
+  CHECK(settings->link_mbps == 10);
   CHECK(settings->bounds.lease_term == Duration{3000});
   CHECK(settings->bounds.engines_check_fences);
   CHECK(settings->bounds.repeat_window == Duration{10'000});
--- a/tests/support/fleet_simulation.cc
+++ b/tests/support/fleet_simulation.cc
@@ -113,6 +113,7 @@
   events_.after(kDatagramDelay, [this, index, report] {
     for (std::size_t other = 0; other < gateways_.size(); ++other) {
       if (other != index) {
+        gateways_[other]->cache.sent_by_others(report.parts, events_.now());
         gateways_[other]->board.apply(report, events_.now());
       }
     }
