Take over changed settings of a gateway without a restart

Cause: SIGHUP was ignored and a settings file that changed without a signal was read at the next start only; nothing in the log told of it.

The main thread compares the file once a second and at SIGHUP. First peers and the bounds on versions, repeats and cold upstreams are taken over; for all else the log line says that a restart is needed. Wrong settings change nothing and are logged.

Tests: a process test with and without a signal (failed before: nothing was logged), and one of what needs a restart.

--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -36,8 +36,10 @@
 }
 
 boost::leaf::result<ExitCode> run_gateway_command(const std::string& file) {
+  SettingsFileWatch watch(file);
   BOOST_LEAF_AUTO(settings, load_gateway_settings(file));
-  return run_process([&settings = settings] { return run_gateway(settings); });
+  return run_process(
+      [&settings = settings, &watch] { return run_gateway(settings, std::move(watch)); });
 }
 
 using RunCommand = boost::leaf::result<ExitCode> (*)(const std::string& file);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -60,6 +60,8 @@
   void set_config(std::shared_ptr<const ServingConfig> config) { config_ = std::move(config); }
   const std::shared_ptr<const ServingConfig>& config() const { return config_; }
 
+  void set_repeat_limits(const RepeatLimits& limits) { repeat_limits_ = limits; }
+
   /** While set, responses ask callers to close their connection. */
   void set_stopping() { stopping_ = true; }
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -2,8 +2,11 @@
 
 #include "gateway/gateway_process.h"
 
+#include <boost/leaf/handle_errors.hpp>
 #include <cstdio>
+#include <functional>
 #include <memory>
+#include <utility>
 
 #include "base/log_event.h"
 #include "gateway/caller_listener.h"
@@ -31,21 +34,22 @@
 // Log lines are written together this often.
 constexpr Duration kLogPause{250};
 
+PoolLimits pool_limits(const GatewayBounds& bounds) {
+  return {.cold_overage = bounds.cold_overage,
+          .cold_slack = bounds.cold_slack,
+          .version_limit = bounds.version_limit};
+}
+
+RepeatLimits repeat_limits(const GatewayBounds& bounds) {
+  return {
+      .ratio = bounds.repeat_ratio, .extra = bounds.repeat_extra, .window = bounds.repeat_window};
+}
+
 // Everything that lives on the HTTP thread.
 struct GatewayParts {
   GatewayParts(HttpLoop& loop, HttpClient& client, const GatewaySettings& settings)
-      : pool({.cold_overage = settings.bounds.cold_overage,
-              .cold_slack = settings.bounds.cold_slack,
-              .version_limit = settings.bounds.version_limit},
-             cache,
-             board),
-        forwarder(loop,
-                  pool,
-                  metrics,
-                  settings.zone,
-                  {.ratio = settings.bounds.repeat_ratio,
-                   .extra = settings.bounds.repeat_extra,
-                   .window = settings.bounds.repeat_window}),
+      : pool(pool_limits(settings.bounds), cache, board),
+        forwarder(loop, pool, metrics, settings.zone, repeat_limits(settings.bounds)),
         knowledge(loop, client, settings, pool, cache, forwarder),
         rollout(loop, client, settings, pool),
         gossip(
@@ -63,6 +67,12 @@
     flush_log(loop);
   }
 
+  void take_settings(const GatewaySettings& settings) {
+    pool.set_limits(pool_limits(settings.bounds));
+    forwarder.set_repeat_limits(repeat_limits(settings.bounds));
+    knowledge.set_first_peers(settings.first_peers);
+  }
+
   LoadReport report() {
     const Instant now = clock.now();
     board.drop_silent(now);
@@ -102,9 +112,33 @@
   return times;
 }
 
+// Reads the settings file if it has changed. Wrong settings change nothing.
+void check_settings(SettingsFileWatch& file,
+                    const GatewaySettings& at_start,
+                    const std::function<void(const GatewaySettings&)>& apply) {
+  if (!file.changed()) {
+    return;
+  }
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(next, load_gateway_settings(file.path()));
+        LogEvent("settings_reloaded")
+            .field("file", file.path())
+            .field("needs_restart", needs_restart(at_start, next));
+        apply(next);
+        return {};
+      },
+      [](const SettingsErrors& errors) {
+        LogEvent("settings_rejected", LogEvent::Severity::kError).field("why", errors.to_string());
+      },
+      [] {
+        LogEvent("settings_rejected", LogEvent::Severity::kError).field("why", "not readable");
+      });
+}
+
 }  // namespace
 
-int run_gateway(const GatewaySettings& settings) {
+int run_gateway(const GatewaySettings& settings, SettingsFileWatch file) {
   SignalWaiter signals;
   start_line_output();
   HttpLoop loop;
@@ -150,7 +184,13 @@
   LogEvent("gateway_started").field("name", settings.name).field("zone", settings.zone);
   const int exit_code = drain_process(
       signals, DrainController(DrainRole::kEntry, drain_times(settings)),
-      {.announce =
+      {.check_settings =
+           [&] {
+             check_settings(file, settings, [&](const GatewaySettings& next) {
+               loop.run_and_wait([&] { parts->take_settings(next); });
+             });
+           },
+       .announce =
            [&] {
              LogEvent("gateway_stopping").field("name", settings.name);
              loop.run_and_wait([&] {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -4,12 +4,13 @@
 #define BLUEBELLSTEP_GATEWAY_GATEWAY_PROCESS_H_
 
 #include "settings/gateway_settings.h"
+#include "settings/settings_file_watch.h"
 
 namespace bluebellstep {
 
-/** Runs a gateway until it is stopped by a signal, and returns the exit code, see
- * `cli/exit_codes.h`. Throws if an address cannot be bound. */
-int run_gateway(const GatewaySettings& settings);
+/** Runs a gateway until it is stopped by a signal, takes over changes of the settings file, and
+ * returns the exit code, see `cli/exit_codes.h`. Throws if an address cannot be bound. */
+int run_gateway(const GatewaySettings& settings, SettingsFileWatch file);
 
 }  // namespace bluebellstep
 
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -70,6 +70,12 @@
 
 Knowledge::~Knowledge() = default;
 
+void Knowledge::set_first_peers(std::vector<Endpoint> peers) {
+  if (mirror(ObjectKind::kGateways).objects().empty()) {
+    peers_ = std::move(peers);
+  }
+}
+
 void Knowledge::add_follower(ObjectKind kind) {
   followers_.push_back(std::make_unique<StoreFollower>(
       loop_, client_, settings_.store, kind,
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -51,6 +51,9 @@
 
   void start();
 
+  /** Sets some gateways to ask until the store has told of all. */
+  void set_first_peers(std::vector<Endpoint> peers);
+
   /** Called after the set of upstreams or the wanted weights changed. */
   void on_weights_changed(std::function<void()> callback) {
     weights_changed_ = std::move(callback);
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -84,6 +84,8 @@
   UpstreamPool(PoolLimits limits, CacheDirectory& cache, const LoadBoard& board)
       : limits_(limits), cache_(cache), board_(board) {}
 
+  void set_limits(const PoolLimits& limits) { limits_ = limits; }
+
   // What the store says.
   void put(UpstreamEntry entry, Instant now);
   void remove(std::string_view id, Instant now);
--- a/src/process/drain_process.cc
+++ b/src/process/drain_process.cc
@@ -32,7 +32,10 @@
 }  // namespace
 
 int drain_process(SignalWaiter& signals, DrainController controller, const DrainActions& actions) {
-  while (!signals.wait(kIdlePoll)) {
+  while (signals.wait(kIdlePoll) != SignalKind::kStop) {
+    if (actions.check_settings) {
+      actions.check_settings();
+    }
   }
   LogEvent("shutdown_started").field("open_work", static_cast<std::uint64_t>(actions.open_work()));
   controller.terminate(Clock().now());
@@ -41,7 +44,7 @@
     if (const auto exit_code = take_steps(controller, actions)) {
       return *exit_code;
     }
-    if (signals.wait(kPoll)) {
+    if (signals.wait(kPoll) == SignalKind::kStop) {
       controller.terminate(Clock().now());
     }
   }
--- a/src/process/drain_process.h
+++ b/src/process/drain_process.h
@@ -13,6 +13,10 @@
 
 /** What a role does in the steps of its shutdown. All are called on the main thread. */
 struct DrainActions {
+  /** Called about once a second until the stop signal, and when a signal says that the settings
+   * have changed. May be empty. */
+  std::function<void()> check_settings;
+
   /** The first stop signal came: readiness turns false, peers hear that the process leaves. */
   std::function<void()> announce;
 
--- a/src/process/signal_waiter.cc
+++ b/src/process/signal_waiter.cc
@@ -1,4 +1,4 @@
-// Waits for stop signals.
+// Waits for signals.
 
 #include "process/signal_waiter.h"
 
@@ -10,16 +10,19 @@
   sigemptyset(&signals_);
   sigaddset(&signals_, SIGTERM);
   sigaddset(&signals_, SIGINT);
+  sigaddset(&signals_, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
   // A peer that closes its connection while we write must not end the process.
   signal(SIGPIPE, SIG_IGN);
-  // Says that the settings file has changed; its default action would end the process.
-  signal(SIGHUP, SIG_IGN);
 }
 
-bool SignalWaiter::wait(Duration limit) {
+SignalKind SignalWaiter::wait(Duration limit) {
   const timespec span = {limit.ms / 1000, (limit.ms % 1000) * 1'000'000};
-  return sigtimedwait(&signals_, nullptr, &span) > 0;
+  const int signal = sigtimedwait(&signals_, nullptr, &span);
+  if (signal <= 0) {
+    return SignalKind::kNone;
+  }
+  return signal == SIGHUP ? SignalKind::kSettingsChanged : SignalKind::kStop;
 }
 
 }  // namespace bluebellstep
--- a/src/process/signal_waiter.h
+++ b/src/process/signal_waiter.h
@@ -1,4 +1,4 @@
-// Signals that stop a process.
+// Signals that stop a process or tell it of changed settings.
 
 #ifndef BLUEBELLSTEP_PROCESS_SIGNAL_WAITER_H_
 #define BLUEBELLSTEP_PROCESS_SIGNAL_WAITER_H_
@@ -9,14 +9,17 @@
 
 namespace bluebellstep {
 
-/** Takes SIGTERM and SIGINT from their default action. Make it before any thread starts, since
- * threads inherit it. */
+/** What a signal asks for. */
+enum class SignalKind { kNone, kStop, kSettingsChanged };
+
+/** Takes SIGTERM, SIGINT and SIGHUP from their default action. Make it before any thread starts,
+ * since threads inherit it. */
 class SignalWaiter {
  public:
   SignalWaiter();
 
-  /** Waits for a stop signal, for at most `limit`. Returns whether one came. */
-  bool wait(Duration limit);
+  /** Waits for a signal, for at most `limit`. */
+  SignalKind wait(Duration limit);
 
  private:
   sigset_t signals_;
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -3,6 +3,7 @@
 #include "settings/gateway_settings.h"
 
 #include <boost/leaf/error.hpp>
+#include <tuple>
 
 namespace bluebellstep {
 namespace {
@@ -45,6 +46,16 @@
   return settings;
 }
 
+bool needs_restart(const GatewaySettings& current, const GatewaySettings& next) {
+  const auto fixed = [](const GatewaySettings& settings) {
+    const GatewayBounds& bounds = settings.bounds;
+    return std::tie(settings.name, settings.zone, settings.callers, settings.ready, settings.peers,
+                    settings.metrics, settings.store, settings.link_mbps, bounds.stop_limit,
+                    bounds.lease_term, bounds.engines_check_fences);
+  };
+  return fixed(current) != fixed(next);
+}
+
 boost::leaf::result<GatewaySettings> load_gateway_settings(const std::string& path) {
   BOOST_LEAF_AUTO(text, read_settings_file(path));
   return parse_gateway_settings(path, text);
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -24,6 +24,8 @@
   Duration repeat_window{10'000};     // in each such window.
   double cold_overage = 1.5;          // A cold upstream may get this multiple of what it bears,
   double cold_slack = 5;              // plus this many requests a second.
+
+  bool operator==(const GatewayBounds&) const = default;
 };
 
 /** Settings of a gateway. */
@@ -40,6 +42,10 @@
   GatewayBounds bounds;
 };
 
+/** Whether changed settings ask for more than a running gateway can take over: it takes the first
+ * peers and the bounds on versions, repeats and cold upstreams. */
+bool needs_restart(const GatewaySettings& current, const GatewaySettings& next);
+
 /** Reads and checks settings; `file` is the name to use in errors. Fails with `SettingsErrors`. */
 boost::leaf::result<GatewaySettings> parse_gateway_settings(std::string_view file,
                                                             std::string_view text);
--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -47,6 +47,23 @@
   CHECK(settings->bounds.repeat_window == Duration{10'000});
 }
 
+// Guards against a reload that pretends to change what a running gateway cannot.
+TEST_CASE("a running gateway takes new bounds and peers, but no new address",
+          "[settings][gateway]") {
+  const auto current = parse_gateway_settings("g.yaml", kWhole);
+  REQUIRE(current);
+  GatewaySettings next = *current;
+  next.bounds.repeat_extra = 7;
+  next.bounds.version_limit = 5_s;
+  next.first_peers.clear();
+  CHECK_FALSE(needs_restart(*current, next));
+  next.callers.port = 81;
+  CHECK(needs_restart(*current, next));
+  next = *current;
+  next.bounds.lease_term = 4_s;
+  CHECK(needs_restart(*current, next));
+}
+
 TEST_CASE("wrong settings of a gateway name the key and the line", "[settings][gateway]") {
   const std::string text =
       "name: g1\nzone: a\ncallers: nowhere\nready: 10.0.0.1:81\n"
--- /dev/null
+++ b/src/settings/settings_file_watch.h
@@ -0,0 +1,28 @@
+// Notices changes of a settings file.
+
+#ifndef BLUEBELLSTEP_SETTINGS_SETTINGS_FILE_WATCH_H_
+#define BLUEBELLSTEP_SETTINGS_SETTINGS_FILE_WATCH_H_
+
+#include <string>
+
+namespace bluebellstep {
+
+/** A settings file may change with or without a signal, so it is compared with what was read. */
+class SettingsFileWatch {
+ public:
+  explicit SettingsFileWatch(std::string path);
+
+  const std::string& path() const { return path_; }
+
+  /** Whether the contents differ from those at the last call, or at the start. A file that cannot
+   * be read counts as unchanged. */
+  bool changed();
+
+ private:
+  std::string path_;
+  std::string contents_;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_SETTINGS_SETTINGS_FILE_WATCH_H_
--- a/tests/process/gateway_fleet.cc
+++ b/tests/process/gateway_fleet.cc
@@ -82,6 +82,15 @@
   process(name).wait_for_listening();
 }
 
+std::string GatewayFleet::settings_file(const std::string& gateway) const {
+  return (folder_ / (gateway + ".yaml")).string();
+}
+
+std::string GatewayFleet::output(const std::string& process) const {
+  std::ifstream file(folder_ / (process + ".out"));
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 bool GatewayFleet::wait_until_ready(const std::string& name, Duration limit) {
   return wait_until(limit, [&] {
     return client_.send_and_wait({.endpoint = {"127.0.0.1", ports_.at(name)[1]}, .path = "/ready"})
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -33,6 +33,11 @@
   /** Starts a gateway, again if it was there before, at the same ports. */
   void start_gateway(const std::string& name);
 
+  std::string settings_file(const std::string& gateway) const;
+
+  /** What the process has written to standard output. */
+  std::string output(const std::string& process) const;
+
   /** Whether the gateway says that it is ready within `limit`. */
   bool wait_until_ready(const std::string& name, Duration limit);
 
--- a/tests/process/gateway_process_test.cc
+++ b/tests/process/gateway_process_test.cc
@@ -6,6 +6,9 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
+#include <fstream>
+#include <string>
+#include <string_view>
 #include <thread>
 
 #include "tests/process/gateway_fleet.h"
@@ -129,4 +132,22 @@
   CHECK(fleet.runs().empty());
 }
 
+// Guards against a signal that ends the process, changed settings that nobody hears of, and wrong
+// ones that are taken over.
+TEST_CASE("process: changed settings are taken over and wrong ones refused") {
+  GatewayFleet fleet(1);
+  const std::string file = fleet.settings_file("g1");
+  std::ofstream(file, std::ios::app) << "  repeat_extra: 3\n";
+  fleet.process("g1").send_signal(SIGHUP);
+  const auto told = [&fleet](std::string_view event) {
+    return wait_until(5_s, [&] { return fleet.output("g1").find(event) != std::string::npos; });
+  };
+  CHECK(told("event=settings_reloaded"));
+  CHECK(fleet.output("g1").find("needs_restart=false") != std::string::npos);
+  // Without a signal.
+  std::ofstream(file, std::ios::app) << "unknown: 1\n";
+  CHECK(told("event=settings_rejected"));
+  CHECK(fleet.request("g1", "orders", "o1").status == 200);
+}
+
 }  // namespace bluebellstep::testing
