Spread the return of refused callers

Cause: all callers that a gateway refused within a second were given the same Retry-After and came back as one burst. The time is now up to half longer, by the request, and still at most a third of what the caller has left. The test failed before: all of 1,000 callers in one slot of 10 ms.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -146,7 +146,7 @@
   void send_failed(Request& request, SendEnd end, bool may_have_run, std::string_view why);
   bool may_send_again(Request& request, bool may_have_run);
   void fail(Request& request, bool may_have_run, std::string_view why);
-  void refuse(Request& request, std::string_view why, Duration retry_after);
+  void refuse(Request& request, std::string_view why, Duration least);
   void reply_own(Request& request,
                  int status,
                  std::string_view why,
--- a/src/gateway/forwarder_replies.cc
+++ b/src/gateway/forwarder_replies.cc
@@ -1,21 +1,20 @@
 // What callers are told when their request got no answer, and the log line of each request.
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/log_event.h"
 #include "gateway/forwarder.h"
+#include "gateway/retry_time.h"
 #include "platform/call_format.h"
 
 namespace bluebellstep {
 namespace {
 
 constexpr Duration kRetryRejected{300};
-// Callers honour a longer time only up to a third of what they have left.
-constexpr std::int64_t kRetryShareOfTime = 3;
 
 // As callers write the ids of prompt parts.
 std::string hex_text(std::uint64_t value) {
@@ -51,13 +50,12 @@
   reply_own(request, why == "deadline" || why == "timeout" ? 504 : 502, why, std::nullopt);
 }
 
-void Forwarder::refuse(Request& request, std::string_view why, Duration retry_after) {
-  if (request.caller.time_left) {
-    const Instant now = clock_.now();
-    const Duration left = *request.caller.time_left - (now - request.arrived);
-    retry_after = std::min(retry_after, std::max(Duration{0}, left) / kRetryShareOfTime);
+void Forwarder::refuse(Request& request, std::string_view why, Duration least) {
+  std::optional<Duration> time_left = request.caller.time_left;
+  if (time_left) {
+    *time_left = *time_left - (clock_.now() - request.arrived);
   }
-  reply_own(request, 503, why, retry_after);
+  reply_own(request, 503, why, retry_after(least, time_left, request.caller.request_id));
 }
 
 void Forwarder::reply_own(Request& request,
