Remove registrations of gateways that are gone

Cause: bounds that all gateways share are divided by the registered ones, nothing expires in the platform's store, and registrations of replaced machines stayed.

The first living gateway by name removes registrations that no report came from for a minute, while it hears more than half of the others. A gateway that was removed wrongly registers again. Idle gateways now report every 10 s.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -81,6 +81,7 @@
 
   void take_report(LoadReport report) {
     const Instant now = clock.now();
+    knowledge.heard(report.gateway);
     cache.sent_by_others(report.parts, now);
     board.apply(std::move(report), now);
   }
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -62,7 +62,8 @@
       cache_follower_(loop, client, cache, CachePollOrder(settings.zone, settings.link_mbps)),
       forwarder_(forwarder),
       random_(hash64(settings.name)),
-      peers_(settings.first_peers) {
+      peers_(settings.first_peers),
+      roster_(settings.name) {
   for (const ObjectKind kind : kFollowed) {
     add_follower(kind);
   }
@@ -229,6 +230,15 @@
     }
   }
   pool_.set_gateways(objects.size());
+  std::set<std::string, std::less<>> names;
+  for (const auto& [name, object] : objects) {
+    names.insert(name);
+  }
+  roster_.set_registered(names, clock_.now());
+  if (roster_.own_registration_lost()) {
+    LogEvent("registration_lost", LogEvent::Severity::kWarning).field("name", settings_.name);
+    write_registration(0);
+  }
 }
 
 void Knowledge::update_cache_sources() {
@@ -312,8 +322,37 @@
   }
 }
 
+// Removes the registrations of gateways that are gone, so that shares of common bounds grow again.
+void Knowledge::check_registrations() {
+  const Instant now = clock_.now();
+  if (!store_reachable_ || now < registrations_checked_ + kRosterPause) {
+    return;
+  }
+  registrations_checked_ = now;
+  for (const std::string& name : roster_.gone(now)) {
+    const auto& objects = mirror(ObjectKind::kGateways).objects();
+    const auto object = objects.find(name);
+    if (object == objects.end()) {
+      continue;
+    }
+    LogEvent("registration_removed")
+        .field("name", name)
+        .field("revision", object->second.revision)
+        .field("silent_ms", GatewayRoster::kGoneAfter.ms);
+    client_.send(platform::remove_call(settings_.store, ObjectKind::kGateways, name,
+                                       object->second.revision, StoreFollower::kCallTimeout),
+                 [name](const HttpClient::Response& response) {
+                   // The watch tells what became of it; what remains is removed next time.
+                   LogEvent("registration_removal_answered")
+                       .field("name", name)
+                       .field("status", response.status);
+                 });
+  }
+}
+
 void Knowledge::tick() {
   pool_.drop_lapsed(clock_.now());
+  check_registrations();
   free_older_parts();
   if (!store_reachable_ && !asking_peer_) {
     ask_peer();
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -22,6 +22,7 @@
 #include "gateway/cache_directory.h"
 #include "gateway/cache_follower.h"
 #include "gateway/forwarder.h"
+#include "gateway/gateway_roster.h"
 #include "gateway/store_follower.h"
 #include "gateway/upstream_pool.h"
 #include "http/http_client.h"
@@ -38,6 +39,8 @@
   static constexpr Duration kPeerTimeout{400};
   /** Pause between two attempts to register this gateway. */
   static constexpr Duration kRegisterPause{1000};
+  /** Pause between two checks for registrations of gateways that are gone. */
+  static constexpr Duration kRosterPause{10'000};
 
   Knowledge(HttpLoop& loop,
             HttpClient& client,
@@ -69,6 +72,9 @@
 
   bool store_reachable() const { return store_reachable_; }
 
+  /** A report of another gateway came. */
+  void heard(std::string_view gateway) { roster_.heard(gateway, clock_.now()); }
+
   /** Answers a peer that knows the kinds up to `query`, see `peer_path`. */
   std::string answer_peer(std::string_view query) const;
 
@@ -80,6 +86,7 @@
   void on_zones_out();
   void on_wanted_weights(const platform::StoredObject& object);
   void on_gateways();
+  void check_registrations();
   void update_cache_sources();
   void free_older_parts();
   void on_contact(platform::ObjectKind kind, bool reachable);
@@ -106,6 +113,8 @@
   std::function<void(std::vector<Endpoint>)> peers_changed_;
   std::vector<std::unique_ptr<StoreFollower>> followers_;
   std::vector<Endpoint> peers_;
+  GatewayRoster roster_;
+  Instant registrations_checked_;
   bool store_reachable_ = true;
   bool asking_peer_ = false;
   std::map<std::string, std::uint64_t> freed_before_;  // By model.
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -88,8 +88,9 @@
   report.gateway = name_;
   report.sequence = ++sequence_;
   report.incarnation = incarnation_;
-  // An idle gateway says so once; its silence means the same.
-  if (!report.lines.empty() || !told_nothing_) {
+  const Instant now = clock_.now();
+  if (!report.lines.empty() || !told_nothing_ || now >= told_at_ + ReportPacer::kIdlePause) {
+    told_at_ = now;
     const std::string bytes = encode_load_report(report);
     for (const Endpoint& peer : peers_) {
       if (std::optional<SocketAddress> address = to_socket_address(peer)) {
--- a/src/gateway/load_gossip.h
+++ b/src/gateway/load_gossip.h
@@ -59,6 +59,7 @@
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
   bool told_nothing_ = false;  // The last report was empty.
+  Instant told_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/report_pacer.h
+++ b/src/gateway/report_pacer.h
@@ -36,6 +36,10 @@
   /** A report was made. */
   void reported(Instant now);
 
+  /** An idle gateway says so once, since its silence means the same, and again after this time to
+   * show that it lives. */
+  static constexpr Duration kIdlePause{10'000};
+
   /** When the next report is due. */
   Instant due() const { return due_; }
 
