Watch the gateways' registrations with longer calls

Nothing depends on hearing of a gateway at once, and each call to the store is charged, a waiting watch as one.

soak.sh takes a first seed together with a number of seeds.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -69,7 +69,7 @@
   listed_ = true;
   deliver(mirror_.replace(std::exchange(pages_, {}), list_revision_));
   listener_.on_contact(true);
-  watch(kWatchWait);
+  watch(watch_wait());
 }
 
 void StoreFollower::watch(Duration wait) {
@@ -85,9 +85,9 @@
                           const bool changed = !changes.changes.empty();
                           deliver(mirror_.apply(std::move(changes)));
                           if (changed) {
-                            after(batch_pause(), [this] { watch(kWatchWait); });
+                            after(batch_pause(), [this] { watch(watch_wait()); });
                           } else {
-                            watch(kWatchWait);
+                            watch(watch_wait());
                           }
                         },
                         [&](const platform::HistoryGone&) {
@@ -102,6 +102,10 @@
              result);
 }
 
+Duration StoreFollower::watch_wait() const {
+  return kind_ == platform::ObjectKind::kGateways ? kGatewaysWatchWait : kWatchWait;
+}
+
 Duration StoreFollower::batch_pause() const {
   switch (kind_) {
     case platform::ObjectKind::kUpstreams:
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -22,6 +22,9 @@
   /** Longest wait of a watch. Bounds how late a store that accepts calls and stays silent is
    * noticed. */
   static constexpr Duration kWatchWait{3000};
+  /** Wait of a watch of the gateways: nothing depends on hearing of one at once, and each call is
+   * charged. */
+  static constexpr Duration kGatewaysWatchWait{12'000};
   /** Wait of a watch that asks whether the store answers again. A longer one that falls into an
    * outage would hide the store's return until it times out. */
   static constexpr Duration kProbeWait{100};
@@ -67,6 +70,7 @@
   void on_watch(const HttpClient::Response& response);
   void failed(const PlatformUnavailable& fault);
   void retry();
+  Duration watch_wait() const;
   Duration batch_pause() const;
   void deliver(ObjectMirror::Changes changes);
   template <typename Handler>
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,18 +1,24 @@
 #!/usr/bin/env bash
 # Runs the randomized fault soak on real processes. Usage: soak.sh [--seeds N] [--seed S]
+# N seeds from S on; without S from a random one, without N one seed if S is given, else five.
 # Seeds that ever failed are in tests/soak/seeds.txt and are always run too.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 build_dir=${BUILD_DIR:-build}
-count=5
-first=$RANDOM$RANDOM
+count=
+first=
 while [ $# -gt 0 ]; do
   case "$1" in
     --seeds) count=$2; shift 2 ;;
-    --seed) first=$2; count=1; shift 2 ;;
+    --seed) first=$2; shift 2 ;;
     *) echo "usage: soak.sh [--seeds N] [--seed S]" >&2; exit 2 ;;
   esac
 done
+if [ -z "$first" ]; then
+  first=$RANDOM$RANDOM
+  count=${count:-5}
+fi
+count=${count:-1}
 mapfile -t seeds < <(sed -n 's/^\([0-9][0-9]*\).*/\1/p' tests/soak/seeds.txt; seq "$first" $((first + count - 1)))
 passed=0
 failed=0
