Try failing upstreams with repeatable requests; tell others of failures

After failures in a row an upstream is now tried by one request that may be repeated, the pause doubles up to 8 s, and gateways tell each other of failures in a row. A success of its own outweighs what others saw for 5 s, since some faults concern some callers only. Six error responses in a row count as failures too.

Ruled out: probing by health checks, which such servers answer well.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -141,6 +141,7 @@
                    .prompt = request.caller.prompt,
                    .prompt_tokens = request.caller.prompt_tokens,
                    .body_bytes = request.body.size(),
+                   .may_repeat = request.route->may_repeat(),
                    .spread = hash64(request.caller.request_id),
                    .excluded = request.tried};
 }
@@ -352,7 +353,7 @@
   const bool server_error = status >= 500;
   if (request.head_sent ||
       (server_error && request.route->may_repeat() && request.runs < request.route->max_attempts)) {
-    send_failed(request, SendEnd::kAnswered, true, "upstream_error");
+    send_failed(request, SendEnd::kError, true, "upstream_error");
     return;
   }
   const bool claims_not_run = status == 429 || status == 503 || status == 408;
@@ -368,7 +369,7 @@
                    .close = close,
                    .keep_alive = request.config->limits.idle_timeout});
   out += send.body;
-  end_send(request, SendEnd::kAnswered, true);
+  end_send(request, server_error ? SendEnd::kError : SendEnd::kAnswered, true);
   request.sink.send(out);
   request.sink.done(close);
   finish(request, server_error ? "upstream_error" : "answered", status);
@@ -403,7 +404,9 @@
       .field("reused_connection", request.send->reused)
       .field("may_have_run", may_have_run)
       .field("after_ms", (clock_.now() - request.send->began).ms);
-  end_send(request, end, end == SendEnd::kRejected || end == SendEnd::kAnswered);
+  const bool whole_answer =
+      end == SendEnd::kRejected || end == SendEnd::kAnswered || end == SendEnd::kError;
+  end_send(request, end, whole_answer);
   request.tried.push_back(upstream);
   request.last_problem = why;
   request.events.drop_partial();
--- a/src/gateway/load_board.cc
+++ b/src/gateway/load_board.cc
@@ -13,6 +13,7 @@
   requests += other.requests;
   unread_tokens += other.unread_tokens;
   held_tokens += other.held_tokens;
+  failures += other.failures;
   transfer_ms += other.transfer_ms;
   return *this;
 }
@@ -21,6 +22,7 @@
   requests -= other.requests;
   unread_tokens -= other.unread_tokens;
   held_tokens -= other.held_tokens;
+  failures -= other.failures;
   transfer_ms -= other.transfer_ms;
   return *this;
 }
@@ -29,7 +31,8 @@
   nlohmann::json lines = nlohmann::json::array();
   for (const LoadLine& line : report.lines) {
     lines.push_back({line.upstream, line.in_flight.requests, line.in_flight.unread_tokens,
-                     line.in_flight.held_tokens, line.in_flight.transfer_ms});
+                     line.in_flight.held_tokens, line.in_flight.failures,
+                     line.in_flight.transfer_ms});
   }
   nlohmann::json parts = nlohmann::json::array();
   for (const SentPart& part : report.parts) {
@@ -58,7 +61,8 @@
                               .in_flight = {.requests = line.at(1).get<std::uint32_t>(),
                                             .unread_tokens = line.at(2).get<std::uint64_t>(),
                                             .held_tokens = line.at(3).get<std::uint64_t>(),
-                                            .transfer_ms = line.at(4).get<std::uint64_t>()}});
+                                            .failures = line.at(4).get<std::uint32_t>(),
+                                            .transfer_ms = line.at(5).get<std::uint64_t>()}});
     }
     for (const auto& part : json.at(5)) {
       report.parts.push_back({.upstream = part.at(0).get<std::uint32_t>(),
--- a/src/gateway/load_board.h
+++ b/src/gateway/load_board.h
@@ -24,6 +24,7 @@
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;  // Of prompts whose answer has not begun.
   std::uint64_t held_tokens = 0;    // Prompt tokens that the requests keep in memory.
+  std::uint32_t failures = 0;       // In a row, see `UpstreamHealth`.
   std::uint64_t transfer_ms = 0;    // Time that fetches from its cache take, one after another.
 
   InFlight& operator+=(const InFlight& other);
--- a/src/gateway/load_board_test.cc
+++ b/src/gateway/load_board_test.cc
@@ -67,7 +67,7 @@
   CHECK(decoded->incarnation == 7);
   CHECK(decoded->sends == 12);
   CHECK(decoded->parts == sent.parts);
-  CHECK(decoded->lines.at(0).in_flight == InFlight{9, 100, 200, 0});
+  CHECK(decoded->lines.at(0).in_flight == InFlight{9, 100, 200, 0, 0});
   const std::uint8_t junk[] = {0x93, 1, 2};
   CHECK_FALSE(decode_load_report(junk));
   CHECK_FALSE(decode_load_report({}));
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -41,9 +41,7 @@
 // Shared parts that are read again are charged besides the time that they take.
 constexpr double kReadAgainFactor = 3;
 
-constexpr int kFailuresToShun = 3;
 constexpr Duration kShunNotReached{400};
-constexpr Duration kShunFailing{1000};
 // A fetch from an engine that is gone takes some hundred ms.
 constexpr Duration kAvoidAsSource{3000};
 constexpr Duration kShunMisdirected{200};
@@ -234,6 +232,12 @@
                                                        : std::optional(found->second);
 }
 
+// Whether an upstream that may get the query seems to serve at present.
+bool UpstreamPool::is_usable(Upstream& upstream, const PickQuery& query, Instant now) const {
+  const std::uint32_t others = board_.others(upstream.entry.id).failures;
+  return now >= upstream.shunned_until && upstream.health.may_get(query.may_repeat, others, now);
+}
+
 bool UpstreamPool::may_get(const Upstream& upstream, const PickQuery& query, Instant now) const {
   const UpstreamEntry& entry = upstream.entry;
   if (entry.leaving || entry.service != query.service->name || zones_out_.contains(entry.zone) ||
@@ -340,7 +344,7 @@
     // Upstreams that failed just now are used only where there is no other.
     const bool take_shunned = pass == 1;
     for (auto& [id, upstream] : upstreams_) {
-      if (!may_get(upstream, query, now) || (!take_shunned && now < upstream.shunned_until)) {
+      if (!may_get(upstream, query, now) || (!take_shunned && !is_usable(upstream, query, now))) {
         continue;
       }
       if (!has_room(upstream, *query.service, own_share, now)) {
@@ -398,6 +402,7 @@
   upstream.in_flight +=
       {.requests = 1, .unread_tokens = picked.uncached_tokens, .held_tokens = query.prompt_tokens};
   upstream.recent_sends.push_back(now);
+  upstream.health.sent();
   recent_sends_.push_back(now);
   if (query.service->engine) {
     cache_.sent(picked.upstream_id, picked.cache_scope, query.prompt, picked.cache, now);
@@ -439,23 +444,28 @@
   in_flight.held_tokens -= std::min<std::uint64_t>(in_flight.held_tokens, held_tokens);
   switch (end) {
     case SendEnd::kAnswered:
-      upstream.failures = 0;
+      upstream.health.succeeded(now);
+      return;
+    case SendEnd::kError:
+      upstream.health.answered_error(now);
       return;
     case SendEnd::kRejected:
+      upstream.health.trial_ended();
       // Full, or loading weights: either takes a while to pass.
       upstream.shunned_until = std::max(
           upstream.shunned_until, now + (has_older_weights(upstream) ? kShunLoading : kShunFull));
       return;
     case SendEnd::kDropped:
+      upstream.health.trial_ended();
       return;
     case SendEnd::kNotReached:
+      upstream.health.trial_ended();
       upstream.shunned_until = now + kShunNotReached;
       cache_.avoid(id, now + kAvoidAsSource);
       return;
     case SendEnd::kFailed:
-      if (++upstream.failures >= kFailuresToShun) {
-        upstream.shunned_until = now + kShunFailing;
-        upstream.failures = kFailuresToShun - 1;
+      upstream.health.failed(now);
+      if (upstream.health.failures() >= UpstreamHealth::kFailuresToShun) {
         cache_.avoid(id, now + kAvoidAsSource);
       }
       return;
@@ -545,8 +555,10 @@
   report.lines = cache_.transfer_lines();
   report.parts = cache_.take_sent_parts();
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.in_flight.requests > 0) {
-      report.lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = upstream.in_flight});
+    InFlight told = upstream.in_flight;
+    told.failures = upstream.health.failures();
+    if (told != InFlight{}) {
+      report.lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = told});
     }
   }
   return report;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -22,6 +22,7 @@
 #include "gateway/call_heads.h"
 #include "gateway/load_board.h"
 #include "gateway/serving_config.h"
+#include "gateway/upstream_health.h"
 
 namespace bluebellstep {
 
@@ -46,6 +47,7 @@
   std::span<const PromptPart> prompt;
   std::uint32_t prompt_tokens = 0;
   std::size_t body_bytes = 0;
+  bool may_repeat = false;                // The request may be sent again if it fails.
   std::uint64_t spread = 0;               // Differs between requests; orders equal upstreams.
   std::span<const std::string> excluded;  // Ids of upstreams that were tried.
 };
@@ -72,6 +74,7 @@
 /** How a send ended, for the judgement of the upstream. */
 enum class SendEnd {
   kAnswered,
+  kError,       // Answered with an error of the upstream's own.
   kRejected,    // Not run: full, or not the expected upstream.
   kFailed,      // Broken, late or unusable.
   kNotReached,  // No connection.
@@ -168,8 +171,8 @@
     InFlight in_flight;                   // Of this gateway.
     ReportedLoad load;
     Instant load_at;
-    int failures = 0;  // In a row.
-    Instant shunned_until;
+    UpstreamHealth health;
+    Instant shunned_until;             // Full, not reached, or another one at its address.
     std::deque<Instant> recent_sends;  // Within the last second.
   };
 
@@ -188,6 +191,7 @@
                 double traffic_share,
                 Instant now) const;
   double traffic_share(Instant now);
+  bool is_usable(Upstream& upstream, const PickQuery& query, Instant now) const;
   bool may_get(const Upstream& upstream, const PickQuery& query, Instant now) const;
   // Parts of a query's prompt that can be fetched, by the weight version of their scope.
   struct PromptKnowledge {
