--- a/src/gateway/cache_poll_order.cc
+++ b/src/gateway/cache_poll_order.cc
@@ -36,6 +36,7 @@
   std::sort(candidates.begin(), candidates.end());
   candidates.resize(std::min(candidates.size(), kMostEngines));
   std::vector<std::string_view> names;
+  names.reserve(candidates.size());
   for (const Candidate& candidate : candidates) {
     names.push_back(candidate.name);
   }
--- a/src/gateway/cache_poll_order_test.cc
+++ b/src/gateway/cache_poll_order_test.cc
@@ -53,6 +53,7 @@
 TEST_CASE("a gateway follows a bounded number of engines", "[gateway][load]") {
   std::vector<CacheSource> sources;
   constexpr int kEngines = 400;
+  sources.reserve(kEngines);
   for (int i = 0; i < kEngines; ++i) {
     sources.push_back({.name = "e" + std::to_string(i), .zone = i < 20 ? "a" : "b"});
   }
