--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -1,4 +1,5 @@
-// Choice of upstreams: waits, cached parts, cold upstreams, failures.
+// Choice of upstreams: waits, cached parts, cold upstreams, failures. Weight versions are in
+// upstream_weights.cc.
 
 #include "gateway/upstream_pool.h"
 
@@ -59,9 +60,6 @@
 constexpr double kWarmFactor = 2;
 // A gateway counts with at most this multiple of an even share of all requests.
 constexpr double kLargestShareInEven = 4;
-// Requests stop going to older weights this long before they must not begin there.
-// They may wait in the engine's queue.
-constexpr Duration kVersionMargin{2500};
 constexpr Duration kRetryNoUpstream{400};
 constexpr Duration kRetryCold{250};
 // Part of `max_connections` that is used.
@@ -143,35 +141,6 @@
   }
 }
 
-void UpstreamPool::set_wanted_weights(const WantedWeights& wanted, bool named_before, Instant now) {
-  WantedVersions& known = wanted_[wanted.model];
-  if (known.empty() || wanted.version > known.back().version) {
-    const Duration passed = limits_.version_limit - kVersionMargin - limits_.start_grace;
-    known.push_back({wanted.version, named_before ? now - passed : now});
-  }
-}
-
-bool UpstreamPool::has_older_weights(const Upstream& upstream) const {
-  const auto& versions = upstream.entry.weight_versions;
-  return std::any_of(versions.begin(), versions.end(),
-                     [this](const auto& item) { return item.second < newest_wanted(item.first); });
-}
-
-std::uint64_t UpstreamPool::newest_wanted(std::string_view model) const {
-  const auto found = wanted_.find(model);
-  return found == wanted_.end() ? 0 : found->second.back().version;
-}
-
-// Whether requests must no longer begin on `version`.
-bool UpstreamPool::is_outdated(std::uint64_t version, std::string_view model, Instant now) const {
-  const auto found = wanted_.find(model);
-  return found != wanted_.end() &&
-         std::any_of(found->second.begin(), found->second.end(), [&](const Wanted& wanted) {
-           return version < wanted.version &&
-                  now >= wanted.since + limits_.version_limit - kVersionMargin;
-         });
-}
-
 void UpstreamPool::note_store(bool reachable, Instant now) {
   if (!reachable) {
     unreachable_since_ = unreachable_since_.value_or(now);
@@ -225,13 +194,6 @@
          std::max(1.0, bound * kColdSafetyShare * share);
 }
 
-std::optional<std::uint64_t> UpstreamPool::version_of(const Upstream& upstream,
-                                                      std::string_view model) const {
-  const auto found = upstream.entry.weight_versions.find(std::string(model));
-  return found == upstream.entry.weight_versions.end() ? std::nullopt
-                                                       : std::optional(found->second);
-}
-
 // Whether an upstream that may get the query seems to serve at present.
 bool UpstreamPool::is_usable(Upstream& upstream, const PickQuery& query, Instant now) const {
   const std::uint32_t others = board_.others(upstream.entry.id).failures;
@@ -479,75 +441,12 @@
   }
 }
 
-void UpstreamPool::reported_version(std::string_view id,
-                                    std::string_view model,
-                                    std::uint64_t version) {
-  if (const auto found = upstreams_.find(id); found != upstreams_.end() && !model.empty()) {
-    std::uint64_t& known = found->second.entry.weight_versions[std::string(model)];
-    known = std::max(known, version);
-  }
-}
-
 void UpstreamPool::misdirected(std::string_view id, bool replaced, Instant now) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
     found->second.shunned_until = now + (replaced ? kShunReplaced : kShunMisdirected);
   }
 }
 
-std::vector<UpstreamPool::Outdated> UpstreamPool::outdated(std::size_t& engines) const {
-  std::vector<Outdated> result;
-  engines = 0;
-  for (const auto& [id, upstream] : upstreams_) {
-    for (const auto& [model, version] : upstream.entry.weight_versions) {
-      const std::uint64_t wanted = newest_wanted(model);
-      if (wanted == 0) {
-        continue;
-      }
-      ++engines;
-      if (version < wanted && !upstream.entry.leaving) {
-        result.push_back({.id = id,
-                          .endpoint = upstream.entry.endpoint,
-                          .model = model,
-                          .current_version = version,
-                          .wanted_version = wanted,
-                          .load = upstream.load.running});
-      }
-    }
-  }
-  return result;
-}
-
-void UpstreamPool::note_rollouts(Instant now) {
-  std::map<std::string, std::uint64_t, std::less<>> oldest;
-  for (const auto& [id, upstream] : upstreams_) {
-    for (const auto& [model, version] : upstream.entry.weight_versions) {
-      const auto [known, added] = oldest.try_emplace(model, version);
-      known->second = std::min(known->second, version);
-    }
-  }
-  for (const auto& [model, version] : oldest) {
-    Rollout& rollout = rollouts_[model];
-    const std::uint64_t wanted = newest_wanted(model);
-    const bool complete = wanted > 0 && version >= wanted;
-    if (complete && (rollout.complete < wanted || rollout.outdated_now)) {
-      rollout.complete = wanted;
-      rollout.complete_since = now;
-    }
-    rollout.outdated_now = version < rollout.complete;
-  }
-}
-
-std::map<std::string, std::uint64_t> UpstreamPool::settled_versions(Instant now) const {
-  std::map<std::string, std::uint64_t> settled;
-  for (const auto& [model, rollout] : rollouts_) {
-    if (rollout.complete > 0 && !rollout.outdated_now &&
-        now >= rollout.complete_since + kSettleTime) {
-      settled[model] = rollout.complete;
-    }
-  }
-  return settled;
-}
-
 LoadReport UpstreamPool::load_report(Instant now) {
   drop_before(recent_sends_, now - kRateWindow);
   LoadReport report;
