End the unread tokens and transfers of each send; settle versions sooner

Cause: a stream that was continued by a second upstream had its first event already, so the tokens to read and the transfers of its second send were never taken back. The gateway reported them for good once reports named upstreams without requests, and all gateways avoided those engines.

Each send now ends its own; an upstream without requests has no load.

Both have tests that failed before.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -285,10 +285,10 @@
     return;
   }
   std::string out;
+  note_prompt_read(*request.send);
   if (!request.first_event_at) {
     request.first_event_at = clock_.now();
     const Send& send = *request.send;
-    pool_.prompt_read(send.picked);
     pool_.answer_began(send.picked, *request.first_event_at - send.began, *request.first_event_at);
     if (request.account != nullptr) {
       metrics_.first_token(request.account->name, request.route->name,
@@ -445,13 +445,19 @@
          allowance(request).take(repeat_limits_, pool_.gateways(), clock_.now());
 }
 
+// Once for each send: a stream that is continued by another upstream is read there again.
+void Forwarder::note_prompt_read(Send& send) {
+  if (!send.prompt_read) {
+    send.prompt_read = true;
+    pool_.prompt_read(send.picked);
+  }
+}
+
 void Forwarder::end_send(Request& request, SendEnd end, bool keep) {
   Send send = std::move(*request.send);
   request.send.reset();
   const Instant now = clock_.now();
-  if (!request.first_event_at) {
-    pool_.prompt_read(send.picked);
-  }
+  note_prompt_read(send);
   pool_.finished(send.picked.upstream_id, request.caller.prompt_tokens, end, now);
   connections_.give_back(send.picked.upstream_id, std::move(send.connection), keep, now);
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -88,6 +88,7 @@
     Instant began;
     bool reused = false;
     bool began_answer = false;
+    bool prompt_read = false;           // No more tokens to read; its answer or its end has come.
     std::unique_ptr<MessageHead> head;  // Of the response.
     UpstreamReply reply;                // Views point into `head`.
     std::string body;                   // Of a response that is not streamed.
@@ -152,6 +153,7 @@
                  std::string_view why,
                  std::optional<Duration> retry_after);
   void finish(Request& request, std::string_view outcome, int status);
+  void note_prompt_read(Send& send);
   void end_send(Request& request, SendEnd end, bool keep);
   void check(Request& request);
   Instant next_due(const Request& request) const;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -404,6 +404,10 @@
   InFlight& in_flight = upstream.in_flight;
   in_flight.requests -= in_flight.requests > 0 ? 1 : 0;
   in_flight.held_tokens -= std::min<std::uint64_t>(in_flight.held_tokens, held_tokens);
+  if (in_flight.requests == 0) {
+    // Whatever is left would be told to the other gateways for good.
+    in_flight = {};
+  }
   switch (end) {
     case SendEnd::kAnswered:
       upstream.health.succeeded(now);
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -224,7 +224,8 @@
   std::set<std::string, std::less<>> zones_out_;
   std::map<std::string, WantedVersions, std::less<>> wanted_;  // Never empty lists.
   struct Rollout {
-    std::uint64_t complete = 0;  // Newest version that all engines were seen to have.
+    std::uint64_t oldest = 0;    // Of all engines, when last seen.
+    std::uint64_t complete = 0;  // Newest version that all engines were seen to get.
     Instant complete_since;
     bool outdated_now = false;  // An engine has an older version again.
   };
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <variant>
+#include <vector>
 
 #include "base/hash.h"
 
@@ -192,6 +194,23 @@
   CHECK(busy <= 4 * (even + 1));
 }
 
+// Guards against load that is reported for good: a stream that is continued by a second engine left
+// its tokens unread there, and all gateways avoided the engine.
+TEST_CASE("an upstream without requests has no load to report", "[gateway]") {
+  Fixture f;
+  f.add_engine("e1");
+  PickQuery query = f.engine_query();
+  const std::vector<PromptPart> prompt = {{.id = 1, .tokens = 5000}};
+  query.prompt = prompt;
+  query.prompt_tokens = 5000;
+  const PickResult result = f.pool.pick(query, kStart);
+  REQUIRE(std::holds_alternative<Picked>(result));
+  f.pool.sent(std::get<Picked>(result), query, kStart);
+  CHECK(f.pool.load_report(kStart).lines.size() == 1);
+  f.pool.finished("e1", 5000, SendEnd::kAnswered, kStart);
+  CHECK(f.pool.load_report(kStart).lines.empty());
+}
+
 TEST_CASE("entries that vanish around an outage of the store are kept for a while", "[gateway]") {
   Fixture f;
   f.add_plain("o1");
@@ -262,6 +281,25 @@
   CHECK(f.pool.settled_versions(kStart + 60_s).empty());
 }
 
+// Load pattern: versions are named faster than they are in place everywhere. Guards against stores
+// that stay full of parts that no engine can use.
+TEST_CASE("a version is settled while a newer one is named already", "[gateway][load]") {
+  Fixture f;
+  f.add_engine("e1", 2);
+  f.add_engine("e2", 1);
+  f.pool.set_wanted_weights({.model = "m", .version = 3}, false, kStart);
+  f.pool.note_rollouts(kStart);
+  f.pool.reported_version("e2", "m", 2);
+  f.pool.note_rollouts(kStart + 1_s);
+  const Instant settled = kStart + 1_s + UpstreamPool::kSettleTime;
+  CHECK(f.pool.settled_versions(settled - 1_ms)["m"] < 2);
+  CHECK(f.pool.settled_versions(settled)["m"] == 2);
+  // The newer one is not complete yet.
+  f.pool.reported_version("e1", "m", 3);
+  f.pool.note_rollouts(settled);
+  CHECK(f.pool.settled_versions(settled)["m"] == 2);
+}
+
 TEST_CASE("engines with the wanted weights come first", "[gateway]") {
   Fixture f;
   f.add_engine("e1", 1);
--- a/src/gateway/upstream_weights.cc
+++ b/src/gateway/upstream_weights.cc
@@ -93,12 +93,17 @@
   }
   for (const auto& [model, version] : oldest) {
     Rollout& rollout = rollouts_[model];
+    // Also while a newer version is named already: versions may follow each other faster than they
+    // are in place everywhere, and parts of those before the oldest one in use fill the stores.
+    const bool rose = rollout.oldest > 0 && version > rollout.oldest;
     const std::uint64_t wanted = newest_wanted(model);
-    const bool complete = wanted > 0 && version >= wanted;
-    if (complete && (rollout.complete < wanted || rollout.outdated_now)) {
-      rollout.complete = wanted;
+    const bool newest = wanted > 0 && version >= wanted;
+    if ((rose || newest) &&
+        (version > rollout.complete || (rollout.outdated_now && version == rollout.complete))) {
+      rollout.complete = version;
       rollout.complete_since = now;
     }
+    rollout.oldest = version;
     rollout.outdated_now = version < rollout.complete;
   }
 }
