Read a changed settings file once, by the reader that exists

The watch had a reader of its own without the size limit of read_settings_file, and the reload read the file a second time, which could differ. The contents that were compared are parsed now.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -117,12 +117,13 @@
 void check_settings(SettingsFileWatch& file,
                     const GatewaySettings& at_start,
                     const std::function<void(const GatewaySettings&)>& apply) {
-  if (!file.changed()) {
+  const auto text = file.changed();
+  if (!text) {
     return;
   }
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(next, load_gateway_settings(file.path()));
+        BOOST_LEAF_AUTO(next, parse_gateway_settings(file.path(), *text));
         LogEvent("settings_reloaded")
             .field("file", file.path())
             .field("needs_restart", needs_restart(at_start, next));
--- a/src/settings/settings_file_watch.cc
+++ b/src/settings/settings_file_watch.cc
@@ -2,34 +2,23 @@
 
 #include "settings/settings_file_watch.h"
 
-#include <fstream>
-#include <iterator>
-#include <optional>
 #include <utility>
 
+#include "settings/common_settings.h"
+
 namespace bluebellstep {
-namespace {
 
-std::optional<std::string> read_file(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return std::nullopt;
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
+SettingsFileWatch::SettingsFileWatch(std::string path) : path_(std::move(path)) {
+  (void)changed();  // What the process starts with is no change.
 }
 
-}  // namespace
-
-SettingsFileWatch::SettingsFileWatch(std::string path)
-    : path_(std::move(path)), contents_(read_file(path_).value_or("")) {}
-
-bool SettingsFileWatch::changed() {
-  std::optional<std::string> contents = read_file(path_);
+std::optional<std::string> SettingsFileWatch::changed() {
+  const auto contents = read_settings_file(path_);
   if (!contents || *contents == contents_) {
-    return false;
+    return std::nullopt;
   }
-  contents_ = std::move(*contents);
-  return true;
+  contents_ = *contents;
+  return contents_;
 }
 
 }  // namespace bluebellstep
--- a/src/settings/settings_file_watch.h
+++ b/src/settings/settings_file_watch.h
@@ -3,6 +3,7 @@
 #ifndef BLUEBELLSTEP_SETTINGS_SETTINGS_FILE_WATCH_H_
 #define BLUEBELLSTEP_SETTINGS_SETTINGS_FILE_WATCH_H_
 
+#include <optional>
 #include <string>
 
 namespace bluebellstep {
@@ -14,9 +15,9 @@
 
   const std::string& path() const { return path_; }
 
-  /** Whether the contents differ from those at the last call, or at the start. A file that cannot
+  /** The contents, if they differ from those at the last call, or at the start. A file that cannot
    * be read counts as unchanged. */
-  bool changed();
+  std::optional<std::string> changed();
 
  private:
   std::string path_;
