Hash ids of upstreams and sources once

Each choice hashed the id of every candidate twice, and the name of every source once for each part of the prompt, although both keep their hash.

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -51,7 +51,7 @@
     source.name_hash = hash64(name);
     zones.insert(source.info.zone);
     if (!source.info.is_store) {
-      engines_.emplace(LoadBoard::key_of(name), name);
+      engines_.emplace(LoadBoard::key_of(source.name_hash), name);
     }
     next.emplace(std::move(name), std::move(source));
   }
@@ -152,7 +152,8 @@
 }
 
 double CacheDirectory::wait_ms(const Source& source, Instant now) const {
-  const std::uint64_t under_way = source.transfer_ms + board_.others(source.info.name).transfer_ms;
+  const std::uint64_t under_way =
+      source.transfer_ms + board_.others(LoadBoard::key_of(source.name_hash)).transfer_ms;
   return static_cast<double>(under_way) + delay_ms(source, now);
 }
 
@@ -352,8 +353,9 @@
       if (source.info.is_store) {
         held.scope = std::string(scope);
       } else if (i + 1 < prompt.size() && prompt[i].tokens >= kLeastToldTokens) {
-        sent_parts_.push_back(
-            {.upstream = LoadBoard::key_of(name), .key = key, .tokens = prompt[i].tokens});
+        sent_parts_.push_back({.upstream = LoadBoard::key_of(source.name_hash),
+                               .key = key,
+                               .tokens = prompt[i].tokens});
       }
       set_part(source, key, std::move(held));
     }
@@ -387,8 +389,8 @@
   std::vector<LoadLine> lines;
   for (const auto& [name, source] : sources_) {
     if (source.transfer_ms > 0) {
-      lines.push_back(
-          {.upstream = LoadBoard::key_of(name), .in_flight = {.transfer_ms = source.transfer_ms}});
+      lines.push_back({.upstream = LoadBoard::key_of(source.name_hash),
+                       .in_flight = {.transfer_ms = source.transfer_ms}});
     }
   }
   return lines;
--- a/src/gateway/load_board.cc
+++ b/src/gateway/load_board.cc
@@ -76,7 +76,7 @@
 }
 
 std::uint32_t LoadBoard::key_of(std::string_view upstream_id) {
-  return static_cast<std::uint32_t>(hash64(upstream_id));
+  return key_of(hash64(upstream_id));
 }
 
 void LoadBoard::add(const std::vector<LoadLine>& lines) {
@@ -121,8 +121,8 @@
   }
 }
 
-InFlight LoadBoard::others(std::string_view upstream_id) const {
-  const auto found = sums_.find(key_of(upstream_id));
+InFlight LoadBoard::others(std::uint32_t upstream_key) const {
+  const auto found = sums_.find(upstream_key);
   return found == sums_.end() ? InFlight{} : found->second;
 }
 
--- a/src/gateway/load_board.h
+++ b/src/gateway/load_board.h
@@ -69,6 +69,8 @@
   static constexpr Duration kSilence{1500};
 
   static std::uint32_t key_of(std::string_view upstream_id);
+  /** The same for a known `hash64` of the id. */
+  static std::uint32_t key_of(std::uint64_t id_hash) { return static_cast<std::uint32_t>(id_hash); }
 
   /** Takes a report; one that is older than the last of its gateway is dropped. */
   void apply(LoadReport report, Instant now);
@@ -77,7 +79,8 @@
   void drop_silent(Instant now);
 
   /** What the others have in flight at an upstream. */
-  InFlight others(std::string_view upstream_id) const;
+  InFlight others(std::uint32_t upstream_key) const;
+  InFlight others(std::string_view upstream_id) const { return others(key_of(upstream_id)); }
 
   /** Requests that the others sent to all upstreams within a second. */
   std::uint64_t others_sends() const;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -196,7 +196,7 @@
 
 // Whether an upstream that may get the query seems to serve at present.
 bool UpstreamPool::is_usable(Upstream& upstream, const PickQuery& query, Instant now) const {
-  const std::uint32_t others = board_.others(upstream.entry.id).failures;
+  const std::uint32_t others = board_.others(LoadBoard::key_of(upstream.id_hash)).failures;
   return now >= upstream.shunned_until && upstream.health.may_get(query.may_repeat, others, now);
 }
 
@@ -216,7 +216,7 @@
 double UpstreamPool::wait_ms(const Upstream& upstream, const PickQuery& query, Instant now) const {
   const double age = static_cast<double>((now - upstream.load_at).ms);
   const double fresh = std::exp2(-age / kLoadHalfLifeMs);
-  InFlight in_flight = board_.others(upstream.entry.id);
+  InFlight in_flight = board_.others(LoadBoard::key_of(upstream.id_hash));
   in_flight += upstream.in_flight;
   if (!query.service->engine) {
     const double held = std::max(static_cast<double>(in_flight.requests),
@@ -461,7 +461,7 @@
     InFlight told = upstream.in_flight;
     told.failures = upstream.health.failures();
     if (told != InFlight{}) {
-      report.lines.push_back({.upstream = LoadBoard::key_of(id), .in_flight = told});
+      report.lines.push_back({.upstream = LoadBoard::key_of(upstream.id_hash), .in_flight = told});
     }
   }
   return report;
