--- a/src/settings/common_settings.cc
+++ b/src/settings/common_settings.cc
@@ -2,6 +2,7 @@
 
 #include "settings/common_settings.h"
 
+#include <array>
 #include <boost/leaf/error.hpp>
 #include <fstream>
 #include <set>
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaxSettingsFileBytes = 16u << 20;
+constexpr std::size_t kReadChunkBytes = 4u << 10;
 
 }  // namespace
 
@@ -78,9 +80,14 @@
     return boost::leaf::new_error(
         SettingsErrors{{{path, 0, "", "a file that cannot be opened", "a readable file"}}});
   }
-  std::string text(kMaxSettingsFileBytes + 1, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(file.gcount()));
+  // Grows with the contents: the file is read again while the process runs, and a buffer of the
+  // maximum size would dominate the memory of a small process.
+  std::string text;
+  std::array<char, kReadChunkBytes> chunk;
+  while (file && text.size() <= kMaxSettingsFileBytes) {
+    file.read(chunk.data(), static_cast<std::streamsize>(chunk.size()));
+    text.append(chunk.data(), static_cast<std::size_t>(file.gcount()));
+  }
   if (file.bad() || text.size() > kMaxSettingsFileBytes) {
     return boost::leaf::new_error(
         SettingsErrors{{{path, 0, "", "a file that is unreadable or too large",
