gateway: Bound what a faulty upstream can send, and measure streams by events

Found by reading and by tests on sockets: - SseEventBuffer kept an event without an end without limit, searched all of it again with each piece, and knew the boundary of two line feeds only.

Ruled out by tests that pass on the old code too: a late second copy of an answer on a connection that is in use again, and between two requests.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -21,8 +21,9 @@
 // latency goal without progress.
 constexpr std::int64_t kResponseTimeoutGoalMultiple = 3;
 constexpr Duration kMinResponseTimeout{250};
-// Callers abandon a stream after 2 s without an event; it must be resumed elsewhere before that.
-constexpr Duration kStreamIdleTimeout{1500};
+// A stream without events is continued by another upstream this long before its caller abandons it.
+constexpr Duration kStreamResumeTime{700};
+constexpr Duration kMinStreamIdleTimeout{1300};
 // An attempt with less time left cannot be answered before the deadline.
 constexpr Duration kMinTimeLeft{10};
 // The deadline that the upstream is given is this much earlier than that of the request, so that
@@ -34,6 +35,8 @@
 constexpr std::uint32_t kMaxRejections = 3;
 // A response that is not streamed is buffered completely; one with a larger body fails.
 constexpr std::size_t kMaxBufferedBodyBytes = 4u << 20;
+// Limit on the sum of these buffers; some gateways have 110 MB of memory.
+constexpr std::size_t kMaxTotalBufferedBytes = 24u << 20;
 // A caller with more unread bytes of a stream is disconnected.
 constexpr std::size_t kMaxUnsentBytes = 1u << 20;
 // Minimum retry delay while the configuration, or a service that it refers to, is missing.
@@ -276,25 +279,36 @@
   if (request == nullptr || !request->attempt) {
     return;
   }
-  request->last_progress_at = clock_.now();
   if (request->attempt->streaming) {
     forward_events(*request, content);
     return;
   }
+  request->last_progress_at = clock_.now();
   request->attempt->body += content;
-  if (request->attempt->body.size() > kMaxBufferedBodyBytes) {
+  buffered_body_bytes_ += content.size();
+  if (request->attempt->body.size() > kMaxBufferedBodyBytes ||
+      buffered_body_bytes_ > kMaxTotalBufferedBytes) {
     on_attempt_failed(*request, AttemptOutcome::kFailed, true, "answer_too_large");
   }
 }
 
 void Forwarder::forward_events(Request& request, std::string_view content) {
+  const std::size_t events_before = request.event_buffer.event_count();
   const std::string complete_events = request.event_buffer.feed(content);
+  if (request.event_buffer.overflowed()) {
+    on_attempt_failed(request, AttemptOutcome::kFailed, true, "event_too_large");
+    return;
+  }
   if (complete_events.empty()) {
     return;
   }
+  const bool has_event = request.event_buffer.event_count() > events_before;
+  if (has_event) {
+    request.last_progress_at = clock_.now();
+    report_prefill_finished(*request.attempt);
+  }
   std::string out;
-  report_prefill_finished(*request.attempt);
-  if (!request.first_event_at) {
+  if (has_event && !request.first_event_at) {
     request.first_event_at = clock_.now();
     const Attempt& attempt = *request.attempt;
     pool_.record_first_event(attempt.picked, *request.first_event_at - attempt.started_at,
@@ -468,6 +482,7 @@
   Attempt attempt = std::move(*request.attempt);
   request.attempt.reset();
   const Instant now = clock_.now();
+  buffered_body_bytes_ -= attempt.body.size();
   report_prefill_finished(attempt);
   pool_.record_finished(attempt.picked.upstream_id, request.caller.prompt_tokens, outcome, now);
   connections_.release(attempt.picked.upstream_id, std::move(attempt.connection), keep_connection,
@@ -496,7 +511,7 @@
   } else if (request.route->may_retry()) {
     const Duration time_limit =
         request.route->kind == RequestKind::kStream
-            ? kStreamIdleTimeout
+            ? std::max(kMinStreamIdleTimeout, request.route->stream_patience - kStreamResumeTime)
             : std::max(kMinResponseTimeout,
                        request.route->latency_goal * kResponseTimeoutGoalMultiple);
     check_at =
@@ -515,6 +530,7 @@
     const bool established = request.attempt->connection->established();
     if (!established) {
       --request.possible_runs;
+      --request.attempts_sent;
     }
     end_attempt(request, established ? AttemptOutcome::kFailed : AttemptOutcome::kNotReached,
                 false);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -137,7 +137,8 @@
     bool response_started = false;  // The head of a streamed response was sent to the caller.
     bool chunked = false;           // The response to the caller uses chunked transfer encoding.
     SseEventBuffer event_buffer;
-    // When the upstream last sent something, the attempt started, or the wait was extended.
+    // When the upstream last sent an event of a stream, or anything else, the attempt started, or
+    // the wait was extended.
     Instant last_progress_at;
     std::optional<Instant> first_event_at;
     std::string_view last_failure_reason;
@@ -211,6 +212,7 @@
   std::map<RequestId, std::unique_ptr<Request>> requests_;
   ConnectionPool connections_;
   std::map<std::string, ServiceRetryBudget, std::less<>> retry_budgets_;  // By service.
+  std::size_t buffered_body_bytes_ = 0;        // Sum over the current attempts.
   std::set<ScheduledCheck> scheduled_checks_;  // At most one per request.
   std::optional<Instant> timer_armed_for_;     // At or before the first scheduled check.
   // Expires with this object; the timer checks it before it uses the object.
--- /dev/null
+++ b/src/gateway/forwarder_faults_test.cc
@@ -0,0 +1,296 @@
+// Tests of the forwarder with upstreams that violate the protocol, on real sockets.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "gateway/forwarder.h"
+#include "tests/support/raw_socket.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr Duration kTimeout{1200};
+
+RouteRule route(std::string name, RequestKind kind, std::uint32_t max_attempts) {
+  RouteRule rule{.name = name, .host = "h", .path_prefix = "/" + name + "/", .kind = kind};
+  rule.timeout = kTimeout;
+  rule.latency_goal = Duration{100};
+  rule.stream_patience = Duration{2000};
+  rule.targets = {{.service = "s"}};
+  rule.max_attempts = max_attempts;
+  rule.resumable = kind == RequestKind::kStream && max_attempts > 1;
+  return rule;
+}
+
+std::shared_ptr<const ServingConfig> make_config() {
+  ServingConfig config{.version = 1};
+  config.routes = {route("order", RequestKind::kNonIdempotent, 1),
+                   route("lookup", RequestKind::kIdempotent, 2),
+                   route("stream", RequestKind::kStream, 1)};
+  config.services.emplace("s", ServiceInfo{.name = "s", .max_connections = 100});
+  return std::make_shared<const ServingConfig>(std::move(config));
+}
+
+/** The response to a caller as far as it was sent. */
+class CallerView {
+ public:
+  CallerResponseWriter writer() {
+    return {.write = [this](std::string_view bytes) { add(bytes); },
+            .complete = [this](bool) { end(true); },
+            .abort = [this] { end(false); },
+            .unsent = [] { return std::size_t{0}; }};
+  }
+
+  /** Waits until the response ends. Returns false if it does not within `timeout_ms`. */
+  bool wait(int timeout_ms = 5000) {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, std::chrono::milliseconds(timeout_ms),
+                             [this] { return ended_; });
+  }
+
+  std::string text() {
+    const std::lock_guard lock(mutex_);
+    return text_;
+  }
+  bool complete() {
+    const std::lock_guard lock(mutex_);
+    return complete_;
+  }
+
+ private:
+  void add(std::string_view bytes) {
+    const std::lock_guard lock(mutex_);
+    text_ += bytes;
+  }
+  void end(bool complete) {
+    const std::lock_guard lock(mutex_);
+    ended_ = true;
+    complete_ = complete;
+    changed_.notify_all();
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::string text_;
+  bool ended_ = false;
+  bool complete_ = false;
+};
+
+/** A forwarder with one upstream, whose connections the test accepts and answers. */
+class Fixture {
+ public:
+  Fixture() {
+    loop_.run_and_wait([this] {
+      pool_ = std::make_unique<UpstreamPool>(PoolLimits{}, cache_, load_aggregator_, quota_);
+      forwarder_ = std::make_unique<Forwarder>(loop_, *pool_, metrics_, "zone-a", RetryLimits{});
+      forwarder_->set_config(make_config());
+      pool_->put({.id = "u1",
+                  .service = "s",
+                  .endpoint = {"127.0.0.1", listener_.port()},
+                  .zone = "zone-a",
+                  .slots = 4},
+                 Clock().now());
+    });
+  }
+  ~Fixture() {
+    loop_.run_and_wait([this] {
+      forwarder_.reset();
+      pool_.reset();
+    });
+  }
+
+  void start(CallerView& caller, std::string_view route, std::string_view id) {
+    loop_.run_and_wait([&] {
+      CallerRequest request{.head = std::make_unique<MessageHead>()};
+      std::size_t consumed = 0;
+      const std::string text = "GET /" + std::string(route) +
+                               "/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + std::string(id) +
+                               "\r\nDeadline-Ms: 1200\r\n\r\n";
+      REQUIRE(parse_request_head(text, *request.head, consumed) == HeadStatus::kComplete);
+      forwarder_->start(std::move(request), caller.writer());
+    });
+  }
+
+  RawSocket accept_request() {
+    RawSocket upstream = listener_.accept();
+    upstream.receive_until("\r\n\r\n");
+    return upstream;
+  }
+
+  RawListener& listener() { return listener_; }
+
+ private:
+  RawListener listener_;
+  HttpLoop loop_;
+  Metrics metrics_;
+  LoadAggregator load_aggregator_;
+  CacheDirectory cache_{load_aggregator_};
+  RequestQuota quota_{"g1", Clock().now()};
+  std::unique_ptr<UpstreamPool> pool_;
+  std::unique_ptr<Forwarder> forwarder_;
+};
+
+std::string response_head(std::string_view id, std::string_view framing) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) +
+         "\r\nServer-Seal: s\r\nKeep-Alive: timeout=5\r\n" + std::string(framing) + "\r\n\r\n";
+}
+
+std::string complete_response(std::string_view id, std::string_view body) {
+  return response_head(id, "Content-Length: " + std::to_string(body.size())) + std::string(body);
+}
+
+/** Sends `piece` again and again until the peer closes the connection or `limit_bytes` were sent.
+ * Returns the number of bytes sent. */
+std::size_t send_without_end(RawSocket& socket, std::string_view piece, std::size_t limit_bytes) {
+  std::size_t sent = 0;
+  while (sent < limit_bytes && socket.send(piece)) {
+    sent += piece.size();
+  }
+  return sent;
+}
+
+constexpr std::size_t kEndless = 64u << 20;
+
+}  // namespace
+
+// Guards against an answer that reaches the caller of the next request on the connection.
+TEST_CASE("a late second copy of a response on a reused connection is not the next response",
+          "[gateway][faults]") {
+  Fixture fixture;
+  CallerView first;
+  fixture.start(first, "order", "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(complete_response("r1", "one"));
+  REQUIRE(first.wait());
+  CallerView second;
+  fixture.start(second, "order", "r2");
+  upstream.receive_until("\r\n\r\n");
+  upstream.send(complete_response("r1", "one"));
+  upstream.send(complete_response("r2", "two"));
+  REQUIRE(second.wait());
+  CHECK(second.text().ends_with("two"));
+  // The connection is not used again, since further copies may follow.
+  CallerView third;
+  fixture.start(third, "order", "r3");
+  RawSocket other = fixture.accept_request();
+  other.send(complete_response("r3", "three"));
+  REQUIRE(third.wait());
+  CHECK(third.text().ends_with("three"));
+}
+
+// Guards against a second copy that arrives between two requests.
+TEST_CASE("a connection with unsolicited bytes is not reused", "[gateway][faults]") {
+  Fixture fixture;
+  CallerView first;
+  fixture.start(first, "order", "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(complete_response("r1", "one"));
+  REQUIRE(first.wait());
+  upstream.send(complete_response("r1", "one"));
+  CHECK(upstream.receive_all().empty());  // The gateway closes the connection.
+  CallerView second;
+  fixture.start(second, "order", "r2");
+  RawSocket other = fixture.accept_request();
+  other.send(complete_response("r2", "two"));
+  REQUIRE(second.wait());
+  CHECK(second.text().ends_with("two"));
+}
+
+// Guards against memory that grows with the bytes of a faulty upstream, and against callers that
+// wait for it.
+TEST_CASE("bytes without end close the connection and end the request", "[gateway][faults]") {
+  Fixture fixture;
+  CallerView caller;
+  const std::string piece(32u << 10, 'x');
+  SECTION("head") {
+    fixture.start(caller, "order", "r1");
+    RawSocket upstream = fixture.accept_request();
+    upstream.send("HTTP/1.1 200 OK\r\nX: ");
+    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
+  }
+  SECTION("interim responses") {
+    fixture.start(caller, "order", "r1");
+    RawSocket upstream = fixture.accept_request();
+    CHECK(send_without_end(upstream, "HTTP/1.1 100 Continue\r\n\r\n", kEndless) < kEndless);
+  }
+  SECTION("response to another request") {
+    fixture.start(caller, "order", "r1");
+    RawSocket upstream = fixture.accept_request();
+    upstream.send(response_head("r0", "X: y"));
+    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
+  }
+  SECTION("body with a length") {
+    fixture.start(caller, "order", "r1");
+    RawSocket upstream = fixture.accept_request();
+    upstream.send(response_head("r1", "Content-Length: 99999999999"));
+    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
+  }
+  SECTION("chunked body") {
+    fixture.start(caller, "order", "r1");
+    RawSocket upstream = fixture.accept_request();
+    upstream.send(response_head("r1", "Transfer-Encoding: chunked"));
+    CHECK(send_without_end(upstream, "8000\r\n" + piece + "\r\n", kEndless) < kEndless);
+  }
+  SECTION("chunk size") {
+    fixture.start(caller, "order", "r1");
+    RawSocket upstream = fixture.accept_request();
+    upstream.send(response_head("r1", "Transfer-Encoding: chunked"));
+    CHECK(send_without_end(upstream, std::string(1024, '0'), kEndless) < kEndless);
+  }
+  SECTION("body until the end of the connection") {
+    fixture.start(caller, "order", "r1");
+    RawSocket upstream = fixture.accept_request();
+    upstream.send(response_head("r1", "X: y"));
+    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
+  }
+  SECTION("stream without an event boundary") {
+    fixture.start(caller, "stream", "r1");
+    RawSocket upstream = fixture.accept_request();
+    upstream.send(response_head("r1", "X: y"));
+    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
+  }
+  REQUIRE(caller.wait());
+  CHECK((caller.text().starts_with("HTTP/1.1 502") || !caller.complete()));
+}
+
+// Guards against a stalled stream that is taken for a live one because of single bytes.
+TEST_CASE("bytes that complete no event are no progress of a stream", "[gateway][faults]") {
+  Fixture fixture;
+  CallerView caller;
+  fixture.start(caller, "stream", "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(response_head("r1", "X: y"));
+  upstream.send("id: 1\ndata: a\n\n");
+  const Instant start = Clock().now();
+  while (Clock().now() - start < kTimeout * 2 && upstream.send(":")) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  CHECK(Clock().now() - start < kTimeout + Duration{400});
+  REQUIRE(caller.wait());
+  CHECK_FALSE(caller.complete());
+}
+
+// Guards against sound streams that are cut because their events come slowly.
+TEST_CASE("a slow stream within the patience of its caller is delivered in full",
+          "[gateway][faults]") {
+  Fixture fixture;
+  CallerView caller;
+  fixture.start(caller, "stream", "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(response_head("r1", "X: y"));
+  for (int id = 1; id <= 3; ++id) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    upstream.send("id: " + std::to_string(id) + "\ndata: a\n\n");
+  }
+  upstream.close();
+  REQUIRE(caller.wait());
+  CHECK(caller.complete());
+  CHECK(caller.text().find("id: 3") != std::string::npos);
+}
+
+}  // namespace bluebellstep
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -41,6 +41,8 @@
   Duration timeout{0};  // Limit from the arrival of a request to the end of its answer.
   // Idempotent requests are retried after a multiple of this time without progress.
   Duration latency_goal{0};
+  // Streams: callers abandon a stream after this time without an event, also before the first one.
+  Duration stream_patience{2000};
   std::int64_t priority = 0;  // 0 is the most urgent.
   std::vector<WeightedService> targets;
   std::uint32_t max_attempts = 1;  // Upstreams that one request may run on.
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -9,6 +9,9 @@
 
 // No upstream sends a larger response head.
 constexpr std::size_t kMaxHeadBytes = 64u << 10;
+// A faulty upstream may send interim responses, or a response to another request, without end.
+constexpr int kMaxInterimResponses = 16;
+constexpr std::size_t kMaxDiscardedBytes = 1u << 20;
 
 }  // namespace
 
@@ -32,7 +35,8 @@
   request_id_ = request_id;
   request_in_flight_ = true;
   discarding_response_ = false;
-  response_head_.reset();
+  discarded_bytes_ = 0;
+  interim_responses_ = 0;
   body_decoder_.reset();
   ++request_count_;
   std::string message(head);
@@ -71,7 +75,11 @@
   }
   input_.erase(0, consumed);
   if (head.status >= 100 && head.status < 200) {
-    return true;  // An interim response; the final one follows.
+    if (++interim_responses_ > kMaxInterimResponses) {
+      finish(ExchangeOutcome::kBroken, "too_many_interim_responses");
+      return false;
+    }
+    return true;  // The final response follows.
   }
   const auto framing = response_framing(head, request_method_);
   if (!framing) {
@@ -103,6 +111,11 @@
     finish(ExchangeOutcome::kBroken, "bad_chunk");
     return false;
   }
+  discarded_bytes_ += discarding_response_ ? content.size() : 0;
+  if (discarded_bytes_ > kMaxDiscardedBytes) {
+    finish(ExchangeOutcome::kBroken, "response_to_another_request_too_large");
+    return false;
+  }
   const std::weak_ptr<bool> alive = alive_;
   if (!discarding_response_ && !content.empty()) {
     listener_.on_content(content);
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -78,10 +78,11 @@
   std::string input_;  // Received and not yet parsed.
   std::string request_method_;
   std::string request_id_;
-  std::optional<MessageHead> response_head_;  // Of the response that is being read.
   std::optional<BodyDecoder> body_decoder_;
   // The response that is being read has the id of another request.
   bool discarding_response_ = false;
+  std::size_t discarded_bytes_ = 0;  // Content of such responses since the request was sent.
+  int interim_responses_ = 0;        // Since the request was sent.
   bool request_in_flight_ = false;
   bool reusable_ = true;
   int request_count_ = 0;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -2,6 +2,7 @@
 
 #include "http/http_client.h"
 
+#include <algorithm>
 #include <cassert>
 #include <future>
 #include <utility>
@@ -36,6 +37,9 @@
 }
 
 HttpCallId HttpClient::send(HttpCall call, std::function<void(Response)> on_response) {
+  call.max_response_bytes = std::min(call.max_response_bytes, kMaxBufferedResponseBytes);
+  call.response_timeout =
+      call.response_timeout.value_or(call.idle_timeout * kResponseTimeoutMultiple);
   const auto response = std::make_shared<Response>();
   Listener listener;
   listener.on_head = [response](int status, std::span<const HttpHeader> headers) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -3,9 +3,12 @@
 #ifndef BLUEBELLSTEP_HTTP_HTTP_CLIENT_H_
 #define BLUEBELLSTEP_HTTP_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,6 +35,9 @@
   Duration connect_timeout = {1000};
   // Limit for the time without received data, after connecting and until the response is complete.
   Duration idle_timeout = {10000};
+  // Limits for the complete response, since a faulty server may send bytes without end.
+  std::optional<Duration> response_timeout;  // From the end of connecting; unset for none.
+  std::size_t max_response_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /**
@@ -77,7 +83,14 @@
   /** Starts a call. Its listener is never called within `send`. */
   HttpCallId send(HttpCall call, Listener listener);
 
-  /** Starts a call and passes the response to `on_response` once the call is done. */
+  /** A buffered response that is larger than this fails. */
+  static constexpr std::size_t kMaxBufferedResponseBytes = 16u << 20;
+  /** A buffered response must be complete within this multiple of the call's `idle_timeout`, unless
+   * the call has a `response_timeout`. */
+  static constexpr std::int64_t kResponseTimeoutMultiple = 4;
+
+  /** Starts a call and passes the response to `on_response` once the call is done. The response is
+   * buffered, so its size and duration are limited; see the constants above. */
   HttpCallId send(HttpCall call, std::function<void(Response)> on_response);
 
   /** Sends a call and blocks until it is done. Must not be called on the HTTP thread. For operator
--- a/src/http/http_client_impl.cc
+++ b/src/http/http_client_impl.cc
@@ -140,6 +140,9 @@
     return nullptr;
   }
   call.request_sent = true;
+  if (call.request.response_timeout) {
+    call.response_deadline = self->loop_.now() + *call.request.response_timeout;
+  }
   configure_tcp_socket(h2o_socket_get_fd(client->sock));
   self->set_deadline(call, call.request.idle_timeout);
   call.buffers[0] = h2o_iovec_init(call.head.data(), call.head.size());
@@ -179,7 +182,7 @@
 }
 
 void HttpClient::Impl::deliver_head(Call& call, int status, std::span<const h2o_header_t> headers) {
-  call.deadline = loop_.now() + call.request.idle_timeout;
+  extend_deadline(call);
   std::vector<HttpHeader> copied;
   copied.reserve(headers.size());
   for (const h2o_header_t& header : headers) {
@@ -213,7 +216,14 @@
   // connection, like a complete body. However, the end of a complete body comes with received
   // bytes.
   const bool is_truncated = is_end && socket->bytes_read == 0 && !call.has_empty_body;
-  call.deadline = loop_.now() + call.request.idle_timeout;
+  extend_deadline(call);
+  call.body_bytes += socket->input->size;
+  if (call.body_bytes > call.request.max_response_bytes) {
+    finish(call, Failed{.may_have_been_sent = true,
+                        .detail = to_string(call.request.endpoint) + ": response larger than " +
+                                  std::to_string(call.request.max_response_bytes) + " bytes"});
+    return -1;
+  }
   if (call.listener.on_data && socket->input->size > 0) {
     call.in_callback = true;
     call.listener.on_data({socket->input->bytes, socket->input->size});
@@ -287,13 +297,19 @@
 
 void HttpClient::Impl::fail_timed_out(Call& call) {
   const bool request_sent = call.request_sent;
-  const Duration limit = request_sent ? call.request.idle_timeout : call.request.connect_timeout;
+  const bool incomplete =
+      call.response_deadline && call.deadline >= *call.response_deadline && call.body_bytes > 0;
+  const Duration limit = incomplete     ? *call.request.response_timeout
+                         : request_sent ? call.request.idle_timeout
+                                        : call.request.connect_timeout;
   cancel_request(call);
   // Other idle connections to this endpoint may be unresponsive as well, while new ones work.
   pools_.erase({call.request.endpoint.ip, call.request.endpoint.port});
   finish(call, Failed{.may_have_been_sent = request_sent,
                       .detail = to_string(call.request.endpoint) +
-                                (request_sent ? ": no data for " : ": not connected within ") +
+                                (incomplete     ? ": response incomplete after "
+                                 : request_sent ? ": no data for "
+                                                : ": not connected within ") +
                                 std::to_string(limit.ms) + " ms"});
 }
 
@@ -305,6 +321,13 @@
   arm_timer();
 }
 
+void HttpClient::Impl::extend_deadline(Call& call) {
+  call.deadline = loop_.now() + call.request.idle_timeout;
+  if (call.response_deadline) {
+    call.deadline = std::min(call.deadline, *call.response_deadline);
+  }
+}
+
 void HttpClient::Impl::arm_timer() {
   if (deadlines_.empty()) {
     return;
--- a/src/http/http_client_impl.h
+++ b/src/http/http_client_impl.h
@@ -71,7 +71,9 @@
     bool cancelled = false;
     bool has_length = false;  // The response has a length or is chunked.
     bool has_empty_body = false;
-    Instant deadline;         // The call fails at this time.
+    std::size_t body_bytes = 0;                // Received so far.
+    std::optional<Instant> response_deadline;  // Of the complete response; set after connecting.
+    Instant deadline;                          // The call fails at this time.
     Instant queued_deadline;  // Time of the entry in `deadlines_`; never after `deadline`.
   };
 
@@ -85,6 +87,8 @@
   void cancel_request(Call& call);
   void fail_timed_out(Call& call);
   void set_deadline(Call& call, Duration timeout);
+  // Data was received: extends the deadline by the idle timeout, up to the response deadline.
+  void extend_deadline(Call& call);
   void arm_timer();
   void check_deadlines();
   int deliver_body(Call& call, const char* error);
--- a/src/http/http_client_test.cc
+++ b/src/http/http_client_test.cc
@@ -177,6 +177,35 @@
   CHECK(server.receive_all().empty());  // The connection was closed.
 }
 
+// Guards against memory that grows, and calls that never end, with the bytes of a faulty server.
+TEST_CASE("a response without end fails", "[http][client]") {
+  Fixture fixture;
+  HttpCall call = call_to(fixture.listener.port());
+  call.idle_timeout = 100_ms;
+  auto response = send_async(fixture.client, call);
+  RawSocket server = fixture.listener.accept();
+  server.receive_until("\r\n\r\n");
+  SECTION("large body") {
+    server.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+    const std::string chunk = "8000\r\n" + std::string(32u << 10, 'x') + "\r\n";
+    std::size_t sent = 0;
+    while (sent < 4 * HttpClient::kMaxBufferedResponseBytes && server.send(chunk)) {
+      sent += chunk.size();
+    }
+    CHECK(sent < 4 * HttpClient::kMaxBufferedResponseBytes);
+  }
+  SECTION("single bytes") {
+    server.send("HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n");
+    int sent = 0;
+    while (sent < 100 && server.send("x")) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      ++sent;
+    }
+    CHECK(sent < 100);
+  }
+  CHECK(may_have_been_sent(response.get()));
+}
+
 // Guards against a new connection for each call, and against the reuse of a connection on which
 // unexpected bytes or a close were received.
 TEST_CASE("a connection is reused unless it was closed or unexpected bytes arrived",
