gateway: Divide the limit of a cold upstream by rank among the gateways

A gateway that did not know the others yet counted as alone.

RequestQuota divides the limit so that the parts of all names add up to 85% of it: an even part for each, and the rest to those that rank highest for the upstream. A gateway uses nothing before it knows the others, just after its start, and until the others know it. Gateways that send reports count even if their registration is not known. Requests count for 1.3 s, since one that waits for its connection is sent up to 300 ms after it was counted. An upstream that answers again after connections to it failed is taken for a cold one for 4 s, unless its registration tells.

The simulated fleet of 5 to 300 gateways with skewed traffic, lost reports, restarts and joins checks each sliding second; with the former division it fails.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -12,6 +12,7 @@
 #include "gateway/caller_listener.h"
 #include "gateway/forwarder.h"
 #include "gateway/load_report_exchange.h"
+#include "gateway/request_quota.h"
 #include "gateway/rollout_driver.h"
 #include "gateway/state_synchronizer.h"
 #include "gateway/upstream_pool.h"
@@ -49,9 +50,10 @@
 // Everything that runs on the HTTP thread.
 struct GatewayComponents {
   GatewayComponents(HttpLoop& loop, HttpClient& client, const GatewaySettings& settings)
-      : pool(pool_limits(settings.bounds), cache_directory, load_aggregator),
+      : quota(settings.name, clock.now()),
+        pool(pool_limits(settings.bounds), cache_directory, load_aggregator, quota),
         forwarder(loop, pool, metrics, settings.zone, retry_limits(settings.bounds)),
-        synchronizer(loop, client, settings, pool, cache_directory, forwarder),
+        synchronizer(loop, client, settings, pool, quota, cache_directory, forwarder),
         rollout_driver(loop, client, settings, pool),
         load_report_exchange(
             loop,
@@ -83,6 +85,7 @@
   void on_load_report(LoadReport report) {
     const Instant now = clock.now();
     synchronizer.on_gateway_report(report.gateway);
+    quota.on_report(report.gateway);
     cache_directory.record_sent_by_peers(report.sent_segments, now);
     load_aggregator.apply(std::move(report), now);
   }
@@ -96,6 +99,7 @@
   Metrics metrics;
   LoadAggregator load_aggregator;
   CacheDirectory cache_directory{load_aggregator};
+  RequestQuota quota;
   UpstreamPool pool;
   Forwarder forwarder;
   StateSynchronizer synchronizer;
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -53,12 +53,14 @@
                                      HttpClient& client,
                                      const GatewaySettings& settings,
                                      UpstreamPool& pool,
+                                     RequestQuota& quota,
                                      CacheDirectory& cache,
                                      Forwarder& forwarder)
     : loop_(loop),
       client_(client),
       settings_(settings),
       pool_(pool),
+      quota_(quota),
       cache_(cache),
       cache_event_poller_(loop,
                           client,
@@ -234,11 +236,11 @@
       on_peers_changed_(peers_);
     }
   }
-  pool_.set_gateway_count(objects.size());
   std::set<std::string, std::less<>> names;
   for (const auto& [name, object] : objects) {
     names.insert(name);
   }
+  quota_.set_registered(names);
   membership_.set_registered(names, clock_.now());
   if (membership_.own_registration_lost()) {
     LogEvent("registration_lost", LogEvent::Severity::kWarning).field("name", settings_.name);
@@ -291,7 +293,8 @@
   HttpCall call =
       platform::write_call(settings_.store, ObjectKind::kGateways, settings_.name, revision,
                            registration_json(settings_), StoreWatcher::kCallTimeout);
-  client_.send(std::move(call), [this, alive = std::weak_ptr<bool>(alive_)](
+  const bool created = revision == 0;
+  client_.send(std::move(call), [this, created, alive = std::weak_ptr<bool>(alive_)](
                                     HttpClient::Response response) {
     if (alive.expired()) {
       return;
@@ -299,6 +302,9 @@
     const auto result = platform::decode_write(response);
     std::visit(Overloaded{[&](ObjectVersion version) {
                             LogEvent("gateway_registered").field("revision", version.value);
+                            if (created) {
+                              quota_.set_joined(clock_.now());
+                            }
                           },
                           [&](const VersionConflict& conflict) {
                             // The object is from an earlier start, or from a write whose answer was
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -23,6 +23,7 @@
 #include "gateway/cache_event_poller.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_membership.h"
+#include "gateway/request_quota.h"
 #include "gateway/store_watcher.h"
 #include "gateway/upstream_pool.h"
 #include "http/http_client.h"
@@ -48,6 +49,7 @@
                     HttpClient& client,
                     const GatewaySettings& settings,
                     UpstreamPool& pool,
+                    RequestQuota& quota,
                     CacheDirectory& cache,
                     Forwarder& forwarder);
   StateSynchronizer(const StateSynchronizer&) = delete;
@@ -110,6 +112,7 @@
   HttpClient& client_;
   const GatewaySettings& settings_;
   UpstreamPool& pool_;
+  RequestQuota& quota_;
   CacheDirectory& cache_;
   CacheEventPoller cache_event_poller_;
   Forwarder& forwarder_;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -57,6 +57,12 @@
 // Roughly the time in which an engine completes its runs and loads new weights.
 constexpr Duration kLoadingWeightsEjection{800};
 constexpr Duration kRateWindow{1000};
+// A request may be sent up to the connect timeout after it was counted, so requests that are
+// counted in different seconds may be sent within one.
+constexpr Duration kColdWindow{1300};
+// An upstream that answers again after connections to it failed is taken for a restarted one for
+// this time, unless its registration tells.
+constexpr Duration kAssumedColdTime{4000};
 // Share of the request limit of cold upstreams that is used. The rest covers requests that arrive
 // late.
 constexpr double kColdSafetyShare = 0.85;
@@ -96,8 +102,12 @@
                             found->second.registration.endpoint != registration.endpoint;
   if (is_new_start) {
     Upstream upstream;
-    // Requests sent before the restart are still in flight and will be recorded as finished.
-    upstream.in_flight = found == upstreams_.end() ? InFlightLoad{} : found->second.in_flight;
+    if (found != upstreams_.end()) {
+      // Requests sent before the restart are still in flight and will be recorded as finished.
+      // Those sent within the last second may have reached the new process.
+      upstream.in_flight = found->second.in_flight;
+      upstream.recent_request_times = std::move(found->second.recent_request_times);
+    }
     upstream.cold_until = now + registration.remaining_cold_time;
     std::string id = registration.id;
     upstream.id_hash = hash64(id);
@@ -170,7 +180,22 @@
 }
 
 bool UpstreamPool::is_cold(const Upstream& upstream, Instant now) const {
-  return now < upstream.cold_until;
+  return now < std::max(upstream.cold_until, upstream.assumed_cold_until);
+}
+
+// Returns the number of requests that this gateway may send to a cold upstream within
+// `kColdWindow`.
+std::uint32_t UpstreamPool::cold_allowance(Upstream& upstream, double limit, Instant now) const {
+  if (!quota_.usable(now)) {
+    return 0;
+  }
+  if (upstream.quota_version != quota_.membership_version() ||
+      upstream.cold_allowance_limit != limit) {
+    upstream.cold_allowance = quota_.allowance(upstream.id_hash, limit, now);
+    upstream.cold_allowance_limit = limit;
+    upstream.quota_version = quota_.membership_version();
+  }
+  return upstream.cold_allowance;
 }
 
 // Returns the estimated share of the requests of all gateways that this gateway sends. The balancer
@@ -180,28 +205,33 @@
   remove_until(recent_request_times_, now - kRateWindow);
   const auto own = static_cast<double>(recent_request_times_.size()) + 1;
   const auto from_peers = static_cast<double>(load_aggregator_.recent_requests_from_peers());
-  const double even = 1 / static_cast<double>(gateway_count_);
+  const double even = 1 / static_cast<double>(gateway_count());
   if (from_peers == 0) {
     return even;  // No reports were received, but the other gateways may still be sending.
   }
   return std::clamp(own / (own + from_peers), even, std::min(1.0, kMaxMultipleOfEvenShare * even));
 }
 
-// Whether the limits for cold upstreams allow another request to the upstream within the current
-// second. A cold upstream's limit is divided evenly among the gateways, that of others by traffic.
+// Whether the limits for cold upstreams allow another request to the upstream at present. A cold
+// upstream's limit is divided by `RequestQuota`. Others may become cold without notice, so their
+// request rate is limited too, by the traffic of the gateways.
 bool UpstreamPool::within_request_limit(Upstream& upstream,
                                         const ServiceInfo& service,
                                         double traffic_share,
                                         Instant now) const {
-  remove_until(upstream.recent_request_times, now - kRateWindow);
+  remove_until(upstream.recent_request_times, now - kColdWindow);
   if (service.cold_requests_per_s <= 0) {
     return true;
   }
   const double bound = service.cold_requests_per_s * limits_.cold_overage + limits_.cold_slack;
-  const double share = is_cold(upstream, now) ? 1 / static_cast<double>(gateway_count_)
-                                              : kWarmFactor * traffic_share;
-  return static_cast<double>(upstream.recent_request_times.size()) + 1 <=
-         std::max(1.0, bound * kColdSafetyShare * share);
+  const std::deque<Instant>& times = upstream.recent_request_times;
+  if (is_cold(upstream, now)) {
+    return times.size() < cold_allowance(upstream, bound, now);
+  }
+  const auto recent_requests =
+      times.end() - std::upper_bound(times.begin(), times.end(), now - kRateWindow);
+  return static_cast<double>(recent_requests) + 1 <=
+         std::max(1.0, bound * kColdSafetyShare * kWarmFactor * traffic_share);
 }
 
 // Whether an upstream is neither ejected nor waiting for the result of a trial request.
@@ -446,6 +476,9 @@
   switch (outcome) {
     case AttemptOutcome::kAnswered:
       upstream.health.record_success(now);
+      if (std::exchange(upstream.failed_since_success, false)) {
+        upstream.assumed_cold_until = now + kAssumedColdTime;
+      }
       return;
     case AttemptOutcome::kError:
       upstream.health.record_error_response(now);
@@ -462,11 +495,17 @@
       return;
     case AttemptOutcome::kNotReached:
       upstream.health.cancel_trial();
+      upstream.failed_since_success = true;
+      upstream.assumed_cold_until = now + kAssumedColdTime;
       upstream.ejected_until = now + kUnreachableEjection;
       cache_.exclude_from_fetch(id, now + kFetchExclusion);
       return;
     case AttemptOutcome::kFailed:
       upstream.health.record_failure(now);
+      if (upstream.health.consecutive_failures() >= UpstreamHealth::kFailuresToEject) {
+        upstream.failed_since_success = true;
+        upstream.assumed_cold_until = now + kAssumedColdTime;
+      }
       if (upstream.health.consecutive_failures() >= UpstreamHealth::kFailuresToEject) {
         cache_.exclude_from_fetch(id, now + kFetchExclusion);
       }
@@ -506,7 +545,7 @@
 
 std::size_t UpstreamPool::connection_limit(const ServiceInfo& service) const {
   const double share = static_cast<double>(service.max_connections) * kConnectionSafetyShare /
-                       static_cast<double>(gateway_count_);
+                       static_cast<double>(gateway_count());
   return std::max<std::size_t>(2, static_cast<std::size_t>(share));
 }
 
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -27,6 +27,7 @@
 #include "gateway/cache_directory.h"
 #include "gateway/decoded_headers.h"
 #include "gateway/load_aggregator.h"
+#include "gateway/request_quota.h"
 #include "gateway/serving_config.h"
 #include "gateway/upstream_health.h"
 
@@ -100,8 +101,12 @@
  */
 class UpstreamPool {
  public:
-  UpstreamPool(PoolLimits limits, CacheDirectory& cache, const LoadAggregator& load_aggregator)
-      : limits_(limits), cache_(cache), load_aggregator_(load_aggregator) {}
+  /** @param quota  Divides the limits of cold upstreams among the gateways. */
+  UpstreamPool(PoolLimits limits,
+               CacheDirectory& cache,
+               const LoadAggregator& load_aggregator,
+               const RequestQuota& quota)
+      : limits_(limits), cache_(cache), load_aggregator_(load_aggregator), quota_(quota) {}
 
   void set_limits(const PoolLimits& limits) { limits_ = limits; }
 
@@ -127,10 +132,11 @@
    * shortly after it are kept for `PoolLimits::reregistration_grace`: they expire because upstreams
    * cannot renew them, and upstreams that still run register again. */
   void set_store_reachable(bool reachable, Instant now);
+  /** An outage that ended this long ago may still remove registrations. */
+  static constexpr Duration kOutageNoticeTime{2500};
   /** Removes the upstreams that were kept because of an outage and did not register again. */
   void remove_expired_registrations(Instant now);
-  void set_gateway_count(std::size_t count) { gateway_count_ = count < 1 ? 1 : count; }
-  std::size_t gateway_count() const { return gateway_count_; }
+  std::size_t gateway_count() const { return quota_.gateway_count(); }
 
   /** Chooses an upstream. Does not count the request; call `record_sent` when it is sent. */
   PickResult pick(const PickQuery& query, Instant now);
@@ -213,6 +219,10 @@
     UpstreamRegistration registration;
     std::uint64_t id_hash = 0;
     Instant cold_until;
+    // The upstream may have been restarted: connections to it failed or were lost, and its
+    // registration has not been renewed since.
+    Instant assumed_cold_until;
+    bool failed_since_success = false;
     std::optional<Instant> kept_until;  // Set if the registration was removed around an outage.
     InFlightLoad in_flight;             // Requests of this gateway only.
     ReportedLoad load;
@@ -221,7 +231,11 @@
     // Set while the upstream is full, loads weights, cannot be reached or has been replaced at its
     // address. Independent of `health`.
     Instant ejected_until;
-    std::deque<Instant> recent_request_times;  // Times of requests within the last second.
+    std::deque<Instant> recent_request_times;  // Times of requests within `kColdWindow`.
+    // Allowance of `quota_` for a limit, as long as `quota_version` is its membership version.
+    std::uint32_t cold_allowance = 0;
+    double cold_allowance_limit = 0;
+    std::uint64_t quota_version = 0;
   };
 
   struct TargetVersion {
@@ -234,6 +248,7 @@
   using TargetVersions = std::vector<TargetVersion>;
 
   bool is_cold(const Upstream& upstream, Instant now) const;
+  std::uint32_t cold_allowance(Upstream& upstream, double limit, Instant now) const;
   bool within_request_limit(Upstream& upstream,
                             const ServiceInfo& service,
                             double traffic_share,
@@ -268,6 +283,7 @@
   PoolLimits limits_;
   CacheDirectory& cache_;
   const LoadAggregator& load_aggregator_;
+  const RequestQuota& quota_;
   std::map<std::string, Upstream, std::less<>> upstreams_;
   std::set<std::string, std::less<>> zones_out_of_service_;
   std::map<std::string, TargetVersions, std::less<>> targets_;  // By model; lists are never empty.
@@ -283,7 +299,6 @@
   std::function<void(std::uint32_t)> on_prompt_sent_;
   // Times of requests to all upstreams within the last second.
   std::deque<Instant> recent_request_times_;
-  std::size_t gateway_count_ = 1;
   std::optional<Instant> store_unreachable_since_;
   std::optional<Instant> store_reachable_since_;
 };
--- a/tests/support/fleet_simulation.h
+++ b/tests/support/fleet_simulation.h
@@ -56,6 +56,7 @@
   struct Gateway {
     LoadAggregator load_aggregator;
     CacheDirectory cache{load_aggregator};
+    std::unique_ptr<RequestQuota> quota;
     std::unique_ptr<UpstreamPool> pool;
     ReportPacer pacer;
     std::uint64_t sequence = 0;
