gateway: Let few gateways of a zone read the store, and few compete for a lease

Now two gateways of each zone, those with the fastest links, read the store (StoreSource); the others follow one of them by polls that wait for changes (ObjectChanges, FollowerPolls), and read the store themselves as soon as the reader does not answer or has lost the store.

Ruled out: longer watches alone, since a watch that falls into an outage then delays the configuration beyond its limit.

--- a/src/gateway/gateway_membership.cc
+++ b/src/gateway/gateway_membership.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cstddef>
 
+#include "base/hash.h"
+
 namespace bluebellstep {
 
 void GatewayMembership::set_registered(const std::set<std::string, std::less<>>& names,
@@ -24,6 +26,14 @@
   }
 }
 
+std::size_t GatewayMembership::own_rank(std::uint64_t key_hash) const {
+  const std::uint64_t own_score = rendezvous_score(key_hash, hash64(own_name_));
+  return static_cast<std::size_t>(
+      std::count_if(registered_.begin(), registered_.end(), [&](const auto& gateway) {
+        return rendezvous_score(key_hash, hash64(gateway.first)) > own_score;
+      }));
+}
+
 std::vector<std::string> GatewayMembership::registrations_to_remove(Instant now) const {
   std::vector<std::string> names;
   std::size_t live_peers = 0;
--- a/src/gateway/gateway_membership.h
+++ b/src/gateway/gateway_membership.h
@@ -7,6 +7,8 @@
 #ifndef BLUEBELLSTEP_GATEWAY_GATEWAY_MEMBERSHIP_H_
 #define BLUEBELLSTEP_GATEWAY_GATEWAY_MEMBERSHIP_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -40,6 +42,9 @@
   /** Whether this gateway's own registration was removed. */
   bool own_registration_lost() const { return was_registered_ && !registered_.contains(own_name_); }
 
+  /** Returns the rank of this gateway by rendezvous score for a key; 0 is the first. */
+  std::size_t own_rank(std::uint64_t key_hash) const;
+
   /** Returns the names of the gateways whose registrations this gateway should remove. Only the
    * first live gateway by name removes any, and only while it receives reports from more than half
    * of its peers: otherwise it may be partitioned from the network itself. */
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -63,8 +63,10 @@
             [this](LoadReport report) { on_load_report(std::move(report)); }),
         caller_listener(loop, settings.callers, forwarder) {
     synchronizer.on_weights_changed([this] { rollout_driver.refresh(); });
-    synchronizer.on_peers_changed(
-        [this](std::vector<Endpoint> peers) { load_report_exchange.set_peers(std::move(peers)); });
+    synchronizer.on_peers_changed([this](std::vector<Endpoint> peers) {
+      load_report_exchange.set_peers(std::move(peers));
+      rollout_driver.set_lease_rank(synchronizer.lease_rank());
+    });
     pool.on_prompt_sent([this](std::uint32_t tokens) { load_report_exchange.record_sent(tokens); });
     synchronizer.start();
     flush_log(loop);
@@ -178,8 +180,10 @@
       loop, HttpServerOptions{.listen = settings.peers},
       HttpServer::Listener{.on_request = [&](ExchangeId exchange, const HttpRequest& request) {
         respond_if_running(peers_server.get(), exchange, [&] {
-          peers_server->respond(exchange, 200, {{"content-type", "application/json"}},
-                                components->synchronizer.answer_peer_query(request.path));
+          components->synchronizer.on_peer_request(request.path, [&, exchange](std::string body) {
+            peers_server->respond(exchange, 200, {{"content-type", "application/json"}},
+                                  std::move(body));
+          });
         });
       }});
   metrics_server = std::make_unique<HttpServer>(
--- /dev/null
+++ b/src/gateway/object_changes.cc
@@ -0,0 +1,138 @@
+// Encodes and decodes the messages as JSON.
+
+#include "gateway/object_changes.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/overloaded.h"
+#include "http1/message_parser.h"
+
+namespace bluebellstep {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kKnownParameter = "?known=";
+constexpr std::string_view kWaitParameter = "&wait_ms=";
+// Followers wait for about a second.
+constexpr std::uint64_t kMaxWaitMs = 10'000;
+
+Json encode_object(const platform::StoredObject& object) {
+  return {object.name, object.revision, object.content};
+}
+
+platform::StoredObject decode_object(const Json& json) {
+  return {.name = json.at(0).get<std::string>(),
+          .revision = json.at(1).get<std::uint64_t>(),
+          .content = json.at(2).get<std::string>()};
+}
+
+Json encode_kind(const KindChanges& kind) {
+  Json changed = Json::array();
+  Json removed = Json::array();
+  const bool complete = std::holds_alternative<std::vector<platform::StoredObject>>(kind.content);
+  std::visit(
+      Overloaded{[&](const std::vector<platform::ObjectChange>& changes) {
+                   for (const platform::ObjectChange& change : changes) {
+                     (change.removed ? removed : changed).push_back(encode_object(change.object));
+                   }
+                 },
+                 [&](const std::vector<platform::StoredObject>& objects) {
+                   for (const platform::StoredObject& object : objects) {
+                     changed.push_back(encode_object(object));
+                   }
+                 }},
+      kind.content);
+  return {{"kind", static_cast<int>(kind.kind)},
+          {"revision", kind.revision},
+          {"complete", complete},
+          {"objects", std::move(changed)},
+          {"removed", std::move(removed)}};
+}
+
+KindChanges decode_kind(const Json& json) {
+  KindChanges kind{.kind = static_cast<platform::ObjectKind>(json.at("kind").get<int>()),
+                   .revision = json.at("revision").get<std::uint64_t>()};
+  if (json.at("complete").get<bool>()) {
+    std::vector<platform::StoredObject> objects;
+    for (const Json& object : json.at("objects")) {
+      objects.push_back(decode_object(object));
+    }
+    kind.content = std::move(objects);
+    return kind;
+  }
+  std::vector<platform::ObjectChange> changes;
+  for (const Json& object : json.at("objects")) {
+    changes.push_back({.object = decode_object(object), .removed = false});
+  }
+  for (const Json& object : json.at("removed")) {
+    changes.push_back({.object = decode_object(object), .removed = true});
+  }
+  kind.content = std::move(changes);
+  return kind;
+}
+
+}  // namespace
+
+std::string encode_changes_query(const ChangesQuery& query) {
+  std::string path(kChangesPath);
+  path.append(kKnownParameter);
+  for (const std::uint64_t revision : query.known) {
+    path.append(std::to_string(revision)).append(",");
+  }
+  return path.append(kWaitParameter).append(std::to_string(query.wait.ms));
+}
+
+ChangesQuery decode_changes_query(std::string_view path) {
+  ChangesQuery query;
+  const std::size_t wait = path.find(kWaitParameter);
+  if (wait != std::string_view::npos) {
+    const auto wait_ms = parse_decimal(path.substr(wait + kWaitParameter.size()));
+    query.wait.ms = static_cast<std::int64_t>(std::min(wait_ms.value_or(0), kMaxWaitMs));
+    path = path.substr(0, wait);
+  }
+  const std::size_t known = path.find(kKnownParameter);
+  path = known == std::string_view::npos ? std::string_view()
+                                         : path.substr(known + kKnownParameter.size());
+  while (!path.empty()) {
+    const std::size_t comma = path.find(',');
+    query.known.push_back(parse_decimal(path.substr(0, comma)).value_or(0));
+    path = comma == std::string_view::npos ? std::string_view() : path.substr(comma + 1);
+  }
+  return query;
+}
+
+std::string encode_changes_answer(const ChangesAnswer& answer) {
+  Json kinds = Json::array();
+  for (const KindChanges& kind : answer.kinds) {
+    kinds.push_back(encode_kind(kind));
+  }
+  Json json = {{"current", answer.current}, {"kinds", std::move(kinds)}};
+  if (answer.store_regained_ago) {
+    json["store_regained_ago_ms"] = answer.store_regained_ago->ms;
+  }
+  return json.dump();
+}
+
+std::optional<ChangesAnswer> decode_changes_answer(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    ChangesAnswer answer{.current = json.at("current").get<bool>()};
+    if (const auto ago = json.find("store_regained_ago_ms"); ago != json.end()) {
+      answer.store_regained_ago = Duration{ago->get<std::int64_t>()};
+    }
+    for (const Json& kind : json.at("kinds")) {
+      answer.kinds.push_back(decode_kind(kind));
+    }
+    return answer;
+  } catch (const Json::exception&) {
+    return std::nullopt;  // Of a gateway of another version; the store is read directly instead.
+  }
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/object_changes.h
@@ -0,0 +1,57 @@
+// Messages by which a gateway that reads the platform's store passes changes of objects on to the
+// gateways that follow it.
+
+#ifndef BLUEBELLSTEP_GATEWAY_OBJECT_CHANGES_H_
+#define BLUEBELLSTEP_GATEWAY_OBJECT_CHANGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "platform/object_format.h"
+
+namespace bluebellstep {
+
+/** For each watched kind, in a fixed order, the store's revision up to which a gateway knows all
+ * changes. */
+using KnownRevisions = std::vector<std::uint64_t>;
+
+/** A follower's request for the changes that it does not know. */
+struct ChangesQuery {
+  KnownRevisions known;
+  Duration wait{0};  // Time for which the answer may be delayed while there is no change.
+};
+
+/** Changes of the objects of one kind. */
+struct KindChanges {
+  platform::ObjectKind kind{};
+  std::uint64_t revision = 0;  // The follower knows all changes up to this one afterwards.
+  // Changes since the known revision, or the complete list if those are no longer known.
+  std::variant<std::vector<platform::ObjectChange>, std::vector<platform::StoredObject>> content;
+};
+
+/** The answer to a `ChangesQuery`. */
+struct ChangesAnswer {
+  // The gateway reads the store itself and has had an answer lately.
+  bool current = false;
+  std::optional<Duration> store_regained_ago;  // Unset if the store was never lost.
+  std::vector<KindChanges> kinds;              // Only those with a newer revision.
+};
+
+inline constexpr std::string_view kChangesPath = "/v1/changes";
+
+/** Encodes a query as the path of a request, and decodes it. Missing parts are zero. */
+std::string encode_changes_query(const ChangesQuery& query);
+ChangesQuery decode_changes_query(std::string_view path);
+
+/** Encodes an answer as JSON, and decodes it. Returns nothing if the text is not an answer. */
+std::string encode_changes_answer(const ChangesAnswer& answer);
+std::optional<ChangesAnswer> decode_changes_answer(std::string_view text);
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_GATEWAY_OBJECT_CHANGES_H_
--- /dev/null
+++ b/src/gateway/object_changes_test.cc
@@ -0,0 +1,103 @@
+// Tests of the messages between a gateway and its followers, and of the polls that it holds.
+
+#include "gateway/object_changes.h"
+
+#include <catch2/catch.hpp>
+
+#include "gateway/follower_polls.h"
+#include "gateway/object_replica.h"
+
+namespace bluebellstep {
+namespace {
+
+platform::StoredObject object(std::string name, std::uint64_t revision) {
+  return {.name = std::move(name), .revision = revision, .content = R"({"a":1})"};
+}
+
+}  // namespace
+
+TEST_CASE("queries and answers between gateways are read as they were written", "[gateway]") {
+  const ChangesQuery query =
+      decode_changes_query(encode_changes_query({.known = {7, 0, 12}, .wait = Duration{1000}}));
+  CHECK(query.known == KnownRevisions{7, 0, 12});
+  CHECK(query.wait == Duration{1000});
+
+  ChangesAnswer answer{.current = true, .store_regained_ago = Duration{90}};
+  answer.kinds.push_back({.kind = platform::ObjectKind::kUpstreams,
+                          .revision = 9,
+                          .content = std::vector<platform::ObjectChange>{
+                              {object("a", 8), false}, {{.name = "b", .revision = 9}, true}}});
+  answer.kinds.push_back({.kind = platform::ObjectKind::kTargetWeights,
+                          .revision = 5,
+                          .content = std::vector<platform::StoredObject>{object("m", 5)}});
+  const auto decoded = decode_changes_answer(encode_changes_answer(answer));
+  REQUIRE(decoded);
+  CHECK(decoded->current);
+  CHECK(decoded->store_regained_ago == Duration{90});
+  REQUIRE(decoded->kinds.size() == 2);
+  const auto& changes = std::get<std::vector<platform::ObjectChange>>(decoded->kinds[0].content);
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0].object.content == R"({"a":1})");
+  CHECK(changes[1].removed);
+  CHECK(std::get<std::vector<platform::StoredObject>>(decoded->kinds[1].content).size() == 1);
+}
+
+// Guards against a gateway that ends, or takes nonsense for objects, because of a faulty peer.
+TEST_CASE("what is not an answer of a gateway is rejected", "[gateway]") {
+  CHECK_FALSE(decode_changes_answer(""));
+  CHECK_FALSE(decode_changes_answer("[]"));
+  CHECK_FALSE(decode_changes_answer(R"({"kinds":[]})"));
+  CHECK_FALSE(decode_changes_answer(R"({"current":true,"kinds":[{"kind":1}]})"));
+  CHECK_FALSE(decode_changes_answer(R"({"current":true,"kinds":7})"));
+  CHECK(decode_changes_query("/v1/changes").known.empty());
+  CHECK(decode_changes_query("/v1/changes?known=x,,&wait_ms=-1").wait == Duration{0});
+}
+
+// Guards against an upstream that was removed and stays in use at a follower.
+TEST_CASE("changes since a revision include removals", "[gateway]") {
+  ObjectReplica replica;
+  replica.replace({object("a", 3), object("b", 4)}, 5);
+  CHECK_FALSE(replica.changes_since(4));  // Earlier removals are not known.
+  REQUIRE(replica.changes_since(5));
+  CHECK(replica.changes_since(5)->empty());
+  replica.apply(
+      {.changes = {{object("a", 6), true}, {object("c", 7), false}}, .store_revision = 7});
+  const auto changes = replica.changes_since(5);
+  REQUIRE(changes);
+  REQUIRE(changes->size() == 2);
+  CHECK((*changes)[0].object.name == "c");
+  CHECK((*changes)[1].object.name == "a");
+  CHECK((*changes)[1].removed);
+  replica.replace({object("c", 7)}, 9);
+  CHECK(replica.changes_since(7)->size() == 1);  // "b" is missing in the new list.
+  ObjectReplica follower;
+  follower.replace({object("a", 3), object("b", 4)}, 5);
+  follower.apply({.changes = *replica.changes_since(5), .store_revision = 9});
+  CHECK(follower.objects().size() == 1);
+  CHECK(follower.revision() == 9);
+}
+
+TEST_CASE("a poll is held until there are changes or its wait is over", "[gateway]") {
+  std::uint64_t revision = 5;
+  int answered = 0;
+  FollowerPolls polls([&](const KnownRevisions& known) { return known.at(0) < revision; });
+  const auto respond = [&](const KnownRevisions&) { ++answered; };
+  CHECK(polls.add({.known = {4}, .wait = Duration{1000}}, respond) == 0);
+  CHECK(answered == 1);
+  const auto held = polls.add({.known = {5}, .wait = Duration{1000}}, respond);
+  CHECK(held != 0);
+  polls.on_changes();
+  CHECK(answered == 1);
+  polls.expire(held);
+  CHECK(answered == 2);
+  polls.add({.known = {5}, .wait = Duration{1000}}, respond);
+  revision = 6;
+  polls.on_changes();
+  CHECK(answered == 3);
+  polls.add({.known = {6}, .wait = Duration{1000}}, respond);
+  polls.answer_all();
+  CHECK(answered == 4);
+  CHECK(polls.size() == 0);
+}
+
+}  // namespace bluebellstep
--- a/src/gateway/object_replica.cc
+++ b/src/gateway/object_replica.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/object_replica.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -29,8 +30,12 @@
       continue;
     }
     changes.push_back({.object = known->second, .removed = true});
+    record_removal(known->first, revision);
     known = objects_.erase(known);
   }
+  if (revision_ == 0) {
+    removals_known_from_ = revision;
+  }
   revision_ = revision;
   return changes;
 }
@@ -40,6 +45,7 @@
   for (platform::ObjectChange& change : changes.changes) {
     const auto known = objects_.find(change.object.name);
     if (change.removed) {
+      record_removal(change.object.name, change.object.revision);
       if (known != objects_.end() && known->second.revision <= change.object.revision) {
         objects_.erase(known);
         applied.push_back(std::move(change));
@@ -56,4 +62,30 @@
   return applied;
 }
 
+void ObjectReplica::record_removal(std::string name, std::uint64_t revision) {
+  removals_.push_back({.name = std::move(name), .revision = revision});
+  if (removals_.size() > kMaxRemovals) {
+    removals_known_from_ = std::max(removals_known_from_, removals_.front().revision);
+    removals_.pop_front();
+  }
+}
+
+std::optional<ObjectReplica::Changes> ObjectReplica::changes_since(std::uint64_t revision) const {
+  if (revision < removals_known_from_) {
+    return std::nullopt;
+  }
+  Changes changes;
+  for (const auto& [name, object] : objects_) {
+    if (object.revision > revision) {
+      changes.push_back({.object = object, .removed = false});
+    }
+  }
+  for (const platform::StoredObject& removal : removals_) {
+    if (removal.revision > revision) {
+      changes.push_back({.object = removal, .removed = true});
+    }
+  }
+  return changes;
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/object_replica.h
+++ b/src/gateway/object_replica.h
@@ -7,8 +7,11 @@
 #ifndef BLUEBELLSTEP_GATEWAY_OBJECT_REPLICA_H_
 #define BLUEBELLSTEP_GATEWAY_OBJECT_REPLICA_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,14 +32,24 @@
   /** Applies the changes that a watch returned. Returns those that were not known yet. */
   Changes apply(platform::ObjectChanges changes);
 
+  /** Returns the changes since `revision`; nothing if some of them may no longer be known. */
+  std::optional<Changes> changes_since(std::uint64_t revision) const;
+
   /** The store's revision up to which all changes have been applied; 0 before the first list. */
   std::uint64_t revision() const { return revision_; }
   /** The objects by name. */
   const Objects& objects() const { return objects_; }
 
  private:
+  // Older removals are forgotten.
+  static constexpr std::size_t kMaxRemovals = 1000;
+
+  void record_removal(std::string name, std::uint64_t revision);
+
   std::uint64_t revision_ = 0;
   Objects objects_;
+  std::deque<platform::StoredObject> removals_;  // Without content, by increasing revision.
+  std::uint64_t removals_known_from_ = 0;        // All removals after this revision are known.
 };
 
 }  // namespace bluebellstep
--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -75,6 +75,7 @@
                        .target_version = item.target_version,
                        .running_requests = item.running_requests});
   }
+  candidacy_.set_pending(updates.size(), clock_.now());
   rollout_.set_pending_updates(std::move(updates), engine_count, clock_.now());
   advance();
 }
@@ -84,7 +85,9 @@
   // The lease is kept for one term after the last command, so that it changes hands at most once
   // per term.
   const bool keep_lease = last_command_at_ && now < *last_command_at_ + settings_.bounds.lease_term;
-  if (rollout_.has_pending_updates() || keep_lease) {
+  const bool wants_lease = rollout_.has_pending_updates() &&
+                           (candidacy_.may_compete(now) || lease_.may_act(now));
+  if (wants_lease || keep_lease) {
     lease_.acquire();
   } else {
     lease_.release();
@@ -181,6 +184,7 @@
          const WeightLoadAnswer answer = platform::decode_load_answer(response);
          LogEvent("load_answered").field("upstream", id).field("status", response.status);
          if (answer == WeightLoadAnswer::kStaleFencingNumber) {
+           // The engine does not tell the number that it has seen.
            lease_.report_stale(lease_.fencing_number() + 1);
          }
          rollout_.on_load_answer(id, answer, clock_.now());
--- a/src/gateway/rollout_driver.h
+++ b/src/gateway/rollout_driver.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "commands/fenced_lease.h"
+#include "gateway/lease_candidacy.h"
 #include "gateway/upstream_pool.h"
 #include "gateway/weight_rollout.h"
 #include "http/http_client.h"
@@ -42,6 +43,9 @@
    * weight versions changed. */
   void refresh();
 
+  /** Sets the rank of this gateway among those that compete for the lease; see `LeaseCandidacy`. */
+  void set_lease_rank(std::size_t rank) { candidacy_.set_rank(rank); }
+
  private:
   void advance();
   bool advance_lease(Instant now);
@@ -62,6 +66,7 @@
   UpstreamPool& pool_;
   Clock clock_;
   FencedLease lease_;
+  LeaseCandidacy candidacy_;
   WeightRollout rollout_;
   std::vector<UpstreamPool::OutdatedEngine> outdated_engines_;
   std::optional<Instant> last_command_at_;
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -23,6 +23,7 @@
 // Interval between the turns of two gateways to free cached segments. Longer than the interval
 // between polls, so that each gateway knows what the previous one freed.
 constexpr Duration kFreeTurnInterval{1500};
+constexpr std::string_view kLeaseRankKey = "rollout lease";
 constexpr std::string_view kPeerPath = "/v1/objects?known=";
 
 std::string_view name_of(ObjectKind kind) {
@@ -44,7 +45,30 @@
 }
 
 std::string registration_json(const GatewaySettings& settings) {
-  return nlohmann::json{{"peers", to_string(settings.peers)}}.dump();
+  return nlohmann::json{{"peers", to_string(settings.peers)},
+                        {"zone", settings.zone},
+                        {"link_mbps", settings.link_mbps}}
+      .dump();
+}
+
+// Decodes a registration. Those of earlier versions have no zone.
+std::optional<StoreSource::Gateway> decode_registration(const platform::StoredObject& object) {
+  const auto json = nlohmann::json::parse(object.content, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    const auto endpoint = platform::decode_endpoint(json.value("peers", std::string()));
+    if (!endpoint) {
+      return std::nullopt;
+    }
+    return StoreSource::Gateway{.name = object.name,
+                                .zone = json.value("zone", std::string()),
+                                .endpoint = *endpoint,
+                                .link_mbps = json.value("link_mbps", 0.0)};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
 }
 
 }  // namespace
@@ -69,7 +93,9 @@
       forwarder_(forwarder),
       random_(hash64(settings.name)),
       peers_(settings.first_peers),
-      membership_(settings.name) {
+      membership_(settings.name),
+      source_(settings.name, settings.zone),
+      follower_polls_([this](const KnownRevisions& known) { return has_changes_since(known); }) {
   for (const ObjectKind kind : kWatchedKinds) {
     add_watcher(kind);
   }
@@ -101,6 +127,7 @@
   }
   write_registration(0);
   run_periodic_tasks();
+  follow_reader();
 }
 
 void StateSynchronizer::run_after(Duration delay, std::function<void()> task) {
@@ -124,8 +151,19 @@
         .field("kind", name_of(kind))
         .field("revision", replica(kind).revision());
   }
+  const Instant now = clock_.now();
+  if (reachable) {
+    store_answered_at_ = now;
+    if (!store_reachable_) {
+      store_regained_at_ = now;
+    }
+  }
+  const bool lost = store_reachable_ && !reachable;
   store_reachable_ = reachable;
-  pool_.set_store_reachable(reachable, clock_.now());
+  pool_.set_store_reachable(reachable, now);
+  if (lost) {
+    follower_polls_.answer_all();
+  }
 }
 
 const ObjectReplica& StateSynchronizer::replica(ObjectKind kind) const {
@@ -159,6 +197,7 @@
   } else if (kind != ObjectKind::kConfiguration && on_weights_changed_) {
     on_weights_changed_();
   }
+  follower_polls_.on_changes();
 }
 
 void StateSynchronizer::on_config(const platform::StoredObject& object) {
@@ -220,34 +259,41 @@
 
 void StateSynchronizer::on_gateways() {
   std::vector<Endpoint> peers;
+  std::vector<StoreSource::Gateway> gateways;
   const auto& objects = replica(ObjectKind::kGateways).objects();
   for (const auto& [name, object] : objects) {
-    const auto json = nlohmann::json::parse(object.content, nullptr, false);
-    const auto endpoint = json.is_object()
-                              ? platform::decode_endpoint(json.value("peers", std::string()))
-                              : std::nullopt;
-    if (endpoint && *endpoint != settings_.peers) {
-      peers.push_back(*endpoint);
+    auto gateway = decode_registration(object);
+    if (!gateway) {
+      continue;
     }
-  }
-  if (!peers.empty()) {
-    peers_ = std::move(peers);
-    if (on_peers_changed_) {
-      on_peers_changed_(peers_);
+    if (gateway->endpoint != settings_.peers) {
+      peers.push_back(gateway->endpoint);
     }
+    gateways.push_back(std::move(*gateway));
   }
+  source_.set_gateways(gateways);
   std::set<std::string, std::less<>> names;
   for (const auto& [name, object] : objects) {
     names.insert(name);
   }
   quota_.set_registered(names);
   membership_.set_registered(names, clock_.now());
+  if (!peers.empty()) {
+    peers_ = std::move(peers);
+    if (on_peers_changed_) {
+      on_peers_changed_(peers_);
+    }
+  }
   if (membership_.own_registration_lost()) {
     LogEvent("registration_lost", LogEvent::Severity::kWarning).field("name", settings_.name);
     write_registration(0);
   }
 }
 
+std::size_t StateSynchronizer::lease_rank() const {
+  return membership_.own_rank(hash64(kLeaseRankKey));
+}
+
 void StateSynchronizer::update_cache_nodes() {
   const auto& config = forwarder_.config();
   if (config == nullptr) {
@@ -375,6 +421,162 @@
   run_after(kPeerQueryInterval, [this] { run_periodic_tasks(); });
 }
 
+StoreWatcher* StateSynchronizer::find_watcher(ObjectKind kind) {
+  const auto found = std::find_if(watchers_.begin(), watchers_.end(),
+                                  [kind](const auto& watcher) { return watcher->kind() == kind; });
+  return found == watchers_.end() ? nullptr : found->get();
+}
+
+KnownRevisions StateSynchronizer::known_revisions() const {
+  KnownRevisions known;
+  for (const auto& watcher : watchers_) {
+    known.push_back(watcher->replica().revision());
+  }
+  return known;
+}
+
+// The store's revision also increases by changes of other kinds, which are no news.
+bool StateSynchronizer::has_changes_since(const KnownRevisions& known) const {
+  for (std::size_t i = 0; i < watchers_.size(); ++i) {
+    const ObjectReplica& replica = watchers_[i]->replica();
+    const std::uint64_t known_revision = i < known.size() ? known[i] : 0;
+    if (replica.revision() <= known_revision) {
+      continue;
+    }
+    const auto changes = replica.changes_since(known_revision);
+    if (!changes || !changes->empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+ChangesAnswer StateSynchronizer::changes_since(const KnownRevisions& known) const {
+  const Instant now = clock_.now();
+  ChangesAnswer answer{.current = !following_ && store_reachable_ &&
+                                  now <= store_answered_at_ + kMaxAnswerAge};
+  if (store_regained_at_) {
+    answer.store_regained_ago = now - *store_regained_at_;
+  }
+  for (std::size_t i = 0; i < watchers_.size(); ++i) {
+    const ObjectReplica& replica = watchers_[i]->replica();
+    const std::uint64_t known_revision = i < known.size() ? known[i] : 0;
+    if (replica.revision() <= known_revision) {
+      continue;
+    }
+    KindChanges kind{.kind = watchers_[i]->kind(), .revision = replica.revision()};
+    if (auto changes = replica.changes_since(known_revision)) {
+      kind.content = std::move(*changes);
+    } else {
+      std::vector<platform::StoredObject> objects;
+      for (const auto& [name, object] : replica.objects()) {
+        objects.push_back(object);
+      }
+      kind.content = std::move(objects);
+    }
+    answer.kinds.push_back(std::move(kind));
+  }
+  return answer;
+}
+
+void StateSynchronizer::on_peer_request(std::string_view path,
+                                        std::function<void(std::string)> respond) {
+  if (!path.starts_with(kChangesPath)) {
+    respond(answer_peer_query(path));
+    return;
+  }
+  ChangesQuery query = decode_changes_query(path);
+  const Duration wait = query.wait;
+  const FollowerPolls::PollId held = follower_polls_.add(
+      std::move(query), [this, respond = std::move(respond)](const KnownRevisions& known) {
+        respond(encode_changes_answer(changes_since(known)));
+      });
+  if (held != 0) {
+    run_after(wait, [this, held] { follower_polls_.expire(held); });
+  }
+}
+
+void StateSynchronizer::set_following(bool following, std::string_view reason) {
+  if (following == following_) {
+    return;
+  }
+  following_ = following;
+  LogEvent("store_source_changed")
+      .field("following", following)
+      .field("why", reason)
+      .field("revision", replica(ObjectKind::kUpstreams).revision());
+  for (const auto& watcher : watchers_) {
+    if (following) {
+      watcher->pause();
+    } else {
+      watcher->resume();
+    }
+  }
+}
+
+void StateSynchronizer::follow_reader() {
+  const KnownRevisions known = known_revisions();
+  const bool all_listed = std::find(known.begin(), known.end(), 0) == known.end();
+  const auto reader = all_listed ? source_.reader(clock_.now()) : std::nullopt;
+  if (!reader) {
+    set_following(false, "no_reader");
+    run_after(kReaderCheckInterval, [this] { follow_reader(); });
+    return;
+  }
+  const Duration wait = following_ ? kFollowWait : Duration{0};
+  HttpCall call{.endpoint = *reader, .path = encode_changes_query({.known = known, .wait = wait})};
+  call.connect_timeout = kFollowTimeout;
+  call.idle_timeout = wait + kFollowTimeout;
+  client_.send(std::move(call), [this, reader = *reader, alive = std::weak_ptr<bool>(alive_)](
+                                    const HttpClient::Response& response) {
+    if (!alive.expired()) {
+      on_reader_answer(reader, response);
+    }
+  });
+}
+
+void StateSynchronizer::on_reader_answer(const Endpoint& reader,
+                                         const HttpClient::Response& response) {
+  auto answer =
+      response.status == 200 && std::holds_alternative<HttpClient::Complete>(response.outcome)
+          ? decode_changes_answer(response.body)
+          : std::nullopt;
+  if (!answer || !answer->current) {
+    source_.record_failure(reader, clock_.now());
+    set_following(false, answer ? "reader_lost_the_store" : "reader_did_not_answer");
+    run_after(kReaderCheckInterval, [this] { follow_reader(); });
+    return;
+  }
+  apply_changes(std::move(*answer));
+  set_following(true, to_string(reader));
+  run_after(kFollowDelay, [this] { follow_reader(); });
+}
+
+void StateSynchronizer::apply_changes(ChangesAnswer answer) {
+  const Instant now = clock_.now();
+  if (following_ && answer.store_regained_ago &&
+      *answer.store_regained_ago < UpstreamPool::kOutageNoticeTime) {
+    // This gateway did not notice the outage, in which registrations of upstreams may have expired.
+    pool_.set_store_reachable(false, now);
+  }
+  pool_.set_store_reachable(true, now);
+  store_reachable_ = true;
+  for (KindChanges& kind : answer.kinds) {
+    StoreWatcher* watcher = find_watcher(kind.kind);
+    if (watcher == nullptr) {
+      continue;  // This version does not watch the kind.
+    }
+    std::visit(Overloaded{[&](std::vector<platform::ObjectChange>& changes) {
+                            watcher->apply_changes(
+                                {.changes = std::move(changes), .store_revision = kind.revision});
+                          },
+                          [&](std::vector<platform::StoredObject>& objects) {
+                            watcher->apply_snapshot(std::move(objects), kind.revision);
+                          }},
+               kind.content);
+  }
+}
+
 // Returns the path of a query to a peer. It lists the revision known of each kind, in the order of
 // `kWatchedKinds`, so that the answer contains only newer objects.
 std::string StateSynchronizer::peer_query_path() const {
@@ -440,15 +642,13 @@
                            .revision = object.at(1).get<std::uint64_t>(),
                            .content = object.at(2).get<std::string>()});
       }
-      const auto watcher =
-          std::find_if(watchers_.begin(), watchers_.end(),
-                       [kind](const auto& candidate) { return candidate->kind() == kind; });
-      if (watcher == watchers_.end()) {
+      StoreWatcher* watcher = find_watcher(kind);
+      if (watcher == nullptr) {
         continue;  // This version does not watch the kind.
       }
       const auto revision = item.at("revision").get<std::uint64_t>();
       LogEvent("peer_knows_newer").field("kind", name_of(kind)).field("revision", revision);
-      (*watcher)->apply_snapshot(std::move(objects), revision);
+      watcher->apply_snapshot(std::move(objects), revision);
     }
   } catch (const nlohmann::json::exception& fault) {
     LogEvent("peer_answer_not_understood", LogEvent::Severity::kWarning).field("why", fault.what());
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -21,9 +21,12 @@
 #include "base/random.h"
 #include "gateway/cache_directory.h"
 #include "gateway/cache_event_poller.h"
+#include "gateway/follower_polls.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_membership.h"
+#include "gateway/object_changes.h"
 #include "gateway/request_quota.h"
+#include "gateway/store_source.h"
 #include "gateway/store_watcher.h"
 #include "gateway/upstream_pool.h"
 #include "http/http_client.h"
@@ -40,6 +43,17 @@
   static constexpr Duration kPeerQueryInterval{500};
   /** Limit on each query to a peer. */
   static constexpr Duration kPeerQueryTimeout{400};
+  /** How long a reader may hold a poll of this gateway while nothing changes. */
+  static constexpr Duration kFollowWait{1000};
+  /** Limit on connecting to a reader, and on its answer after that wait. */
+  static constexpr Duration kFollowTimeout{500};
+  /** Delay between polls, so that a series of changes takes few polls. */
+  static constexpr Duration kFollowDelay{50};
+  /** Interval between polls that check whether there is a reader to follow. */
+  static constexpr Duration kReaderCheckInterval{1000};
+  /** A gateway without an answer of the store for this long has outdated objects. Watches wait for
+   * up to `StoreWatcher::kWatchWait`. */
+  static constexpr Duration kMaxAnswerAge{4500};
   /** Delay between attempts to register this gateway. */
   static constexpr Duration kRegistrationRetryDelay{1000};
   /** Interval between checks for registrations of gateways that no longer exist. */
@@ -81,9 +95,15 @@
   /** Records that a load report of another gateway was received. */
   void on_gateway_report(std::string_view gateway) { membership_.on_report(gateway, clock_.now()); }
 
-  /** Returns, as JSON, the objects of each kind whose revision here is newer than the peer's.
-   * `query` is the requested path with the peer's revisions, see `peer_query_path`. */
-  std::string answer_peer_query(std::string_view query) const;
+  /** Rank of this gateway for the lease of rollouts; see `LeaseCandidacy`. */
+  std::size_t lease_rank() const;
+
+  /** Whether this gateway reads the store's objects from another gateway at present. */
+  bool following() const { return following_; }
+
+  /** Answers a request of a peer for objects: `respond` is called once, at once or when there are
+   * changes. */
+  void on_peer_request(std::string_view path, std::function<void(std::string)> respond);
 
  private:
   void add_watcher(platform::ObjectKind kind);
@@ -99,10 +119,21 @@
   void on_call_ended(platform::ObjectKind kind, bool reachable);
   bool may_probe(platform::ObjectKind kind) const;
   const ObjectReplica& replica(platform::ObjectKind kind) const;
-  void register_gateway();
   // Writes this gateway's registration over the object's `revision`; 0 creates the object.
   void write_registration(std::uint64_t revision);
   void run_periodic_tasks();
+  // Returns, as JSON, the objects of each kind whose revision here is newer than the peer's.
+  // `query` is the requested path with the peer's revisions, see `peer_query_path`.
+  std::string answer_peer_query(std::string_view query) const;
+  KnownRevisions known_revisions() const;
+  bool has_changes_since(const KnownRevisions& known) const;
+  ChangesAnswer changes_since(const KnownRevisions& known) const;
+  // Polls the gateway that `source_` selects, again and again.
+  void follow_reader();
+  void on_reader_answer(const Endpoint& reader, const HttpClient::Response& response);
+  void apply_changes(ChangesAnswer answer);
+  void set_following(bool following, std::string_view reason);
+  StoreWatcher* find_watcher(platform::ObjectKind kind);
   void query_peer();
   std::string peer_query_path() const;
   void apply_peer_answer(const HttpClient::Response& response);
@@ -123,6 +154,11 @@
   std::vector<std::unique_ptr<StoreWatcher>> watchers_;
   std::vector<Endpoint> peers_;
   GatewayMembership membership_;
+  StoreSource source_;
+  FollowerPolls follower_polls_;
+  bool following_ = false;
+  Instant store_answered_at_;  // A call to the store was answered.
+  std::optional<Instant> store_regained_at_;
   Instant membership_checked_at_;
   bool store_reachable_ = true;
   bool peer_query_in_flight_ = false;
--- /dev/null
+++ b/src/gateway/store_source.cc
@@ -0,0 +1,55 @@
+// Ranks the gateways of a zone and excludes those that failed.
+
+#include "gateway/store_source.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "base/hash.h"
+#include "http/socket_address.h"
+
+namespace bluebellstep {
+
+void StoreSource::set_gateways(const std::vector<Gateway>& gateways) {
+  std::vector<const Gateway*> zone;
+  for (const Gateway& gateway : gateways) {
+    if (gateway.zone == own_zone_) {
+      zone.push_back(&gateway);
+    }
+  }
+  // Gateways with fast links first: a reader sends each change to all its followers.
+  std::sort(zone.begin(), zone.end(), [](const Gateway* a, const Gateway* b) {
+    return std::tie(b->link_mbps, a->name) < std::tie(a->link_mbps, b->name);
+  });
+  zone.resize(std::min(zone.size(), kReadersPerZone));
+  readers_.clear();
+  for (const Gateway* gateway : zone) {
+    if (gateway->name == own_name_) {
+      readers_.clear();
+      return;
+    }
+    readers_.push_back(gateway->endpoint);
+  }
+  // Divides the followers among the readers.
+  if (!readers_.empty()) {
+    const auto first = static_cast<std::ptrdiff_t>(hash64(own_name_) % readers_.size());
+    std::rotate(readers_.begin(), readers_.begin() + first, readers_.end());
+  }
+}
+
+std::optional<Endpoint> StoreSource::reader(Instant now) const {
+  for (const Endpoint& reader : readers_) {
+    const auto excluded = excluded_until_.find(to_string(reader));
+    if (excluded == excluded_until_.end() || now >= excluded->second) {
+      return reader;
+    }
+  }
+  return std::nullopt;
+}
+
+void StoreSource::record_failure(const Endpoint& reader, Instant now) {
+  std::erase_if(excluded_until_, [now](const auto& item) { return now >= item.second; });
+  excluded_until_[to_string(reader)] = now + kExclusion;
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/store_source_test.cc
@@ -0,0 +1,75 @@
+// Tests of the choice between the platform's store and another gateway.
+
+#include "gateway/store_source.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "http/socket_address.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr Instant kNow{100'000};
+
+StoreSource::Gateway gateway(int index, const std::string& zone, double link_mbps = 20) {
+  return {.name = "g" + std::to_string(index),
+          .zone = zone,
+          .endpoint = {"10.0.0." + std::to_string(index), 1},
+          .link_mbps = link_mbps};
+}
+
+}  // namespace
+
+// Load pattern: hundreds of gateways and a store that charges each call. Guards against calls that
+// grow with the number of gateways.
+TEST_CASE("two gateways of a zone read the store and the others follow them", "[gateway][load]") {
+  std::vector<StoreSource::Gateway> gateways;
+  for (int i = 1; i <= 40; ++i) {
+    gateways.push_back(gateway(i, i % 2 == 0 ? "a" : "b", i == 20 || i == 21 ? 200 : 20));
+  }
+  std::map<std::string, std::set<std::string>> readers_by_zone;
+  std::map<std::string, int> followers;
+  int direct = 0;
+  for (const StoreSource::Gateway& own : gateways) {
+    StoreSource source(own.name, own.zone);
+    source.set_gateways(gateways);
+    if (const auto reader = source.reader(kNow)) {
+      readers_by_zone[own.zone].insert(to_string(*reader));
+      ++followers[to_string(*reader)];
+    } else {
+      ++direct;
+    }
+  }
+  CHECK(direct == 4);
+  CHECK(readers_by_zone["a"].size() == 2);
+  CHECK(readers_by_zone["b"].size() == 2);
+  CHECK(readers_by_zone["a"].contains("10.0.0.20:1"));  // The one with the fast link.
+  for (const auto& [reader, count] : followers) {
+    CHECK(count >= 4);
+  }
+}
+
+TEST_CASE("a gateway reads the store itself while no reader of its zone is usable", "[gateway]") {
+  StoreSource source("g3", "a");
+  CHECK_FALSE(source.reader(kNow));
+  source.set_gateways({gateway(1, "a"), gateway(2, "a"), gateway(3, "a"), gateway(4, "b")});
+  const auto first = source.reader(kNow);
+  REQUIRE(first);
+  source.record_failure(*first, kNow);
+  const auto second = source.reader(kNow);
+  REQUIRE(second);
+  CHECK(*second != *first);
+  source.record_failure(*second, kNow);
+  CHECK_FALSE(source.reader(kNow));
+  CHECK(source.reader(kNow + StoreSource::kExclusion) == first);
+}
+
+TEST_CASE("gateways of a small zone and unregistered ones read the store", "[gateway]") {
+  StoreSource small("g2", "a");
+  small.set_gateways({gateway(1, "a"), gateway(2, "a"), gateway(3, "b")});
+  CHECK_FALSE(small.reader(kNow));
+}
+
+}  // namespace bluebellstep
--- a/src/gateway/store_watcher.cc
+++ b/src/gateway/store_watcher.cc
@@ -72,7 +72,19 @@
   watch(watch_wait());
 }
 
+void StoreWatcher::resume() {
+  paused_ = false;
+  if (std::exchange(stopped_by_pause_, false)) {
+    // The store may have become unreachable meanwhile.
+    watch(kProbeWait);
+  }
+}
+
 void StoreWatcher::watch(Duration wait) {
+  if (paused_) {
+    stopped_by_pause_ = true;
+    return;
+  }
   send(platform::watch_call(store_, kind_, replica_.revision(), wait, kCallTimeout),
        &StoreWatcher::on_watch_answer);
 }
@@ -149,6 +161,10 @@
   can_watch_ = true;
 }
 
+void StoreWatcher::apply_changes(platform::ObjectChanges changes) {
+  notify_changes(replica_.apply(std::move(changes)));
+}
+
 void StoreWatcher::notify_changes(ObjectReplica::Changes changes) {
   if (!changes.empty()) {
     listener_.on_changes(std::move(changes));
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -63,6 +63,15 @@
   /** Starts to list and watch. Call once. */
   void start();
 
+  /** Stops sending watches while another source passes the changes on. A watch in progress ends
+   * first. */
+  void pause() { paused_ = true; }
+  /** Watches again. */
+  void resume();
+
+  /** Applies changes that a peer passed on. */
+  void apply_changes(platform::ObjectChanges changes);
+
   /** Replaces the replica by a peer's complete list, if its `revision` of the store is newer. */
   void apply_snapshot(std::vector<platform::StoredObject> objects, std::uint64_t revision);
 
@@ -92,7 +101,9 @@
   ObjectReplica replica_;
   // A watch may start from the replica's revision. If not, the objects must be listed first.
   bool can_watch_ = false;
-  bool reachable_ = true;                               // The store answered the last call.
+  bool reachable_ = true;  // The store answered the last call.
+  bool paused_ = false;
+  bool stopped_by_pause_ = false;                       // `resume` must send the next call.
   std::vector<platform::StoredObject> listed_objects_;  // From the pages of the list in progress.
   std::uint64_t list_revision_ = 0;  // The store's revision in the first page of the list.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
