gateway: One reader of the store a zone, and reports of unreachable upstreams

A second reader in each zone cost as many calls as the first. The second one now follows the first and reads the store only if that fails. While others follow a gateway, its watch of the configuration is held for 0.9 s at most, and it counts as outdated after 1.4 s without an answer of the store: a reader that is cut off silently would else keep its followers behind for longer than a configuration may take.

Gateways now report upstreams that they cannot connect to; if two of them and one in twenty do, all use the cold limit for 4 s.

--- a/src/gateway/load_aggregator.cc
+++ b/src/gateway/load_aggregator.cc
@@ -14,6 +14,7 @@
   prefill_tokens += other.prefill_tokens;
   prompt_tokens += other.prompt_tokens;
   consecutive_failures += other.consecutive_failures;
+  unreachable += other.unreachable;
   transfer_ms += other.transfer_ms;
   return *this;
 }
@@ -23,6 +24,7 @@
   prefill_tokens -= other.prefill_tokens;
   prompt_tokens -= other.prompt_tokens;
   consecutive_failures -= other.consecutive_failures;
+  unreachable -= other.unreachable;
   transfer_ms -= other.transfer_ms;
   return *this;
 }
@@ -33,7 +35,8 @@
     upstream_loads.push_back(
         {upstream_load.upstream_key, upstream_load.in_flight.requests,
          upstream_load.in_flight.prefill_tokens, upstream_load.in_flight.prompt_tokens,
-         upstream_load.in_flight.consecutive_failures, upstream_load.in_flight.transfer_ms});
+         upstream_load.in_flight.consecutive_failures, upstream_load.in_flight.transfer_ms,
+         upstream_load.in_flight.unreachable});
   }
   nlohmann::json sent_segments = nlohmann::json::array();
   for (const SentSegment& segment : report.sent_segments) {
@@ -65,6 +68,10 @@
                          .prefill_tokens = upstream_load.at(2).get<std::uint64_t>(),
                          .prompt_tokens = upstream_load.at(3).get<std::uint64_t>(),
                          .consecutive_failures = upstream_load.at(4).get<std::uint32_t>(),
+                         // Earlier versions do not report it.
+                         .unreachable = upstream_load.size() > 6
+                                            ? upstream_load.at(6).get<std::uint32_t>()
+                                            : 0,
                          .transfer_ms = upstream_load.at(5).get<std::uint64_t>()}});
     }
     for (const auto& segment : json.at(5)) {
--- a/src/gateway/load_aggregator.h
+++ b/src/gateway/load_aggregator.h
@@ -26,6 +26,7 @@
   std::uint64_t prefill_tokens = 0;        // Uncached tokens of prompts in prefill.
   std::uint64_t prompt_tokens = 0;         // Prompt tokens of all requests; they occupy KV cache.
   std::uint32_t consecutive_failures = 0;  // See `UpstreamHealth`.
+  std::uint32_t unreachable = 0;           // Gateways whose connections to it have failed lately.
   // Total duration of the fetches from its cache in progress, which run one after another.
   std::uint64_t transfer_ms = 0;
 
--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -85,8 +85,8 @@
   // The lease is kept for one term after the last command, so that it changes hands at most once
   // per term.
   const bool keep_lease = last_command_at_ && now < *last_command_at_ + settings_.bounds.lease_term;
-  const bool wants_lease = rollout_.has_pending_updates() &&
-                           (candidacy_.may_compete(now) || lease_.may_act(now));
+  const bool wants_lease =
+      rollout_.has_pending_updates() && (candidacy_.may_compete(now) || lease_.may_act(now));
   if (wants_lease || keep_lease) {
     lease_.acquire();
   } else {
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -414,6 +414,7 @@
 void StateSynchronizer::run_periodic_tasks() {
   pool_.remove_expired_registrations(clock_.now());
   check_registrations();
+  update_watch_wait();
   free_outdated_segments();
   if (!store_reachable_ && !peer_query_in_flight_) {
     query_peer();
@@ -454,7 +455,7 @@
 ChangesAnswer StateSynchronizer::changes_since(const KnownRevisions& known) const {
   const Instant now = clock_.now();
   ChangesAnswer answer{.current = !following_ && store_reachable_ &&
-                                  now <= store_answered_at_ + kMaxAnswerAge};
+                                  now < store_answered_at_ + kMaxAnswerAge};
   if (store_regained_at_) {
     answer.store_regained_ago = now - *store_regained_at_;
   }
@@ -485,8 +486,13 @@
     respond(answer_peer_query(path));
     return;
   }
+  const Instant now = clock_.now();
+  polled_at_ = now;
+  update_watch_wait();
   ChangesQuery query = decode_changes_query(path);
-  const Duration wait = query.wait;
+  // The answer must tell in time that the objects are outdated.
+  query.wait = std::min(query.wait, store_answered_at_ + kMaxAnswerAge - now);
+  const Duration wait = query.wait + Duration{1};
   const FollowerPolls::PollId held = follower_polls_.add(
       std::move(query), [this, respond = std::move(respond)](const KnownRevisions& known) {
         respond(encode_changes_answer(changes_since(known)));
@@ -496,6 +502,12 @@
   }
 }
 
+void StateSynchronizer::update_watch_wait() {
+  const bool followed = polled_at_ && clock_.now() < *polled_at_ + kFollowerTimeout;
+  find_watcher(ObjectKind::kConfiguration)
+      ->set_watch_wait(followed ? kReaderWatchWait : StoreWatcher::kWatchWait);
+}
+
 void StateSynchronizer::set_following(bool following, std::string_view reason) {
   if (following == following_) {
     return;
@@ -560,7 +572,10 @@
     pool_.set_store_reachable(false, now);
   }
   pool_.set_store_reachable(true, now);
-  store_reachable_ = true;
+  if (!store_reachable_) {
+    LogEvent("store_regained", LogEvent::Severity::kWarning).field("kind", "reader");
+    store_reachable_ = true;
+  }
   for (KindChanges& kind : answer.kinds) {
     StoreWatcher* watcher = find_watcher(kind.kind);
     if (watcher == nullptr) {
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -44,16 +44,20 @@
   /** Limit on each query to a peer. */
   static constexpr Duration kPeerQueryTimeout{400};
   /** How long a reader may hold a poll of this gateway while nothing changes. */
-  static constexpr Duration kFollowWait{1000};
+  static constexpr Duration kFollowWait{700};
   /** Limit on connecting to a reader, and on its answer after that wait. */
-  static constexpr Duration kFollowTimeout{500};
+  static constexpr Duration kFollowTimeout{300};
   /** Delay between polls, so that a series of changes takes few polls. */
   static constexpr Duration kFollowDelay{50};
   /** Interval between polls that check whether there is a reader to follow. */
   static constexpr Duration kReaderCheckInterval{1000};
-  /** A gateway without an answer of the store for this long has outdated objects. Watches wait for
-   * up to `StoreWatcher::kWatchWait`. */
-  static constexpr Duration kMaxAnswerAge{4500};
+  /** How long the store may hold a watch of the configuration of a gateway that others follow, so
+   * that it notices early that it has lost the store. */
+  static constexpr Duration kReaderWatchWait{900};
+  /** A gateway without an answer of the store for this long has outdated objects. */
+  static constexpr Duration kMaxAnswerAge{1400};
+  /** A gateway is followed until it had no poll for this long. */
+  static constexpr Duration kFollowerTimeout{5000};
   /** Delay between attempts to register this gateway. */
   static constexpr Duration kRegistrationRetryDelay{1000};
   /** Interval between checks for registrations of gateways that no longer exist. */
@@ -132,6 +136,8 @@
   void follow_reader();
   void on_reader_answer(const Endpoint& reader, const HttpClient::Response& response);
   void apply_changes(ChangesAnswer answer);
+  // Shortens the watches of the configuration while other gateways follow this one.
+  void update_watch_wait();
   void set_following(bool following, std::string_view reason);
   StoreWatcher* find_watcher(platform::ObjectKind kind);
   void query_peer();
@@ -157,7 +163,8 @@
   StoreSource source_;
   FollowerPolls follower_polls_;
   bool following_ = false;
-  Instant store_answered_at_;  // A call to the store was answered.
+  Instant store_answered_at_;         // A call to the store was answered.
+  std::optional<Instant> polled_at_;  // By a follower.
   std::optional<Instant> store_regained_at_;
   Instant membership_checked_at_;
   bool store_reachable_ = true;
--- a/src/gateway/store_source.cc
+++ b/src/gateway/store_source.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <tuple>
 
-#include "base/hash.h"
 #include "http/socket_address.h"
 
 namespace bluebellstep {
@@ -25,16 +24,10 @@
   readers_.clear();
   for (const Gateway* gateway : zone) {
     if (gateway->name == own_name_) {
-      readers_.clear();
       return;
     }
     readers_.push_back(gateway->endpoint);
   }
-  // Divides the followers among the readers.
-  if (!readers_.empty()) {
-    const auto first = static_cast<std::ptrdiff_t>(hash64(own_name_) % readers_.size());
-    std::rotate(readers_.begin(), readers_.begin() + first, readers_.end());
-  }
 }
 
 std::optional<Endpoint> StoreSource::reader(Instant now) const {
--- a/src/gateway/store_source.h
+++ b/src/gateway/store_source.h
@@ -2,8 +2,8 @@
 //
 // Load pattern: the store charges each call and limits their rate, and hundreds of gateways watch
 // the same objects. With a watch by each gateway the calls grow with the product of gateways and
-// changes. Therefore a few gateways of each zone read the store, and the others follow one of them.
-// A gateway whose reader fails or has lost the store reads the store itself.
+// changes. Therefore one gateway of each zone reads the store, and the others follow it. A gateway
+// whose reader fails or has lost the store reads the store itself, until it finds a reader again.
 
 #ifndef BLUEBELLSTEP_GATEWAY_STORE_SOURCE_H_
 #define BLUEBELLSTEP_GATEWAY_STORE_SOURCE_H_
@@ -24,8 +24,8 @@
 /** Selects the gateway to follow. All times are read from one monotonic clock. */
 class StoreSource {
  public:
-  /** Gateways of each zone that read the store. Two, so that the zone follows another one at once
-   * if a reader fails. */
+  /** Gateways of each zone that others may follow. Each follows only those that rank before it, so
+   * the second one reads the store only if the first one fails. */
   static constexpr std::size_t kReadersPerZone = 2;
   /** A gateway that failed to answer, or had no current objects, is not followed for this time. */
   static constexpr Duration kExclusion{5000};
@@ -53,8 +53,7 @@
  private:
   std::string own_name_;
   std::string own_zone_;
-  // The readers of the zone, in the order in which this gateway follows them. Empty if this gateway
-  // is a reader.
+  // The readers of the zone that rank before this gateway.
   std::vector<Endpoint> readers_;
   std::map<std::string, Instant> excluded_until_;  // By `to_string` of the endpoint.
 };
--- a/src/gateway/store_watcher.cc
+++ b/src/gateway/store_watcher.cc
@@ -14,7 +14,12 @@
                            const Endpoint& store,
                            platform::ObjectKind kind,
                            Listener listener)
-    : loop_(loop), client_(client), store_(store), kind_(kind), listener_(std::move(listener)) {}
+    : loop_(loop),
+      client_(client),
+      store_(store),
+      kind_(kind),
+      listener_(std::move(listener)),
+      watch_wait_(kind == platform::ObjectKind::kGateways ? kGatewaysWatchWait : kWatchWait) {}
 
 StoreWatcher::~StoreWatcher() = default;
 
@@ -69,7 +74,7 @@
   can_watch_ = true;
   notify_changes(replica_.replace(std::exchange(listed_objects_, {}), list_revision_));
   listener_.on_call_ended(true);
-  watch(watch_wait());
+  watch(watch_wait_);
 }
 
 void StoreWatcher::resume() {
@@ -97,9 +102,9 @@
                           const bool changed = !changes.changes.empty();
                           notify_changes(replica_.apply(std::move(changes)));
                           if (changed) {
-                            run_after(batch_delay(), [this] { watch(watch_wait()); });
+                            run_after(batch_delay(), [this] { watch(watch_wait_); });
                           } else {
-                            watch(watch_wait());
+                            watch(watch_wait_);
                           }
                         },
                         [&](const platform::HistoryExpired&) {
@@ -114,10 +119,6 @@
              result);
 }
 
-Duration StoreWatcher::watch_wait() const {
-  return kind_ == platform::ObjectKind::kGateways ? kGatewaysWatchWait : kWatchWait;
-}
-
 Duration StoreWatcher::batch_delay() const {
   switch (kind_) {
     case platform::ObjectKind::kUpstreams:
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -60,6 +60,9 @@
   StoreWatcher& operator=(const StoreWatcher&) = delete;
   ~StoreWatcher();
 
+  /** Sets how long the store may hold the next watches. */
+  void set_watch_wait(Duration wait) { watch_wait_ = wait; }
+
   /** Starts to list and watch. Call once. */
   void start();
 
@@ -86,7 +89,6 @@
   void on_watch_answer(const HttpClient::Response& response);
   void on_call_failed(const PlatformUnavailable& fault);
   void retry();
-  Duration watch_wait() const;
   Duration batch_delay() const;
   void notify_changes(ObjectReplica::Changes changes);
   template <typename Handler>
@@ -101,6 +103,7 @@
   ObjectReplica replica_;
   // A watch may start from the replica's revision. If not, the objects must be listed first.
   bool can_watch_ = false;
+  Duration watch_wait_;
   bool reachable_ = true;  // The store answered the last call.
   bool paused_ = false;
   bool stopped_by_pause_ = false;                       // `resume` must send the next call.
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -63,6 +63,12 @@
 // An upstream that answers again after connections to it failed is taken for a restarted one for
 // this time, unless its registration tells.
 constexpr Duration kAssumedColdTime{4000};
+// A failed connection is reported to the other gateways for this time.
+constexpr Duration kUnreachableReportTime{1500};
+// The reports count if at least two gateways, and one of so many, cannot reach the upstream: the
+// fault may also be at the gateway that reports it.
+constexpr std::size_t kMinUnreachableReports = 2;
+constexpr std::size_t kGatewaysPerUnreachableReport = 20;
 // Share of the request limit of cold upstreams that is used. The rest covers requests that arrive
 // late.
 constexpr double kColdSafetyShare = 0.85;
@@ -179,6 +185,16 @@
   });
 }
 
+void UpstreamPool::apply_peer_reports(Upstream& upstream, Instant now) const {
+  const std::uint32_t unreachable =
+      load_aggregator_.peer_load(LoadAggregator::key_of(upstream.id_hash)).unreachable;
+  const auto quorum = std::max<std::size_t>(kMinUnreachableReports,
+                                            gateway_count() / kGatewaysPerUnreachableReport);
+  if (unreachable >= quorum) {
+    upstream.assumed_cold_until = now + kAssumedColdTime;
+  }
+}
+
 bool UpstreamPool::is_cold(const Upstream& upstream, Instant now) const {
   return now < std::max(upstream.cold_until, upstream.assumed_cold_until);
 }
@@ -372,6 +388,7 @@
           (!include_ejected && !is_healthy(upstream, query, now))) {
         continue;
       }
+      apply_peer_reports(upstream, now);
       if (!within_request_limit(upstream, *query.service, own_share, now)) {
         request_limited = true;
         continue;
@@ -497,6 +514,7 @@
       upstream.health.cancel_trial();
       upstream.failed_since_success = true;
       upstream.assumed_cold_until = now + kAssumedColdTime;
+      upstream.unreached_until = now + kUnreachableReportTime;
       upstream.ejected_until = now + kUnreachableEjection;
       cache_.exclude_from_fetch(id, now + kFetchExclusion);
       return;
@@ -535,6 +553,7 @@
   for (const auto& [id, upstream] : upstreams_) {
     InFlightLoad own_load = upstream.in_flight;
     own_load.consecutive_failures = upstream.health.consecutive_failures();
+    own_load.unreachable = now < upstream.unreached_until ? 1 : 0;
     if (own_load != InFlightLoad{}) {
       report.upstream_loads.push_back(
           {.upstream_key = LoadAggregator::key_of(upstream.id_hash), .in_flight = own_load});
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -219,9 +219,10 @@
     UpstreamRegistration registration;
     std::uint64_t id_hash = 0;
     Instant cold_until;
-    // The upstream may have been restarted: connections to it failed or were lost, and its
-    // registration has not been renewed since.
+    // The upstream may have been restarted: connections to it failed or were lost, here or at other
+    // gateways, and its registration has not been renewed since.
     Instant assumed_cold_until;
+    Instant unreached_until;  // Connections to it have failed lately; for the load report.
     bool failed_since_success = false;
     std::optional<Instant> kept_until;  // Set if the registration was removed around an outage.
     InFlightLoad in_flight;             // Requests of this gateway only.
@@ -247,6 +248,8 @@
   // the time at which it was set.
   using TargetVersions = std::vector<TargetVersion>;
 
+  // Takes in that other gateways cannot reach the upstream.
+  void apply_peer_reports(Upstream& upstream, Instant now) const;
   bool is_cold(const Upstream& upstream, Instant now) const;
   std::uint32_t cold_allowance(Upstream& upstream, double limit, Instant now) const;
   bool within_request_limit(Upstream& upstream,
