gateway: Refuse at once what no engine is expected to answer in time

AdmissionControl refuses a request if its first event is not expected within its latency goal at any engine. Less urgent requests leave room for urgent ones; an engine with a short queue takes prompts of any size. The expectation comes from FirstEventPredictor: queued and own tokens by a prefill rate that is learnt for each service, in place of two constants, with the error of past predictions. Requests above an engine's slots count as waiting. The refusal carries the time in which the queue is expected to drain, and one log line with its inputs.

Engines that cannot be connected to are left alone for 0.4 s, then twice as long each time, up to 3.2 s: they look idle, and each trial cost a request 300 ms. A short ejection no longer shortens a longer one.

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -176,6 +176,7 @@
     std::string_view cache_namespace,
     std::span<const PromptSegment> prompt,
     StoreUse use,
+    double prefill_tokens_per_ms,
     std::uint64_t tie_breaker,
     Instant now) const {
   FetchCandidates result;
@@ -183,7 +184,7 @@
   for (const PromptSegment& segment : prompt) {
     std::vector<FetchCandidates::Best>& by_zone = result.segments_.emplace_back(zones_.size());
     const std::uint64_t key = key_of(cache_namespace, segment.id);
-    const double prefill_ms = kPrefillCostFactor * segment.tokens / kPrefillTokensPerMs;
+    const double prefill_ms = kPrefillCostFactor * segment.tokens / prefill_tokens_per_ms;
     const double limit = std::max(kShortFetchMs, prefill_ms);
     for (const auto& [name, node] : nodes_) {
       const auto held = node.segments.find(key);
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -117,7 +117,6 @@
    * is also charged. */
   static constexpr double kShortFetchMs = 40;
   static constexpr double kPrefillCostFactor = 4;
-  static constexpr double kPrefillTokensPerMs = 50;
   /** Transfers between zones take longer by this factor. */
   static constexpr double kOtherZoneFactor = 2;
   /** Share of an engine's segments that are evicted before a fetch, because events arrive late. */
@@ -161,11 +160,13 @@
   class FetchCandidates;
   /** Finds the nodes from which to fetch each segment of a prompt.
    *
+   * @param prefill_tokens_per_ms  Rate at which engines prefill segments that are not fetched.
    * @param tie_breaker  Orders nodes of nearly equal cost. Differs between requests.
    */
   FetchCandidates fetch_candidates(std::string_view cache_namespace,
                                    std::span<const PromptSegment> prompt,
                                    StoreUse use,
+                                   double prefill_tokens_per_ms,
                                    std::uint64_t tie_breaker,
                                    Instant now) const;
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -144,16 +144,21 @@
 }
 
 PickQuery Forwarder::make_pick_query(const Request& request) const {
-  return PickQuery{.service = request.service,
-                   .zone = zone_,
-                   .model = request.caller.model,
-                   .account = request.account,
-                   .prompt = request.caller.prompt,
-                   .prompt_tokens = request.caller.prompt_tokens,
-                   .body_bytes = request.body.size(),
-                   .may_retry = request.route->may_retry(),
-                   .tie_breaker = hash64(request.caller.request_id),
-                   .excluded_ids = request.tried_upstreams};
+  return PickQuery{
+      .service = request.service,
+      .zone = zone_,
+      .model = request.caller.model,
+      .account = request.account,
+      .prompt = request.caller.prompt,
+      .prompt_tokens = request.caller.prompt_tokens,
+      .body_bytes = request.body.size(),
+      .may_retry = request.route->may_retry(),
+      .priority = request.route->priority,
+      // A request that may have run is not refused any more.
+      .latency_goal = request.possible_runs > 0 ? Duration{0} : request.route->latency_goal,
+      .time_left = time_left(request, clock_.now()),
+      .tie_breaker = hash64(request.caller.request_id),
+      .excluded_ids = request.tried_upstreams};
 }
 
 void Forwarder::dispatch(Request& request) {
@@ -165,6 +170,9 @@
   while (true) {
     const PickResult result = pool_.pick(make_pick_query(request), now);
     if (const auto* none = std::get_if<NoUpstreamAvailable>(&result)) {
+      if (none->admission) {
+        log_refused_admission(request, *none);
+      }
       if (request.response_started || request.possible_runs > 0) {
         fail_request(request, request.possible_runs > 0, none->reason);
       } else {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -194,6 +194,7 @@
   void run_due_checks();
   // Time left for an upstream to respond.
   Duration time_left(const Request& request, Instant now) const;
+  void log_refused_admission(const Request& request, const NoUpstreamAvailable& refusal) const;
   void log_request_end(const Request& request,
                        std::string_view outcome,
                        int status,
--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -74,6 +74,9 @@
                                          .close = close}));
   request.response_writer.complete(close);
   request.last_failure_reason = reason;
+  if (status == 503) {
+    metrics_.count("bluebellstep_gateway_refusals_total", std::string(reason));
+  }
   finish_request(request, status == 503 ? "refused" : "failed", status);
 }
 
@@ -111,6 +114,24 @@
   requests_.erase(request.id);
 }
 
+void Forwarder::log_refused_admission(const Request& request,
+                                      const NoUpstreamAvailable& refusal) const {
+  const FirstEventPredictor* predictor = pool_.predictor(request.service->name);
+  LogEvent("admission_refused")
+      .field("request", request.caller.request_id)
+      .field("service", request.service->name)
+      .field("queue_ms", static_cast<std::int64_t>(refusal.admission->queue_ms))
+      .field("own_ms", static_cast<std::int64_t>(refusal.admission->own_ms))
+      .field("max_queue_ms",
+             static_cast<std::int64_t>(AdmissionControl::max_queue_ms(*refusal.admission)))
+      .field("time_left_ms", refusal.admission->time_left.ms)
+      .field("retry_after_ms", refusal.retry_after.ms)
+      .field("tokens_per_s",
+             static_cast<std::int64_t>(1000 * (predictor == nullptr
+                                                   ? FirstEventPredictor::kInitialTokensPerMs
+                                                   : predictor->tokens_per_ms())));
+}
+
 void Forwarder::log_request_end(const Request& request,
                                 std::string_view outcome,
                                 int status,
--- a/src/gateway/serving_config.cc
+++ b/src/gateway/serving_config.cc
@@ -2,8 +2,32 @@
 
 #include "gateway/serving_config.h"
 
+#include <algorithm>
+
 namespace bluebellstep {
 
+void ServingConfig::set_urgent_goals() {
+  for (auto& [name, service] : services) {
+    service.urgent_latency_goal = Duration{0};
+  }
+  for (const RouteRule& route : routes) {
+    for (const WeightedService& target : route.targets) {
+      const auto service = services.find(target.service);
+      if (service == services.end()) {
+        continue;
+      }
+      ServiceInfo& info = service->second;
+      const bool first = info.urgent_latency_goal == Duration{0};
+      if (first || route.priority < info.urgent_priority) {
+        info.urgent_priority = route.priority;
+        info.urgent_latency_goal = route.latency_goal;
+      } else if (route.priority == info.urgent_priority) {
+        info.urgent_latency_goal = std::min(info.urgent_latency_goal, route.latency_goal);
+      }
+    }
+  }
+}
+
 const RouteRule* ServingConfig::find_route(std::string_view host, std::string_view path) const {
   const RouteRule* best = nullptr;
   for (const RouteRule& route : routes) {
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -76,9 +76,12 @@
 /** A service: a pool of upstreams, or a store for KV cache blocks. */
 struct ServiceInfo {
   std::string name;
-  std::uint32_t max_connections = 0;    // To each upstream, summed over all gateways.
-  double cold_requests_per_s = 0;       // Capacity of a cold upstream; 0 for no limit.
-  std::optional<EngineSpec> engine;     // Model engines only.
+  std::uint32_t max_connections = 0;  // To each upstream, summed over all gateways.
+  double cold_requests_per_s = 0;     // Capacity of a cold upstream; 0 for no limit.
+  std::optional<EngineSpec> engine;   // Model engines only.
+  // Of the most urgent routes to the service; set by `ServingConfig::set_urgent_goals`.
+  std::int64_t urgent_priority = 0;
+  Duration urgent_latency_goal{0};
   std::optional<CacheStoreSpec> store;  // Cache stores only; they serve no route.
 };
 
@@ -109,6 +112,9 @@
 
   /** If false, no request needs an API key. */
   bool has_accounts() const { return !accounts.empty(); }
+  /** Derives the goals of the most urgent routes of each service. Call once the routes and services
+   * are complete. */
+  void set_urgent_goals();
   /** Returns the route of `host` with the longest matching path prefix, or null. */
   const RouteRule* find_route(std::string_view host, std::string_view path) const;
   /** Returns the account that the API key belongs to, or null. */
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -214,6 +214,7 @@
   if (current != nullptr && config.version <= current->version) {
     return;
   }
+  config.set_urgent_goals();
   LogEvent("config_in_force")
       .field("version", config.version)
       .field("routes", static_cast<std::uint64_t>(config.routes.size()))
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -12,8 +12,6 @@
 namespace bluebellstep {
 namespace {
 
-// Prompt tokens that an engine prefills in a millisecond.
-constexpr double kPrefillTokensPerMs = 50;
 // Estimated wait caused by each request that an engine runs or has in its queue.
 constexpr double kWaitMsPerRunning = 0.4;
 constexpr double kWaitMsPerQueued = 15;
@@ -46,13 +44,13 @@
 constexpr double kPrefillPenaltyFactor = 3;
 
 constexpr Duration kUnreachableEjection{400};
+constexpr Duration kMaxUnreachableEjection{3200};
 // A fetch from an engine that has stopped fails only after some hundred milliseconds.
 constexpr Duration kFetchExclusion{3000};
 constexpr Duration kMisdirectedEjection{200};
 // The registration of a crashed upstream is removed after three missed reports.
 constexpr Duration kReplacedEjection{4000};
 // Time from the end of the prefill to the first event, including the round trip.
-constexpr double kFirstTokenMs = 30;
 constexpr Duration kFullEjection{100};
 // Roughly the time in which an engine completes its runs and loads new weights.
 constexpr Duration kLoadingWeightsEjection{800};
@@ -277,25 +275,39 @@
   return version && !is_past_limit(*version, query.model, now);
 }
 
-double UpstreamPool::estimated_wait_ms(const Upstream& upstream,
-                                       const PickQuery& query,
-                                       Instant now) const {
+const FirstEventPredictor& UpstreamPool::predictor_of(const ServiceInfo& service) const {
+  static const FirstEventPredictor initial;
+  const FirstEventPredictor* known = predictor(service.name);
+  return known == nullptr ? initial : *known;
+}
+
+const FirstEventPredictor* UpstreamPool::predictor(std::string_view service) const {
+  const auto found = predictors_.find(service);
+  return found == predictors_.end() ? nullptr : &found->second;
+}
+
+// Returns the work that an upstream has before it starts on a request.
+FirstEventPredictor::Work UpstreamPool::queued_work(const Upstream& upstream,
+                                                    const PickQuery& query,
+                                                    Instant now) const {
   const double age = static_cast<double>((now - upstream.load_reported_at).ms);
   const double load_weight = std::exp2(-age / kLoadHalfLifeMs);
   InFlightLoad in_flight = load_aggregator_.peer_load(LoadAggregator::key_of(upstream.id_hash));
   in_flight += upstream.in_flight;
+  const double slots = std::max<std::uint32_t>(1, upstream.registration.slots);
   if (!query.service->engine) {
     const double open_requests =
         std::max(static_cast<double>(in_flight.requests),
                  load_weight * (upstream.load.running + upstream.load.waiting));
-    const double slots = std::max<std::uint32_t>(1, upstream.registration.slots);
-    return open_requests * kPlainRequestMs / slots;
-  }
-  const double running =
-      std::max(static_cast<double>(in_flight.requests), load_weight * upstream.load.running);
-  double wait = static_cast<double>(in_flight.prefill_tokens) / kPrefillTokensPerMs +
-                running * kWaitMsPerRunning +
-                load_weight * upstream.load.waiting * kWaitMsPerQueued;
+    return {.other_ms = open_requests * kPlainRequestMs / slots};
+  }
+  const double requests = static_cast<double>(in_flight.requests);
+  const double running = std::max(requests, load_weight * upstream.load.running);
+  const double waiting =
+      std::max(load_weight * upstream.load.waiting, std::max(0.0, requests + 1 - slots));
+  FirstEventPredictor::Work work{
+      .tokens = static_cast<double>(in_flight.prefill_tokens),
+      .other_ms = running * kWaitMsPerRunning + waiting * kWaitMsPerQueued};
   // Running requests keep their prompts in the KV cache. A request that does not fit waits until
   // others end.
   const double usable_kv_tokens =
@@ -303,9 +315,9 @@
   const double needed_kv_tokens =
       static_cast<double>(in_flight.prompt_tokens) + query.prompt_tokens;
   if (needed_kv_tokens > usable_kv_tokens && usable_kv_tokens > 0) {
-    wait += kNoKvRoomMs * needed_kv_tokens / usable_kv_tokens;
+    work.other_ms += kNoKvRoomMs * needed_kv_tokens / usable_kv_tokens;
   }
-  return wait;
+  return work;
 }
 
 const UpstreamPool::PromptCacheState& UpstreamPool::cache_state_of(
@@ -326,8 +338,9 @@
   added.stores = {
       .fetch = rollout == rollouts_.end() || version >= rollout->second.complete_version,
       .save = version >= newest_target(query.model)};
-  added.fetch_candidates = cache_.fetch_candidates(added.cache_namespace, query.prompt,
-                                                   added.stores, query.tie_breaker, now);
+  added.fetch_candidates =
+      cache_.fetch_candidates(added.cache_namespace, query.prompt, added.stores,
+                              predictor_of(*query.service).tokens_per_ms(), query.tie_breaker, now);
   return cache_states.emplace(version, std::move(added)).first->second;
 }
 
@@ -337,38 +350,57 @@
   return limit * unit_interval(rendezvous_score(query.tie_breaker, upstream.id_hash));
 }
 
-// Returns the estimated cost of sending a request to an upstream, in ms. `rank` is the position of
-// the upstream in the affinity order of the prompt's first shared segment.
-double UpstreamPool::score(const Upstream& upstream,
-                           const PickQuery& query,
-                           std::size_t rank,
-                           CacheStateByVersion& cache_states,
-                           Instant now) const {
-  double score = estimated_wait_ms(upstream, query, now) + tie_break_ms(upstream, query);
+// Estimates the cost of sending a request to an upstream. `rank` is the position of the upstream in
+// the affinity order of the prompt's first shared segment.
+UpstreamPool::Estimate UpstreamPool::estimate(const Upstream& upstream,
+                                              const PickQuery& query,
+                                              std::size_t rank,
+                                              CacheStateByVersion& cache_states,
+                                              Instant now) const {
+  const double tokens_per_ms = predictor_of(*query.service).tokens_per_ms();
+  Estimate result{.queued = queued_work(upstream, query, now)};
+  result.cost_ms =
+      result.queued.tokens / tokens_per_ms + result.queued.other_ms + tie_break_ms(upstream, query);
   if (upstream.registration.zone != query.zone) {
-    score += kOtherZoneMs + kOtherZoneMsPerKb * static_cast<double>(query.body_bytes) / 1024;
+    result.cost_ms +=
+        kOtherZoneMs + kOtherZoneMsPerKb * static_cast<double>(query.body_bytes) / 1024;
   }
   if (!query.service->engine) {
-    return score;
+    return result;
   }
   const PromptCacheState& known = cache_state_of(upstream, query, cache_states, now);
   const CacheDirectory::Coverage coverage = cache_.coverage(
       upstream.registration.id, known.cache_namespace, query.prompt, known.fetch_candidates, now);
-  score += coverage.fetch_ms;
+  result.cost_ms += coverage.fetch_ms;
   const std::uint32_t own = query.prompt.empty() ? 0 : query.prompt.back().tokens;
   const std::uint32_t shared = query.prompt_tokens - std::min(own, query.prompt_tokens);
   const std::uint32_t covered = coverage.held_tokens + coverage.fetched_tokens;
+  result.own = {
+      .tokens = static_cast<double>(query.prompt_tokens - std::min(covered, query.prompt_tokens)),
+      .fetch_ms = coverage.fetch_ms};
   if (covered < shared) {
     const double cost =
         kRankCostShare[std::min(rank, std::size(kRankCostShare) - 1)] * kPrefillPenaltyFactor;
-    score += cost * (shared - covered) / kPrefillTokensPerMs;
+    result.cost_ms += cost * (shared - covered) / tokens_per_ms;
   }
   if (version_of(upstream, query.model).value_or(0) < newest_target(query.model)) {
     // Answers from older weights are worth less to the caller.
     constexpr double kOlderWeightsMs = 120;
-    score += kOlderWeightsMs;
+    result.cost_ms += kOlderWeightsMs;
   }
-  return score;
+  return result;
+}
+
+AdmissionInputs UpstreamPool::admission_inputs(const Estimate& estimate,
+                                               const PickQuery& query) const {
+  const double tokens_per_ms = predictor_of(*query.service).tokens_per_ms();
+  const bool is_urgent = query.priority <= query.service->urgent_priority;
+  return {
+      .queue_ms = estimate.queued.tokens / tokens_per_ms + estimate.queued.other_ms,
+      .own_ms = predictor_of(*query.service).predict_ms(estimate.own),
+      .latency_goal = query.latency_goal,
+      .urgent_goal = is_urgent ? std::nullopt : std::optional(query.service->urgent_latency_goal),
+      .time_left = query.time_left};
 }
 
 PickResult UpstreamPool::pick(const PickQuery& query, Instant now) {
@@ -405,33 +437,61 @@
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate& a, const Candidate& b) { return a.affinity > b.affinity; });
   }
+  const bool may_refuse = query.service->engine && query.latency_goal > Duration{0};
   const Candidate* best = nullptr;
-  double best_score = 0;
+  Estimate best_estimate;
+  std::optional<Duration> shortest_delay;
+  NoUpstreamAvailable refusal{.reason = "overloaded"};
   CacheStateByVersion cache_states;
   for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
-    const double value = score(*candidates[rank].upstream, query, rank, cache_states, now);
-    if (best == nullptr || value < best_score) {
+    const Estimate candidate = estimate(*candidates[rank].upstream, query, rank, cache_states, now);
+    if (may_refuse) {
+      const AdmissionInputs inputs = admission_inputs(candidate, query);
+      if (const auto delay = AdmissionControl::retry_delay(inputs)) {
+        if (!shortest_delay || *delay < *shortest_delay) {
+          shortest_delay = delay;
+          refusal.retry_after = *delay;
+          refusal.admission = inputs;
+        }
+        continue;
+      }
+    }
+    if (best == nullptr || candidate.cost_ms < best_estimate.cost_ms) {
       best = &candidates[rank];
-      best_score = value;
+      best_estimate = candidate;
     }
   }
-  const UpstreamRegistration& registration = best->upstream->registration;
+  if (best == nullptr) {
+    return refusal;
+  }
+  return plan_request(*best->upstream, best_estimate, query, cache_states, now);
+}
+
+PickedUpstream UpstreamPool::plan_request(const Upstream& upstream,
+                                          const Estimate& estimate,
+                                          const PickQuery& query,
+                                          CacheStateByVersion& cache_states,
+                                          Instant now) const {
+  const UpstreamRegistration& registration = upstream.registration;
   PickedUpstream picked{.upstream_id = registration.id,
                         .endpoint = registration.endpoint,
-                        .weight_version = version_of(*best->upstream, query.model),
-                        .expected_wait_ms = estimated_wait_ms(*best->upstream, query, now)};
-  if (query.service->engine) {
-    const PromptCacheState& known = cache_state_of(*best->upstream, query, cache_states, now);
-    const CacheDirectory::Coverage coverage = cache_.coverage(
-        registration.id, known.cache_namespace, query.prompt, known.fetch_candidates, now);
-    picked.cache_namespace = known.cache_namespace;
-    picked.held_tokens = coverage.held_tokens;
-    picked.cache_plan = cache_.plan(registration.id, known.cache_namespace, query.prompt,
-                                    known.fetch_candidates, known.stores, now);
-    picked.uncached_tokens =
-        query.prompt_tokens -
-        std::min(query.prompt_tokens, coverage.held_tokens + picked.cache_plan.fetched_tokens);
+                        .weight_version = version_of(upstream, query.model)};
+  if (!query.service->engine) {
+    return picked;
   }
+  const PromptCacheState& known = cache_state_of(upstream, query, cache_states, now);
+  const CacheDirectory::Coverage coverage = cache_.coverage(
+      registration.id, known.cache_namespace, query.prompt, known.fetch_candidates, now);
+  picked.cache_namespace = known.cache_namespace;
+  picked.held_tokens = coverage.held_tokens;
+  picked.cache_plan = cache_.plan(registration.id, known.cache_namespace, query.prompt,
+                                  known.fetch_candidates, known.stores, now);
+  picked.uncached_tokens =
+      query.prompt_tokens -
+      std::min(query.prompt_tokens, coverage.held_tokens + picked.cache_plan.fetched_tokens);
+  picked.expected_work = {.tokens = estimate.queued.tokens + picked.uncached_tokens,
+                          .fetch_ms = picked.cache_plan.fetch_ms,
+                          .other_ms = estimate.queued.other_ms};
   return picked;
 }
 
@@ -465,13 +525,16 @@
 }
 
 void UpstreamPool::record_first_event(const PickedUpstream& picked, Duration elapsed, Instant now) {
-  if (!picked.cache_plan.fetches()) {
+  const auto found = upstreams_.find(picked.upstream_id);
+  if (found == upstreams_.end()) {
     return;
   }
-  const auto expected =
-      static_cast<std::int64_t>(picked.expected_wait_ms + picked.cache_plan.fetch_ms +
-                                picked.uncached_tokens / kPrefillTokensPerMs + kFirstTokenMs);
-  cache_.record_fetch_delay(picked.cache_plan.fetch_endpoints, elapsed - Duration{expected}, now);
+  FirstEventPredictor& predictor = predictors_[found->second.registration.service];
+  const auto expected = static_cast<std::int64_t>(predictor.predict_ms(picked.expected_work));
+  if (picked.cache_plan.fetches()) {
+    cache_.record_fetch_delay(picked.cache_plan.fetch_endpoints, elapsed - Duration{expected}, now);
+  }
+  predictor.record(picked.expected_work, elapsed);
 }
 
 void UpstreamPool::record_finished(std::string_view id,
@@ -493,6 +556,7 @@
   switch (outcome) {
     case AttemptOutcome::kAnswered:
       upstream.health.record_success(now);
+      upstream.unreachable_ejection = Duration{0};
       if (std::exchange(upstream.failed_since_success, false)) {
         upstream.assumed_cold_until = now + kAssumedColdTime;
       }
@@ -515,7 +579,12 @@
       upstream.failed_since_success = true;
       upstream.assumed_cold_until = now + kAssumedColdTime;
       upstream.unreached_until = now + kUnreachableReportTime;
-      upstream.ejected_until = now + kUnreachableEjection;
+      upstream.unreachable_ejection =
+          upstream.unreachable_ejection == Duration{0}
+              ? kUnreachableEjection
+              : std::min(upstream.unreachable_ejection * 2, kMaxUnreachableEjection);
+      upstream.ejected_until =
+          std::max(upstream.ejected_until, now + upstream.unreachable_ejection);
       cache_.exclude_from_fetch(id, now + kFetchExclusion);
       return;
     case AttemptOutcome::kFailed:
@@ -540,7 +609,8 @@
 
 void UpstreamPool::record_misdirected(std::string_view id, bool replaced, Instant now) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
-    found->second.ejected_until = now + (replaced ? kReplacedEjection : kMisdirectedEjection);
+    Instant& until = found->second.ejected_until;
+    until = std::max(until, now + (replaced ? kReplacedEjection : kMisdirectedEjection));
   }
 }
 
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -24,8 +24,10 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/admission_control.h"
 #include "gateway/cache_directory.h"
 #include "gateway/decoded_headers.h"
+#include "gateway/first_event_predictor.h"
 #include "gateway/load_aggregator.h"
 #include "gateway/request_quota.h"
 #include "gateway/serving_config.h"
@@ -59,7 +61,10 @@
   std::span<const PromptSegment> prompt;
   std::uint32_t prompt_tokens = 0;
   std::size_t body_bytes = 0;
-  bool may_retry = false;  // The request may be sent to another upstream if it fails.
+  bool may_retry = false;     // The request may be sent to another upstream if it fails.
+  std::int64_t priority = 0;  // Of the route; 0 is the most urgent.
+  Duration latency_goal{0};   // 0 if the request is sent whatever the load is.
+  Duration time_left{0};      // Until the deadline of the request.
   // Orders upstreams with nearly equal scores. Differs between requests.
   std::uint64_t tie_breaker = 0;
   std::span<const std::string> excluded_ids;  // Upstreams that were already tried.
@@ -70,10 +75,10 @@
   std::string upstream_id;
   Endpoint endpoint;
   std::optional<std::uint64_t> weight_version;
-  double expected_wait_ms = 0;        // Estimated wait before the upstream starts on the request.
-  std::uint32_t uncached_tokens = 0;  // Prompt tokens that the engine must prefill.
-  std::uint32_t held_tokens = 0;      // Prompt tokens expected in the engine's own KV cache.
-  std::string cache_namespace;        // Of the prompt's cached segments. Empty for plain services.
+  FirstEventPredictor::Work expected_work;  // Until the first event. Engines only.
+  std::uint32_t uncached_tokens = 0;        // Prompt tokens that the engine must prefill.
+  std::uint32_t held_tokens = 0;            // Prompt tokens expected in the engine's own KV cache.
+  std::string cache_namespace;  // Of the prompt's cached segments. Empty for plain services.
   CachePlan cache_plan;
 };
 
@@ -81,6 +86,8 @@
 struct NoUpstreamAvailable {
   Duration retry_after{0};  // Suggested to the caller.
   std::string_view reason;
+  // Of the engine with the shortest queue, if that was too long.
+  std::optional<AdmissionInputs> admission;
 };
 using PickResult = std::variant<PickedUpstream, NoUpstreamAvailable>;
 
@@ -196,6 +203,9 @@
    * of older versions in stores can be freed. */
   std::map<std::string, std::uint64_t> settled_versions(Instant now) const;
 
+  /** The prediction of first events by the engines of a service; null before the first request. */
+  const FirstEventPredictor* predictor(std::string_view service) const;
+
   /** Maximum number of connections from this gateway to one upstream of a service. */
   std::size_t connection_limit(const ServiceInfo& service) const;
 
@@ -232,6 +242,8 @@
     // Set while the upstream is full, loads weights, cannot be reached or has been replaced at its
     // address. Independent of `health`.
     Instant ejected_until;
+    // Doubles with each failed connection; 0 after an answer.
+    Duration unreachable_ejection{0};
     std::deque<Instant> recent_request_times;  // Times of requests within `kColdWindow`.
     // Allowance of `quota_` for a limit, as long as `quota_version` is its membership version.
     std::uint32_t cold_allowance = 0;
@@ -268,16 +280,32 @@
   using CacheStateByVersion = std::map<std::uint64_t, PromptCacheState>;
 
   static double tie_break_ms(const Upstream& upstream, const PickQuery& query);
-  double score(const Upstream& upstream,
-               const PickQuery& query,
-               std::size_t rank,
-               CacheStateByVersion& cache_states,
-               Instant now) const;
+  // The estimates for a request at one upstream.
+  struct Estimate {
+    double cost_ms = 0;                // Upstreams are compared by it.
+    FirstEventPredictor::Work queued;  // Before the upstream starts on the request.
+    FirstEventPredictor::Work own;     // Of the request itself.
+  };
+  Estimate estimate(const Upstream& upstream,
+                    const PickQuery& query,
+                    std::size_t rank,
+                    CacheStateByVersion& cache_states,
+                    Instant now) const;
+  // Returns what decides on the admission of the request at an engine.
+  AdmissionInputs admission_inputs(const Estimate& estimate, const PickQuery& query) const;
   const PromptCacheState& cache_state_of(const Upstream& upstream,
                                          const PickQuery& query,
                                          CacheStateByVersion& cache_states,
                                          Instant now) const;
-  double estimated_wait_ms(const Upstream& upstream, const PickQuery& query, Instant now) const;
+  PickedUpstream plan_request(const Upstream& upstream,
+                              const Estimate& estimate,
+                              const PickQuery& query,
+                              CacheStateByVersion& cache_states,
+                              Instant now) const;
+  FirstEventPredictor::Work queued_work(const Upstream& upstream,
+                                        const PickQuery& query,
+                                        Instant now) const;
+  const FirstEventPredictor& predictor_of(const ServiceInfo& service) const;
   std::optional<std::uint64_t> version_of(const Upstream& upstream, std::string_view model) const;
   bool has_older_weights(const Upstream& upstream) const;
   std::uint64_t newest_target(std::string_view model) const;
@@ -300,6 +328,7 @@
   };
   std::map<std::string, Rollout, std::less<>> rollouts_;  // By model.
   std::function<void(std::uint32_t)> on_prompt_sent_;
+  std::map<std::string, FirstEventPredictor, std::less<>> predictors_;  // By service.
   // Times of requests to all upstreams within the last second.
   std::deque<Instant> recent_request_times_;
   std::optional<Instant> store_unreachable_since_;
