--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -12,6 +12,7 @@
 #include "gateway/caller_listener.h"
 #include "gateway/forwarder.h"
 #include "gateway/load_report_exchange.h"
+#include "gateway/request_quota.h"
 #include "gateway/rollout_driver.h"
 #include "gateway/state_synchronizer.h"
 #include "gateway/upstream_pool.h"
@@ -49,9 +50,10 @@
 // Everything that runs on the HTTP thread.
 struct GatewayComponents {
   GatewayComponents(HttpLoop& loop, HttpClient& client, const GatewaySettings& settings)
-      : pool(pool_limits(settings.bounds), cache_directory, load_aggregator),
+      : quota(settings.name, clock.now()),
+        pool(pool_limits(settings.bounds), cache_directory, load_aggregator, quota),
         forwarder(loop, pool, metrics, settings.zone, retry_limits(settings.bounds)),
-        synchronizer(loop, client, settings, pool, cache_directory, forwarder),
+        synchronizer(loop, client, settings, pool, quota, cache_directory, forwarder),
         rollout_driver(loop, client, settings, pool),
         load_report_exchange(
             loop,
@@ -61,8 +63,10 @@
             [this](LoadReport report) { on_load_report(std::move(report)); }),
         caller_listener(loop, settings.callers, forwarder) {
     synchronizer.on_weights_changed([this] { rollout_driver.refresh(); });
-    synchronizer.on_peers_changed(
-        [this](std::vector<Endpoint> peers) { load_report_exchange.set_peers(std::move(peers)); });
+    synchronizer.on_peers_changed([this](std::vector<Endpoint> peers) {
+      load_report_exchange.set_peers(std::move(peers));
+      rollout_driver.set_lease_rank(synchronizer.lease_rank());
+    });
     pool.on_prompt_sent([this](std::uint32_t tokens) { load_report_exchange.record_sent(tokens); });
     synchronizer.start();
     flush_log(loop);
@@ -83,6 +87,7 @@
   void on_load_report(LoadReport report) {
     const Instant now = clock.now();
     synchronizer.on_gateway_report(report.gateway);
+    quota.on_report(report.gateway);
     cache_directory.record_sent_by_peers(report.sent_segments, now);
     load_aggregator.apply(std::move(report), now);
   }
@@ -96,6 +101,7 @@
   Metrics metrics;
   LoadAggregator load_aggregator;
   CacheDirectory cache_directory{load_aggregator};
+  RequestQuota quota;
   UpstreamPool pool;
   Forwarder forwarder;
   StateSynchronizer synchronizer;
@@ -174,8 +180,10 @@
       loop, HttpServerOptions{.listen = settings.peers},
       HttpServer::Listener{.on_request = [&](ExchangeId exchange, const HttpRequest& request) {
         respond_if_running(peers_server.get(), exchange, [&] {
-          peers_server->respond(exchange, 200, {{"content-type", "application/json"}},
-                                components->synchronizer.answer_peer_query(request.path));
+          components->synchronizer.on_peer_request(request.path, [&, exchange](std::string body) {
+            peers_server->respond(exchange, 200, {{"content-type", "application/json"}},
+                                  std::move(body));
+          });
         });
       }});
   metrics_server = std::make_unique<HttpServer>(
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -41,6 +41,8 @@
   Duration timeout{0};  // Limit from the arrival of a request to the end of its answer.
   // Idempotent requests are retried after a multiple of this time without progress.
   Duration latency_goal{0};
+  // Streams: callers abandon a stream after this time without an event, also before the first one.
+  Duration stream_patience{2000};
   std::int64_t priority = 0;  // 0 is the most urgent.
   std::vector<WeightedService> targets;
   std::uint32_t max_attempts = 1;  // Upstreams that one request may run on.
@@ -74,9 +76,12 @@
 /** A service: a pool of upstreams, or a store for KV cache blocks. */
 struct ServiceInfo {
   std::string name;
-  std::uint32_t max_connections = 0;    // To each upstream, summed over all gateways.
-  double cold_requests_per_s = 0;       // Capacity of a cold upstream; 0 for no limit.
-  std::optional<EngineSpec> engine;     // Model engines only.
+  std::uint32_t max_connections = 0;  // To each upstream, summed over all gateways.
+  double cold_requests_per_s = 0;     // Capacity of a cold upstream; 0 for no limit.
+  std::optional<EngineSpec> engine;   // Model engines only.
+  // Of the most urgent routes to the service; set by `ServingConfig::set_urgent_goals`.
+  std::int64_t urgent_priority = 0;
+  Duration urgent_latency_goal{0};
   std::optional<CacheStoreSpec> store;  // Cache stores only; they serve no route.
 };
 
@@ -107,6 +112,9 @@
 
   /** If false, no request needs an API key. */
   bool has_accounts() const { return !accounts.empty(); }
+  /** Derives the goals of the most urgent routes of each service. Call once the routes and services
+   * are complete. */
+  void set_urgent_goals();
   /** Returns the route of `host` with the longest matching path prefix, or null. */
   const RouteRule* find_route(std::string_view host, std::string_view path) const;
   /** Returns the account that the API key belongs to, or null. */
--- a/src/gateway/store_watcher.cc
+++ b/src/gateway/store_watcher.cc
@@ -14,7 +14,12 @@
                            const Endpoint& store,
                            platform::ObjectKind kind,
                            Listener listener)
-    : loop_(loop), client_(client), store_(store), kind_(kind), listener_(std::move(listener)) {}
+    : loop_(loop),
+      client_(client),
+      store_(store),
+      kind_(kind),
+      listener_(std::move(listener)),
+      watch_wait_(kind == platform::ObjectKind::kGateways ? kGatewaysWatchWait : kWatchWait) {}
 
 StoreWatcher::~StoreWatcher() = default;
 
@@ -69,10 +74,22 @@
   can_watch_ = true;
   notify_changes(replica_.replace(std::exchange(listed_objects_, {}), list_revision_));
   listener_.on_call_ended(true);
-  watch(watch_wait());
+  watch(watch_wait_);
+}
+
+void StoreWatcher::resume() {
+  paused_ = false;
+  if (std::exchange(stopped_by_pause_, false)) {
+    // The store may have become unreachable meanwhile.
+    watch(kProbeWait);
+  }
 }
 
 void StoreWatcher::watch(Duration wait) {
+  if (paused_) {
+    stopped_by_pause_ = true;
+    return;
+  }
   send(platform::watch_call(store_, kind_, replica_.revision(), wait, kCallTimeout),
        &StoreWatcher::on_watch_answer);
 }
@@ -85,9 +102,9 @@
                           const bool changed = !changes.changes.empty();
                           notify_changes(replica_.apply(std::move(changes)));
                           if (changed) {
-                            run_after(batch_delay(), [this] { watch(watch_wait()); });
+                            run_after(batch_delay(), [this] { watch(watch_wait_); });
                           } else {
-                            watch(watch_wait());
+                            watch(watch_wait_);
                           }
                         },
                         [&](const platform::HistoryExpired&) {
@@ -102,10 +119,6 @@
              result);
 }
 
-Duration StoreWatcher::watch_wait() const {
-  return kind_ == platform::ObjectKind::kGateways ? kGatewaysWatchWait : kWatchWait;
-}
-
 Duration StoreWatcher::batch_delay() const {
   switch (kind_) {
     case platform::ObjectKind::kUpstreams:
@@ -149,6 +162,10 @@
   can_watch_ = true;
 }
 
+void StoreWatcher::apply_changes(platform::ObjectChanges changes) {
+  notify_changes(replica_.apply(std::move(changes)));
+}
+
 void StoreWatcher::notify_changes(ObjectReplica::Changes changes) {
   if (!changes.empty()) {
     listener_.on_changes(std::move(changes));
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -60,9 +60,21 @@
   StoreWatcher& operator=(const StoreWatcher&) = delete;
   ~StoreWatcher();
 
+  /** Sets how long the store may hold the next watches. */
+  void set_watch_wait(Duration wait) { watch_wait_ = wait; }
+
   /** Starts to list and watch. Call once. */
   void start();
 
+  /** Stops sending watches while another source passes the changes on. A watch in progress ends
+   * first. */
+  void pause() { paused_ = true; }
+  /** Watches again. */
+  void resume();
+
+  /** Applies changes that a peer passed on. */
+  void apply_changes(platform::ObjectChanges changes);
+
   /** Replaces the replica by a peer's complete list, if its `revision` of the store is newer. */
   void apply_snapshot(std::vector<platform::StoredObject> objects, std::uint64_t revision);
 
@@ -77,7 +89,6 @@
   void on_watch_answer(const HttpClient::Response& response);
   void on_call_failed(const PlatformUnavailable& fault);
   void retry();
-  Duration watch_wait() const;
   Duration batch_delay() const;
   void notify_changes(ObjectReplica::Changes changes);
   template <typename Handler>
@@ -92,7 +103,10 @@
   ObjectReplica replica_;
   // A watch may start from the replica's revision. If not, the objects must be listed first.
   bool can_watch_ = false;
-  bool reachable_ = true;                               // The store answered the last call.
+  Duration watch_wait_;
+  bool reachable_ = true;  // The store answered the last call.
+  bool paused_ = false;
+  bool stopped_by_pause_ = false;                       // `resume` must send the next call.
   std::vector<platform::StoredObject> listed_objects_;  // From the pages of the list in progress.
   std::uint64_t list_revision_ = 0;  // The store's revision in the first page of the list.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -24,9 +24,12 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/admission_control.h"
 #include "gateway/cache_directory.h"
 #include "gateway/decoded_headers.h"
+#include "gateway/first_event_predictor.h"
 #include "gateway/load_aggregator.h"
+#include "gateway/request_quota.h"
 #include "gateway/serving_config.h"
 #include "gateway/upstream_health.h"
 
@@ -58,7 +61,10 @@
   std::span<const PromptSegment> prompt;
   std::uint32_t prompt_tokens = 0;
   std::size_t body_bytes = 0;
-  bool may_retry = false;  // The request may be sent to another upstream if it fails.
+  bool may_retry = false;     // The request may be sent to another upstream if it fails.
+  std::int64_t priority = 0;  // Of the route; 0 is the most urgent.
+  Duration latency_goal{0};   // 0 if the request is sent whatever the load is.
+  Duration time_left{0};      // Until the deadline of the request.
   // Orders upstreams with nearly equal scores. Differs between requests.
   std::uint64_t tie_breaker = 0;
   std::span<const std::string> excluded_ids;  // Upstreams that were already tried.
@@ -69,10 +75,10 @@
   std::string upstream_id;
   Endpoint endpoint;
   std::optional<std::uint64_t> weight_version;
-  double expected_wait_ms = 0;        // Estimated wait before the upstream starts on the request.
-  std::uint32_t uncached_tokens = 0;  // Prompt tokens that the engine must prefill.
-  std::uint32_t held_tokens = 0;      // Prompt tokens expected in the engine's own KV cache.
-  std::string cache_namespace;        // Of the prompt's cached segments. Empty for plain services.
+  FirstEventPredictor::Work expected_work;  // Until the first event. Engines only.
+  std::uint32_t uncached_tokens = 0;        // Prompt tokens that the engine must prefill.
+  std::uint32_t held_tokens = 0;            // Prompt tokens expected in the engine's own KV cache.
+  std::string cache_namespace;  // Of the prompt's cached segments. Empty for plain services.
   CachePlan cache_plan;
 };
 
@@ -80,6 +86,8 @@
 struct NoUpstreamAvailable {
   Duration retry_after{0};  // Suggested to the caller.
   std::string_view reason;
+  // Of the engine with the shortest queue, if that was too long.
+  std::optional<AdmissionInputs> admission;
 };
 using PickResult = std::variant<PickedUpstream, NoUpstreamAvailable>;
 
@@ -100,8 +108,12 @@
  */
 class UpstreamPool {
  public:
-  UpstreamPool(PoolLimits limits, CacheDirectory& cache, const LoadAggregator& load_aggregator)
-      : limits_(limits), cache_(cache), load_aggregator_(load_aggregator) {}
+  /** @param quota  Divides the limits of cold upstreams among the gateways. */
+  UpstreamPool(PoolLimits limits,
+               CacheDirectory& cache,
+               const LoadAggregator& load_aggregator,
+               const RequestQuota& quota)
+      : limits_(limits), cache_(cache), load_aggregator_(load_aggregator), quota_(quota) {}
 
   void set_limits(const PoolLimits& limits) { limits_ = limits; }
 
@@ -127,10 +139,11 @@
    * shortly after it are kept for `PoolLimits::reregistration_grace`: they expire because upstreams
    * cannot renew them, and upstreams that still run register again. */
   void set_store_reachable(bool reachable, Instant now);
+  /** An outage that ended this long ago may still remove registrations. */
+  static constexpr Duration kOutageNoticeTime{2500};
   /** Removes the upstreams that were kept because of an outage and did not register again. */
   void remove_expired_registrations(Instant now);
-  void set_gateway_count(std::size_t count) { gateway_count_ = count < 1 ? 1 : count; }
-  std::size_t gateway_count() const { return gateway_count_; }
+  std::size_t gateway_count() const { return quota_.gateway_count(); }
 
   /** Chooses an upstream. Does not count the request; call `record_sent` when it is sent. */
   PickResult pick(const PickQuery& query, Instant now);
@@ -190,6 +203,9 @@
    * of older versions in stores can be freed. */
   std::map<std::string, std::uint64_t> settled_versions(Instant now) const;
 
+  /** The prediction of first events by the engines of a service; null before the first request. */
+  const FirstEventPredictor* predictor(std::string_view service) const;
+
   /** Maximum number of connections from this gateway to one upstream of a service. */
   std::size_t connection_limit(const ServiceInfo& service) const;
 
@@ -213,6 +229,11 @@
     UpstreamRegistration registration;
     std::uint64_t id_hash = 0;
     Instant cold_until;
+    // The upstream may have been restarted: connections to it failed or were lost, here or at other
+    // gateways, and its registration has not been renewed since.
+    Instant assumed_cold_until;
+    Instant unreached_until;  // Connections to it have failed lately; for the load report.
+    bool failed_since_success = false;
     std::optional<Instant> kept_until;  // Set if the registration was removed around an outage.
     InFlightLoad in_flight;             // Requests of this gateway only.
     ReportedLoad load;
@@ -221,7 +242,13 @@
     // Set while the upstream is full, loads weights, cannot be reached or has been replaced at its
     // address. Independent of `health`.
     Instant ejected_until;
-    std::deque<Instant> recent_request_times;  // Times of requests within the last second.
+    // Doubles with each failed connection; 0 after an answer.
+    Duration unreachable_ejection{0};
+    std::deque<Instant> recent_request_times;  // Times of requests within `kColdWindow`.
+    // Allowance of `quota_` for a limit, as long as `quota_version` is its membership version.
+    std::uint32_t cold_allowance = 0;
+    double cold_allowance_limit = 0;
+    std::uint64_t quota_version = 0;
   };
 
   struct TargetVersion {
@@ -233,7 +260,10 @@
   // the time at which it was set.
   using TargetVersions = std::vector<TargetVersion>;
 
+  // Takes in that other gateways cannot reach the upstream.
+  void apply_peer_reports(Upstream& upstream, Instant now) const;
   bool is_cold(const Upstream& upstream, Instant now) const;
+  std::uint32_t cold_allowance(Upstream& upstream, double limit, Instant now) const;
   bool within_request_limit(Upstream& upstream,
                             const ServiceInfo& service,
                             double traffic_share,
@@ -250,16 +280,32 @@
   using CacheStateByVersion = std::map<std::uint64_t, PromptCacheState>;
 
   static double tie_break_ms(const Upstream& upstream, const PickQuery& query);
-  double score(const Upstream& upstream,
-               const PickQuery& query,
-               std::size_t rank,
-               CacheStateByVersion& cache_states,
-               Instant now) const;
+  // The estimates for a request at one upstream.
+  struct Estimate {
+    double cost_ms = 0;                // Upstreams are compared by it.
+    FirstEventPredictor::Work queued;  // Before the upstream starts on the request.
+    FirstEventPredictor::Work own;     // Of the request itself.
+  };
+  Estimate estimate(const Upstream& upstream,
+                    const PickQuery& query,
+                    std::size_t rank,
+                    CacheStateByVersion& cache_states,
+                    Instant now) const;
+  // Returns what decides on the admission of the request at an engine.
+  AdmissionInputs admission_inputs(const Estimate& estimate, const PickQuery& query) const;
   const PromptCacheState& cache_state_of(const Upstream& upstream,
                                          const PickQuery& query,
                                          CacheStateByVersion& cache_states,
                                          Instant now) const;
-  double estimated_wait_ms(const Upstream& upstream, const PickQuery& query, Instant now) const;
+  PickedUpstream plan_request(const Upstream& upstream,
+                              const Estimate& estimate,
+                              const PickQuery& query,
+                              CacheStateByVersion& cache_states,
+                              Instant now) const;
+  FirstEventPredictor::Work queued_work(const Upstream& upstream,
+                                        const PickQuery& query,
+                                        Instant now) const;
+  const FirstEventPredictor& predictor_of(const ServiceInfo& service) const;
   std::optional<std::uint64_t> version_of(const Upstream& upstream, std::string_view model) const;
   bool has_older_weights(const Upstream& upstream) const;
   std::uint64_t newest_target(std::string_view model) const;
@@ -268,6 +314,7 @@
   PoolLimits limits_;
   CacheDirectory& cache_;
   const LoadAggregator& load_aggregator_;
+  const RequestQuota& quota_;
   std::map<std::string, Upstream, std::less<>> upstreams_;
   std::set<std::string, std::less<>> zones_out_of_service_;
   std::map<std::string, TargetVersions, std::less<>> targets_;  // By model; lists are never empty.
@@ -281,9 +328,9 @@
   };
   std::map<std::string, Rollout, std::less<>> rollouts_;  // By model.
   std::function<void(std::uint32_t)> on_prompt_sent_;
+  std::map<std::string, FirstEventPredictor, std::less<>> predictors_;  // By service.
   // Times of requests to all upstreams within the last second.
   std::deque<Instant> recent_request_times_;
-  std::size_t gateway_count_ = 1;
   std::optional<Instant> store_unreachable_since_;
   std::optional<Instant> store_reachable_since_;
 };
