gateway: Pass changes of the store on in two steps, from one reader of all zones

Now one gateway reads the store, one of each other zone follows it, and the others follow that one, so that each change crosses to another zone once. Answers carry the age of the store's last answer, and a gateway that can follow none reads the store itself.

--- a/src/gateway/object_changes.cc
+++ b/src/gateway/object_changes.cc
@@ -109,7 +109,7 @@
   for (const KindChanges& kind : answer.kinds) {
     kinds.push_back(encode_kind(kind));
   }
-  Json json = {{"current", answer.current}, {"kinds", std::move(kinds)}};
+  Json json = {{"current", answer.current}, {"age_ms", answer.age.ms}, {"kinds", std::move(kinds)}};
   if (answer.store_regained_ago) {
     json["store_regained_ago_ms"] = answer.store_regained_ago->ms;
   }
@@ -122,7 +122,8 @@
     return std::nullopt;
   }
   try {
-    ChangesAnswer answer{.current = json.at("current").get<bool>()};
+    ChangesAnswer answer{.current = json.at("current").get<bool>(),
+                         .age = Duration{json.at("age_ms").get<std::int64_t>()}};
     if (const auto ago = json.find("store_regained_ago_ms"); ago != json.end()) {
       answer.store_regained_ago = Duration{ago->get<std::int64_t>()};
     }
--- a/src/gateway/object_changes.h
+++ b/src/gateway/object_changes.h
@@ -38,6 +38,7 @@
 struct ChangesAnswer {
   // The gateway reads the store itself and has had an answer lately.
   bool current = false;
+  Duration age{0};                             // Since the store's last answer.
   std::optional<Duration> store_regained_ago;  // Unset if the store was never lost.
   std::vector<KindChanges> kinds;              // Only those with a newer revision.
 };
--- a/src/gateway/object_changes_test.cc
+++ b/src/gateway/object_changes_test.cc
@@ -22,7 +22,7 @@
   CHECK(query.known == KnownRevisions{7, 0, 12});
   CHECK(query.wait == Duration{1000});
 
-  ChangesAnswer answer{.current = true, .store_regained_ago = Duration{90}};
+  ChangesAnswer answer{.current = true, .age = Duration{40}, .store_regained_ago = Duration{90}};
   answer.kinds.push_back({.kind = platform::ObjectKind::kUpstreams,
                           .revision = 9,
                           .content = std::vector<platform::ObjectChange>{
@@ -33,6 +33,7 @@
   const auto decoded = decode_changes_answer(encode_changes_answer(answer));
   REQUIRE(decoded);
   CHECK(decoded->current);
+  CHECK(decoded->age == Duration{40});
   CHECK(decoded->store_regained_ago == Duration{90});
   REQUIRE(decoded->kinds.size() == 2);
   const auto& changes = std::get<std::vector<platform::ObjectChange>>(decoded->kinds[0].content);
@@ -47,8 +48,8 @@
   CHECK_FALSE(decode_changes_answer(""));
   CHECK_FALSE(decode_changes_answer("[]"));
   CHECK_FALSE(decode_changes_answer(R"({"kinds":[]})"));
-  CHECK_FALSE(decode_changes_answer(R"({"current":true,"kinds":[{"kind":1}]})"));
-  CHECK_FALSE(decode_changes_answer(R"({"current":true,"kinds":7})"));
+  CHECK_FALSE(decode_changes_answer(R"({"current":true,"age_ms":0,"kinds":[{"kind":1}]})"));
+  CHECK_FALSE(decode_changes_answer(R"({"current":true,"age_ms":0,"kinds":7})"));
   CHECK(decode_changes_query("/v1/changes").known.empty());
   CHECK(decode_changes_query("/v1/changes?known=x,,&wait_ms=-1").wait == Duration{0});
 }
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -453,10 +453,14 @@
   return false;
 }
 
+Instant StateSynchronizer::current_until() const {
+  return store_answered_at_ + (following_ ? kMaxFollowedAnswerAge : kMaxAnswerAge);
+}
+
 ChangesAnswer StateSynchronizer::changes_since(const KnownRevisions& known) const {
   const Instant now = clock_.now();
-  ChangesAnswer answer{.current = !following_ && store_reachable_ &&
-                                  now < store_answered_at_ + kMaxAnswerAge};
+  ChangesAnswer answer{.current = store_reachable_ && now < current_until(),
+                       .age = now - store_answered_at_};
   if (store_regained_at_) {
     answer.store_regained_ago = now - *store_regained_at_;
   }
@@ -492,7 +496,7 @@
   update_watch_wait();
   ChangesQuery query = decode_changes_query(path);
   // The answer must tell in time that the objects are outdated.
-  query.wait = std::min(query.wait, store_answered_at_ + kMaxAnswerAge - now);
+  query.wait = std::min(query.wait, current_until() - now);
   const Duration wait = query.wait + Duration{1};
   const FollowerPolls::PollId held = follower_polls_.add(
       std::move(query), [this, respond = std::move(respond)](const KnownRevisions& known) {
@@ -557,6 +561,7 @@
   if (!answer || !answer->current) {
     source_.record_failure(reader, clock_.now());
     set_following(false, answer ? "reader_lost_the_store" : "reader_did_not_answer");
+    follower_polls_.answer_all();
     run_after(kReaderCheckInterval, [this] { follow_reader(); });
     return;
   }
@@ -573,6 +578,7 @@
     pool_.set_store_reachable(false, now);
   }
   pool_.set_store_reachable(true, now);
+  store_answered_at_ = std::max(store_answered_at_, now - answer.age);
   if (!store_reachable_) {
     LogEvent("store_regained", LogEvent::Severity::kWarning).field("kind", "reader");
     store_reachable_ = true;
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -56,6 +56,8 @@
   static constexpr Duration kReaderWatchWait{900};
   /** A gateway without an answer of the store for this long has outdated objects. */
   static constexpr Duration kMaxAnswerAge{1400};
+  /** The same for a gateway that follows another one. */
+  static constexpr Duration kMaxFollowedAnswerAge{2300};
   /** A gateway is followed until it had no poll for this long. */
   static constexpr Duration kFollowerTimeout{5000};
   /** Delay between attempts to register this gateway. */
@@ -131,6 +133,8 @@
   std::string answer_peer_query(std::string_view query) const;
   KnownRevisions known_revisions() const;
   bool has_changes_since(const KnownRevisions& known) const;
+  // Until when the objects of this gateway are current without a further answer of the store.
+  Instant current_until() const;
   ChangesAnswer changes_since(const KnownRevisions& known) const;
   // Polls the gateway that `source_` selects, again and again.
   void follow_reader();
@@ -163,7 +167,8 @@
   StoreSource source_;
   FollowerPolls follower_polls_;
   bool following_ = false;
-  Instant store_answered_at_;         // A call to the store was answered.
+  // A call to the store was answered, by this gateway or the one that it follows.
+  Instant store_answered_at_;
   std::optional<Instant> polled_at_;  // By a follower.
   std::optional<Instant> store_regained_at_;
   Instant membership_checked_at_;
--- a/src/gateway/store_source.cc
+++ b/src/gateway/store_source.cc
@@ -9,25 +9,36 @@
 
 namespace bluebellstep {
 
+namespace {
+
+// Whether `a` ranks before `b`. Gateways with fast links come first: each sends changes to all that
+// follow it.
+bool ranks_before(const StoreSource::Gateway& a, const StoreSource::Gateway& b) {
+  return std::tie(b.link_mbps, a.name) < std::tie(a.link_mbps, b.name);
+}
+
+}  // namespace
+
 void StoreSource::set_gateways(const std::vector<Gateway>& gateways) {
-  std::vector<const Gateway*> zone;
+  const Gateway* first = nullptr;
+  const Gateway* first_of_zone = nullptr;
   for (const Gateway& gateway : gateways) {
-    if (gateway.zone == own_zone_) {
-      zone.push_back(&gateway);
+    if (first == nullptr || ranks_before(gateway, *first)) {
+      first = &gateway;
+    }
+    if (gateway.zone == own_zone_ &&
+        (first_of_zone == nullptr || ranks_before(gateway, *first_of_zone))) {
+      first_of_zone = &gateway;
     }
   }
-  // Gateways with fast links first: a reader sends each change to all its followers.
-  std::sort(zone.begin(), zone.end(), [](const Gateway* a, const Gateway* b) {
-    return std::tie(b->link_mbps, a->name) < std::tie(a->link_mbps, b->name);
-  });
-  zone.resize(std::min(zone.size(), kReadersPerZone));
   readers_.clear();
-  for (const Gateway* gateway : zone) {
-    if (gateway->name == own_name_) {
-      return;
-    }
-    readers_.push_back(gateway->endpoint);
+  if (first == nullptr || first->name == own_name_) {
+    return;
+  }
+  if (first_of_zone != nullptr && first_of_zone != first && first_of_zone->name != own_name_) {
+    readers_.push_back(first_of_zone->endpoint);
   }
+  readers_.push_back(first->endpoint);
 }
 
 std::optional<Endpoint> StoreSource::reader(Instant now) const {
--- a/src/gateway/store_source.h
+++ b/src/gateway/store_source.h
@@ -2,8 +2,9 @@
 //
 // Load pattern: the store charges each call and limits their rate, and hundreds of gateways watch
 // the same objects. With a watch by each gateway the calls grow with the product of gateways and
-// changes. Therefore one gateway of each zone reads the store, and the others follow it. A gateway
-// whose reader fails or has lost the store reads the store itself, until it finds a reader again.
+// changes. Therefore one gateway reads the store, one of each other zone follows it, and the others
+// follow the one of their zone, so that each change is sent to another zone once. A gateway that
+// can follow none, since they fail or have lost the store, reads the store itself.
 
 #ifndef BLUEBELLSTEP_GATEWAY_STORE_SOURCE_H_
 #define BLUEBELLSTEP_GATEWAY_STORE_SOURCE_H_
@@ -24,9 +25,6 @@
 /** Selects the gateway to follow. All times are read from one monotonic clock. */
 class StoreSource {
  public:
-  /** Gateways of each zone that others may follow. Each follows only those that rank before it, so
-   * the second one reads the store only if the first one fails. */
-  static constexpr std::size_t kReadersPerZone = 2;
   /** A gateway that failed to answer, or had no current objects, is not followed for this time. */
   static constexpr Duration kExclusion{5000};
 
@@ -53,7 +51,7 @@
  private:
   std::string own_name_;
   std::string own_zone_;
-  // The readers of the zone that rank before this gateway.
+  // The first gateway of the zone and the first of all, unless this one ranks before them.
   std::vector<Endpoint> readers_;
   std::map<std::string, Instant> excluded_until_;  // By `to_string` of the endpoint.
 };
--- a/src/gateway/store_source_test.cc
+++ b/src/gateway/store_source_test.cc
@@ -24,7 +24,8 @@
 
 // Load pattern: hundreds of gateways and a store that charges each call. Guards against calls that
 // grow with the number of gateways.
-TEST_CASE("one gateway of a zone reads the store and the others follow it", "[gateway][load]") {
+TEST_CASE("one gateway reads the store, and one of each zone passes changes on",
+          "[gateway][load]") {
   std::vector<StoreSource::Gateway> gateways;
   for (int i = 1; i <= 40; ++i) {
     gateways.push_back(gateway(i, i % 2 == 0 ? "a" : "b", i == 20 || i == 21 ? 200 : 20));
@@ -40,22 +41,21 @@
       ++direct;
     }
   }
-  CHECK(direct == 2);
-  // Those with the fast links.
+  CHECK(direct == 1);
+  // Those with the fast links. The first of zone b follows the one of zone a.
   CHECK(readers_by_zone["a"] == std::set<std::string>{"10.0.0.20:1"});
-  CHECK(readers_by_zone["b"] == std::set<std::string>{"10.0.0.21:1"});
+  CHECK(readers_by_zone["b"] == std::set<std::string>{"10.0.0.20:1", "10.0.0.21:1"});
 }
 
 TEST_CASE("a gateway reads the store itself while no reader of its zone is usable", "[gateway]") {
-  StoreSource source("g3", "a");
+  StoreSource source("g4", "b");
   CHECK_FALSE(source.reader(kNow));
-  source.set_gateways({gateway(1, "a"), gateway(2, "a"), gateway(3, "a"), gateway(4, "b")});
+  source.set_gateways({gateway(1, "a"), gateway(2, "a"), gateway(3, "b"), gateway(4, "b")});
   const auto first = source.reader(kNow);
-  REQUIRE(first);
+  REQUIRE(first == Endpoint{"10.0.0.3", 1});
   source.record_failure(*first, kNow);
   const auto second = source.reader(kNow);
-  REQUIRE(second);
-  CHECK(*second != *first);
+  REQUIRE(second == Endpoint{"10.0.0.1", 1});
   source.record_failure(*second, kNow);
   CHECK_FALSE(source.reader(kNow));
   CHECK(source.reader(kNow + StoreSource::kExclusion) == first);
@@ -73,7 +73,7 @@
   CHECK(second.reader(kNow) == gateways[0].endpoint);
   StoreSource other_zone("g3", "b");
   other_zone.set_gateways(gateways);
-  CHECK_FALSE(other_zone.reader(kNow));
+  CHECK(other_zone.reader(kNow) == gateways[0].endpoint);
 }
 
 }  // namespace bluebellstep
