gateway: Tell the other gateways which engines load weights

An engine that loads weights rejects what has not started. The holder of the lease now reports an engine as soon as it sends the command, any gateway when a request is rejected, and all avoid it until it reports the new weights.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -67,6 +67,7 @@
       load_report_exchange.set_peers(std::move(peers));
       rollout_driver.set_lease_rank(synchronizer.lease_rank());
     });
+    pool.on_loading([this] { load_report_exchange.report_soon(); });
     pool.on_prompt_sent([this](std::uint32_t tokens) { load_report_exchange.record_sent(tokens); });
     synchronizer.start();
     flush_log(loop);
--- a/src/gateway/load_aggregator.cc
+++ b/src/gateway/load_aggregator.cc
@@ -15,6 +15,7 @@
   prompt_tokens += other.prompt_tokens;
   consecutive_failures += other.consecutive_failures;
   unreachable += other.unreachable;
+  loading += other.loading;
   transfer_ms += other.transfer_ms;
   return *this;
 }
@@ -25,10 +26,20 @@
   prompt_tokens -= other.prompt_tokens;
   consecutive_failures -= other.consecutive_failures;
   unreachable -= other.unreachable;
+  loading -= other.loading;
   transfer_ms -= other.transfer_ms;
   return *this;
 }
 
+namespace {
+
+// Returns the count at `index`, or 0 if the report ends before it.
+std::uint32_t optional_count(const nlohmann::json& upstream_load, std::size_t index) {
+  return upstream_load.size() > index ? upstream_load.at(index).get<std::uint32_t>() : 0;
+}
+
+}  // namespace
+
 std::string encode_load_report(const LoadReport& report) {
   nlohmann::json upstream_loads = nlohmann::json::array();
   for (const UpstreamLoad& upstream_load : report.upstream_loads) {
@@ -36,7 +47,7 @@
         {upstream_load.upstream_key, upstream_load.in_flight.requests,
          upstream_load.in_flight.prefill_tokens, upstream_load.in_flight.prompt_tokens,
          upstream_load.in_flight.consecutive_failures, upstream_load.in_flight.transfer_ms,
-         upstream_load.in_flight.unreachable});
+         upstream_load.in_flight.unreachable, upstream_load.in_flight.loading});
   }
   nlohmann::json sent_segments = nlohmann::json::array();
   for (const SentSegment& segment : report.sent_segments) {
@@ -68,10 +79,9 @@
                          .prefill_tokens = upstream_load.at(2).get<std::uint64_t>(),
                          .prompt_tokens = upstream_load.at(3).get<std::uint64_t>(),
                          .consecutive_failures = upstream_load.at(4).get<std::uint32_t>(),
-                         // Earlier versions do not report it.
-                         .unreachable = upstream_load.size() > 6
-                                            ? upstream_load.at(6).get<std::uint32_t>()
-                                            : 0,
+                         // Earlier versions do not report these.
+                         .unreachable = optional_count(upstream_load, 6),
+                         .loading = optional_count(upstream_load, 7),
                          .transfer_ms = upstream_load.at(5).get<std::uint64_t>()}});
     }
     for (const auto& segment : json.at(5)) {
--- a/src/gateway/load_aggregator.h
+++ b/src/gateway/load_aggregator.h
@@ -27,6 +27,7 @@
   std::uint64_t prompt_tokens = 0;         // Prompt tokens of all requests; they occupy KV cache.
   std::uint32_t consecutive_failures = 0;  // See `UpstreamHealth`.
   std::uint32_t unreachable = 0;           // Gateways whose connections to it have failed lately.
+  std::uint32_t loading = 0;               // Gateways that know that it loads weights.
   // Total duration of the fetches from its cache in progress, which run one after another.
   std::uint64_t transfer_ms = 0;
 
--- a/src/gateway/load_report_exchange.cc
+++ b/src/gateway/load_report_exchange.cc
@@ -115,6 +115,11 @@
   schedule_report();
 }
 
+void LoadReportExchange::report_soon() {
+  pacer_.record_urgent_change(clock_.now());
+  schedule_report();
+}
+
 void LoadReportExchange::schedule_report() {
   const Instant due = pacer_.due();
   if (scheduled_for_ && *scheduled_for_ <= due) {
--- a/src/gateway/load_report_exchange.h
+++ b/src/gateway/load_report_exchange.h
@@ -44,6 +44,8 @@
   /** Sets the gateways to which reports are sent. */
   void set_peers(std::vector<Endpoint> peers);
 
+  /** Sends a report soon, since the state of an upstream has changed. */
+  void report_soon();
   /** A prompt was sent to an engine that must prefill `uncached_tokens` of its tokens. A large
    * number causes an immediate report. */
   void record_sent(std::uint32_t uncached_tokens);
--- a/src/gateway/report_pacer.h
+++ b/src/gateway/report_pacer.h
@@ -37,6 +37,9 @@
   /** A prompt was sent to an engine that must prefill `uncached_tokens` of its tokens. */
   void record_sent(std::uint32_t uncached_tokens, Instant now);
 
+  /** Something else has changed that the other gateways should know at once. */
+  void record_urgent_change(Instant now);
+
   /** A report was sent, or skipped because there was nothing to report. */
   void record_reported(Instant now);
 
--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -17,6 +17,9 @@
 // Grace of the lease where engines reject lower fencing numbers: if a holder stops right after a
 // command, another gateway waits this long after the lease's term before it takes over.
 constexpr Duration kFencedGrace{1000};
+// An engine that was told to load weights is expected to reject requests for this time, unless it
+// reports the new weights before.
+constexpr Duration kExpectedLoadTime{1500};
 
 LeaseSettings lease_settings(const GatewaySettings& settings) {
   LeaseSettings lease;
@@ -179,6 +182,7 @@
       .field("from_version", engine->current_version)
       .field("fence", engine_call.command.fencing_number)
       .field("expected_sequence", engine_call.command.expected_sequence);
+  pool_.record_loading(engine->upstream_id, now + kExpectedLoadTime);
   send(platform::load_call(engine->endpoint, engine_call.command, kCallTimeout),
        [this, id = engine->upstream_id](const HttpClient::Response& response) {
          const WeightLoadAnswer answer = platform::decode_load_answer(response);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -250,10 +250,13 @@
 
 // Whether an upstream is neither ejected nor waiting for the result of a trial request.
 bool UpstreamPool::is_healthy(Upstream& upstream, const PickQuery& query, Instant now) const {
-  const std::uint32_t peer_failures =
-      load_aggregator_.peer_load(LoadAggregator::key_of(upstream.id_hash)).consecutive_failures;
-  return now >= upstream.ejected_until &&
-         upstream.health.may_receive(query.may_retry, peer_failures, now);
+  const InFlightLoad peer_load =
+      load_aggregator_.peer_load(LoadAggregator::key_of(upstream.id_hash));
+  // Ends with the report of the new weights, which may arrive before the other gateways' reports.
+  const bool is_loading = (now < upstream.loading_until || peer_load.loading > 0) &&
+                          query.service->engine && has_older_weights(upstream);
+  return !is_loading && now >= upstream.ejected_until &&
+         upstream.health.may_receive(query.may_retry, peer_load.consecutive_failures, now);
 }
 
 // Whether an upstream matches a query, regardless of its health: service, zone, weight version, and
@@ -567,9 +570,11 @@
     case AttemptOutcome::kRejected:
       upstream.health.cancel_trial();
       // The upstream is full or loads weights; both last for a while.
-      upstream.ejected_until =
-          std::max(upstream.ejected_until,
-                   now + (has_older_weights(upstream) ? kLoadingWeightsEjection : kFullEjection));
+      if (has_older_weights(upstream)) {
+        record_loading(id, now + kLoadingWeightsEjection);
+      } else {
+        upstream.ejected_until = std::max(upstream.ejected_until, now + kFullEjection);
+      }
       return;
     case AttemptOutcome::kCallerDisconnected:
       upstream.health.cancel_trial();
@@ -607,6 +612,17 @@
   }
 }
 
+void UpstreamPool::record_loading(std::string_view id, Instant until) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  found->second.loading_until = std::max(found->second.loading_until, until);
+  if (on_loading_) {
+    on_loading_();
+  }
+}
+
 void UpstreamPool::record_misdirected(std::string_view id, bool replaced, Instant now) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
     Instant& until = found->second.ejected_until;
@@ -623,6 +639,7 @@
   for (const auto& [id, upstream] : upstreams_) {
     InFlightLoad own_load = upstream.in_flight;
     own_load.consecutive_failures = upstream.health.consecutive_failures();
+    own_load.loading = now < upstream.loading_until && has_older_weights(upstream) ? 1 : 0;
     own_load.unreachable = now < upstream.unreached_until ? 1 : 0;
     if (own_load != InFlightLoad{}) {
       report.upstream_loads.push_back(
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -173,6 +173,11 @@
   void record_load(std::string_view id, const ReportedLoad& load, Instant now);
   /** An upstream reported its weight version. Versions older than the known one are ignored. */
   void record_weight_version(std::string_view id, std::string_view model, std::uint64_t version);
+  /** An engine loads weights and rejects requests until it is done, or until `until` at the latest.
+   * The other gateways are told. */
+  void record_loading(std::string_view id, Instant until);
+  /** Sets the function to call when an engine starts to load weights. */
+  void on_loading(std::function<void()> callback) { on_loading_ = std::move(callback); }
   /** An upstream rejected a request that was meant for another upstream or weight version.
    *
    * @param replaced  Another upstream has taken over the address; otherwise the weights differ.
@@ -242,6 +247,7 @@
     // Set while the upstream is full, loads weights, cannot be reached or has been replaced at its
     // address. Independent of `health`.
     Instant ejected_until;
+    Instant loading_until;  // It loads weights, as far as this gateway knows.
     // Doubles with each failed connection; 0 after an answer.
     Duration unreachable_ejection{0};
     std::deque<Instant> recent_request_times;  // Times of requests within `kColdWindow`.
@@ -328,6 +334,7 @@
   };
   std::map<std::string, Rollout, std::less<>> rollouts_;  // By model.
   std::function<void(std::uint32_t)> on_prompt_sent_;
+  std::function<void()> on_loading_;
   std::map<std::string, FirstEventPredictor, std::less<>> predictors_;  // By service.
   // Times of requests to all upstreams within the last second.
   std::deque<Instant> recent_request_times_;
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -417,6 +417,59 @@
   CHECK(f.pick(f.plain_query()) == "o1");
 }
 
+// Load pattern: all engines load new weights, a quarter of them at a time. Guards against each
+// gateway sending requests to each of these engines until it rejects them.
+TEST_CASE("engines that load weights are avoided by all gateways", "[gateway][load]") {
+  Fixture f;
+  f.add_engine("e1");
+  f.add_engine("e2");
+  f.pool.set_target_weights({.model = "m", .version = 2}, false, kStart);
+  bool reported = false;
+  f.pool.on_loading([&] { reported = true; });
+  SECTION("commanded or noticed by this gateway") {
+    f.pool.record_loading("e1", kStart + 1500_ms);
+    CHECK(reported);
+    CHECK(f.pool.make_load_report(kStart).upstream_loads.at(0).in_flight.loading == 1);
+  }
+  SECTION("reported by another gateway") {
+    f.load_aggregator.apply({.gateway = "g2",
+                             .sequence = 1,
+                             .incarnation = 1,
+                             .upstream_loads = {{LoadAggregator::key_of("e1"), {.loading = 1}}}},
+                            kStart);
+  }
+  PickQuery query = f.engine_query();
+  for (query.tie_breaker = 0; query.tie_breaker < 20; ++query.tie_breaker) {
+    CHECK(f.pick(query) == "e2");
+  }
+  // It has the new weights, although the reports of others may still tell otherwise.
+  f.pool.record_weight_version("e1", "m", 2);
+  CHECK(f.pick(f.preferring("e1", f.engine_query())) == "e1");
+}
+
+// Guards against a restarted engine that gets more than it bears before its registration tells: its
+// connections failed at other gateways only.
+TEST_CASE("an engine that several gateways cannot reach counts as cold", "[gateway][quota]") {
+  Fixture f;
+  f.add_engine("e1");
+  f.set_gateway_count(5);
+  const auto report = [&](const std::string& gateway) {
+    f.load_aggregator.apply(
+        {.gateway = gateway,
+         .sequence = 1,
+         .incarnation = 1,
+         .recent_requests = 100,
+         .upstream_loads = {{LoadAggregator::key_of("e1"), {.unreachable = 1}}}},
+        kStart);
+  };
+  report("g2");
+  const int warm = f.send_all(f.engine_query(), kStart);
+  report("g3");
+  const int cold = f.send_all(f.engine_query(), kStart + 2000_ms);
+  CHECK(cold < warm);
+  CHECK(cold * 5 <= 33 * 1.5 + 5);
+}
+
 TEST_CASE("the connection limit of an upstream is divided among gateways", "[gateway]") {
   Fixture f;
   f.set_gateway_count(5);
