gateway: Serve what has been accepted when it stops, and slow uploads

Found here by a test on sockets: closing the listening socket reset the connections that waited in its queue, with their requests, and an idle connection was closed while its next request was unread. A stopping gateway now accepts all that wait, and closes a connection once it was idle for 300 ms and has no unread bytes. Both tests fail before (reset, no answer).

A body had the idle timeout for its whole length, so a slow but steady upload ended with 408. It now gets the time that its bytes take at 1 KB/s besides. The test of a slow upload is shorter than the idle timeout, so it passes before too.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -7,6 +7,10 @@
 namespace bluebellstep {
 namespace {
 
+// A body may take the idle timeout and the time that its bytes take at this rate: slow but steady
+// callers are served, and those that send a byte now and then are not.
+constexpr std::size_t kMinUploadBytesPerMs = 1;
+
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -82,6 +86,7 @@
   }
   input_.erase(0, consumed);
   body_decoder_.emplace(*framing);
+  received_body_bytes_ = 0;
   if (!body_decoder_->complete() && input_.empty() &&
       list_contains(head->find("expect").value_or(""), "100-continue")) {
     stream_.write(kContinueResponse);
@@ -94,6 +99,7 @@
 bool CallerConnection::read_body() {
   const BodyDecoder::Result result = body_decoder_->feed(input_, request_.body);
   input_.erase(0, result.consumed);
+  received_body_bytes_ += result.consumed;
   if (result.status == BodyDecoder::Status::kMalformed) {
     report_error(CallerRequestError::kMalformed);
     return false;
@@ -142,11 +148,14 @@
         return now < timeout_started_at_ + limits_.idle_timeout;
       }
       break;
-    case State::kReadingBody:
-      if (now >= timeout_started_at_ + limits_.idle_timeout) {
+    case State::kReadingBody: {
+      const Duration transfer_time{
+          static_cast<std::int64_t>(received_body_bytes_ / kMinUploadBytesPerMs)};
+      if (now >= timeout_started_at_ + limits_.idle_timeout + transfer_time) {
         report_error(CallerRequestError::kTimeout);
       }
       return true;
+    }
   }
   if (now >= timeout_started_at_ + limits_.header_timeout) {
     report_error(CallerRequestError::kTimeout);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -68,6 +68,10 @@
   bool responding() const { return state_ == State::kResponding; }
   /** No response is in progress and no byte of a further request has arrived. */
   bool idle() const { return state_ == State::kReadingHead && input_.empty(); }
+  /** The connection has been idle since before `since`, and no bytes wait to be read. */
+  bool quiet_since(Instant since) const {
+    return idle() && timeout_started_at_ <= since && !stream_.has_unread_bytes();
+  }
   /** Response bytes that the kernel has not accepted yet. */
   std::size_t unsent() const { return stream_.unsent(); }
   /** Requests read so far. */
@@ -93,6 +97,7 @@
   std::string input_;          // Received and not yet parsed.
   CallerRequest request_;
   std::optional<BodyDecoder> body_decoder_;
+  std::size_t received_body_bytes_ = 0;  // Of the current request, with the chunked encoding.
   std::uint64_t request_count_ = 0;
   Clock clock_;
   // Expires with this object, so that a callback that destroys it is noticed.
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -14,6 +14,8 @@
 
 // Further connections are accepted in the next step of the event loop.
 constexpr int kMaxAcceptsPerStep = 32;
+// Above the length of the queue of the listening socket.
+constexpr int kMaxWaitingConnections = 10'000;
 
 }  // namespace
 
@@ -27,20 +29,25 @@
 }
 
 CallerListener::~CallerListener() {
-  stop_accepting();
+  if (listener_ != nullptr) {
+    h2o_socket_close(listener_);
+  }
 }
 
 void CallerListener::on_accept(h2o_socket_t* listener, const char* error) {
   if (error != nullptr) {
     return;
   }
-  auto* self = static_cast<CallerListener*>(listener->data);
-  for (int i = 0; i < kMaxAcceptsPerStep; ++i) {
-    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+  static_cast<CallerListener*>(listener->data)->accept_waiting(kMaxAcceptsPerStep);
+}
+
+void CallerListener::accept_waiting(int max_connections) {
+  for (int i = 0; i < max_connections; ++i) {
+    h2o_socket_t* socket = h2o_evloop_socket_accept(listener_);
     if (socket == nullptr) {
       return;
     }
-    self->add(socket);
+    add(socket);
   }
 }
 
@@ -150,24 +157,38 @@
 }
 
 void CallerListener::stop_accepting() {
-  if (listener_ != nullptr) {
-    h2o_socket_close(std::exchange(listener_, nullptr));
+  if (listener_ == nullptr) {
+    return;
   }
-  std::vector<CallerConnectionId> idle;
+  // Closing the listening socket resets the connections that wait, whose requests may have arrived.
+  accept_waiting(kMaxWaitingConnections);
+  h2o_socket_close(std::exchange(listener_, nullptr));
+  close_quiet_connections();
+}
+
+void CallerListener::close_quiet_connections() {
+  const Instant since = clock_.now() - kQuietTime;
+  std::vector<CallerConnectionId> quiet;
   for (const auto& [id, entry] : connections_) {
-    if (!entry.removal_pending && entry.connection->idle()) {
-      idle.push_back(id);
+    if (!entry.removal_pending && entry.connection->quiet_since(since)) {
+      quiet.push_back(id);
     }
   }
-  for (const CallerConnectionId id : idle) {
+  for (const CallerConnectionId id : quiet) {
     remove(id);
   }
+  loop_.post_after(kQuietCheckInterval, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      close_quiet_connections();
+    }
+  });
 }
 
 std::size_t CallerListener::open_requests() const {
+  const bool stopping = listener_ == nullptr;
   std::size_t open = 0;
   for (const auto& [id, entry] : connections_) {
-    open += !entry.removal_pending && !entry.connection->idle() ? 1 : 0;
+    open += !entry.removal_pending && (stopping || !entry.connection->idle()) ? 1 : 0;
   }
   return open;
 }
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -30,10 +30,18 @@
   CallerListener& operator=(const CallerListener&) = delete;
   ~CallerListener();
 
-  /** Closes the listening socket and all idle connections. */
+  /** How long a connection must have been idle before it is closed in a shutdown. Its caller may
+   * just have sent a request that has not been read yet. */
+  static constexpr Duration kQuietTime{300};
+  /** Interval between checks for such connections. */
+  static constexpr Duration kQuietCheckInterval{50};
+
+  /** Accepts the connections that wait, closes the listening socket, and closes the connections as
+   * soon as they are idle. */
   void stop_accepting();
 
-  /** Number of requests that are being read or answered. */
+  /** Number of requests that are being read or answered; after `stop_accepting`, the number of
+   * connections. */
   std::size_t open_requests() const;
 
  private:
@@ -43,6 +51,8 @@
     bool removal_pending = false;         // Ignored; erased at the end of this loop step.
   };
 
+  void accept_waiting(int max_connections);
+  void close_quiet_connections();
   static void on_accept(h2o_socket_t* listener, const char* error);
   void add(h2o_socket_t* socket);
   void on_request(CallerConnectionId id, CallerRequest request);
--- /dev/null
+++ b/src/gateway/caller_listener_test.cc
@@ -0,0 +1,123 @@
+// Tests of callers' connections around a shutdown and with slow callers, on real sockets.
+
+#include "gateway/caller_listener.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "gateway/forwarder.h"
+#include "tests/support/raw_socket.h"
+
+namespace bluebellstep {
+namespace {
+
+/** A listener whose requests are refused, since there is no configuration. */
+class Fixture {
+ public:
+  Fixture() {
+    loop_.run_and_wait([this] {
+      pool_ = std::make_unique<UpstreamPool>(PoolLimits{}, cache_, load_aggregator_, quota_);
+      forwarder_ = std::make_unique<Forwarder>(loop_, *pool_, metrics_, "a", RetryLimits{});
+      listener_ =
+          std::make_unique<CallerListener>(loop_, Endpoint{"127.0.0.1", port_}, *forwarder_);
+    });
+  }
+  ~Fixture() {
+    loop_.run_and_wait([this] {
+      listener_.reset();
+      forwarder_.reset();
+      pool_.reset();
+    });
+  }
+
+  RawSocket connect() const { return RawSocket::connect(port_); }
+
+  /** Runs `while_blocked` while the loop handles nothing else, then stops the listener. */
+  template <typename Function>
+  void stop_after(Function while_blocked) {
+    loop_.run_and_wait([&] {
+      while_blocked();
+      listener_->stop_accepting();
+    });
+  }
+
+  std::size_t open_requests() {
+    std::size_t open = 0;
+    loop_.run_and_wait([&] { open = listener_->open_requests(); });
+    return open;
+  }
+
+ private:
+  static std::uint16_t free_port() { return RawListener().port(); }
+
+  std::uint16_t port_ = free_port();
+  HttpLoop loop_;
+  Metrics metrics_;
+  LoadAggregator load_aggregator_;
+  CacheDirectory cache_{load_aggregator_};
+  RequestQuota quota_{"g1", Clock().now()};
+  std::unique_ptr<UpstreamPool> pool_;
+  std::unique_ptr<Forwarder> forwarder_;
+  std::unique_ptr<CallerListener> listener_;
+};
+
+constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n\r\n";
+constexpr std::string_view kRefused = "HTTP/1.1 503";
+
+}  // namespace
+
+// Guards against requests that are cut off in a planned stop: their connections were established by
+// the kernel, and closing the listening socket reset them.
+TEST_CASE("connections that wait when a gateway stops are served", "[gateway][shutdown]") {
+  Fixture fixture;
+  std::vector<RawSocket> callers;
+  fixture.stop_after([&] {
+    for (int i = 0; i < 50; ++i) {
+      callers.push_back(fixture.connect());
+      callers.back().send(kRequest);
+    }
+  });
+  for (RawSocket& caller : callers) {
+    CHECK(caller.receive_until("\r\n\r\n").starts_with(kRefused));
+  }
+}
+
+// Guards against a kept connection that is closed while its caller's next request is unread.
+TEST_CASE("a request that arrives on an idle connection while a gateway stops is served",
+          "[gateway][shutdown]") {
+  Fixture fixture;
+  RawSocket caller = fixture.connect();
+  caller.send(kRequest);
+  REQUIRE(caller.receive_until("\r\n\r\n").starts_with(kRefused));
+  std::this_thread::sleep_for(std::chrono::milliseconds(2 * CallerListener::kQuietTime.ms));
+  fixture.stop_after([&] { caller.send(kRequest); });
+  CHECK(caller.receive_until("\r\n\r\n").starts_with(kRefused));
+}
+
+TEST_CASE("idle connections are closed soon after a gateway stops", "[gateway][shutdown]") {
+  Fixture fixture;
+  RawSocket caller = fixture.connect();
+  fixture.stop_after([] {});
+  const Instant start = Clock().now();
+  CHECK(caller.receive_all().empty());
+  CHECK(Clock().now() - start < Duration{3000});
+  CHECK(fixture.open_requests() == 0);
+}
+
+// Guards against uploads that are cut although they make progress. The idle timeout is the default
+// of 15 s, so only the other limit can end the upload of a slow caller here.
+TEST_CASE("a slow but steady upload is read completely", "[gateway]") {
+  Fixture fixture;
+  RawSocket caller = fixture.connect();
+  caller.send("POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 20\r\n\r\n");
+  for (int i = 0; i < 20; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    caller.send("x");
+  }
+  CHECK(caller.receive_until("\r\n\r\n").starts_with(kRefused));
+}
+
+}  // namespace bluebellstep
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -2,6 +2,8 @@
 
 #include "http1/byte_stream.h"
 
+#include <sys/ioctl.h>
+
 #include <utility>
 
 #include "http/socket_address.h"
@@ -55,6 +57,12 @@
   }
 }
 
+bool ByteStream::has_unread_bytes() const {
+  int unread = 0;
+  return socket_ != nullptr && ::ioctl(h2o_socket_get_fd(socket_), FIONREAD, &unread) == 0 &&
+         unread > 0;
+}
+
 void ByteStream::flush() {
   if (!connected_ || !sending_.empty() || pending_.empty()) {
     return;
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -55,6 +55,10 @@
   /** Number of bytes that were passed to `write` and not yet handed to the kernel. */
   std::size_t unsent() const { return pending_.size() + sending_.size(); }
 
+  /** Whether bytes have arrived that were not passed to `on_bytes` yet. Closing the connection now
+   * would reset it. */
+  bool has_unread_bytes() const;
+
   /** Whether the connection was established, also after it has ended. */
   bool connected() const { return connected_; }
   /** Whether the connection is closed. */
