--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -82,6 +82,9 @@
     return;
   }
   Node& node = found->second;
+  if (node.epoch == result.epoch && result.next < node.next) {
+    return;  // A second copy of an earlier answer.
+  }
   if (node.epoch != result.epoch) {
     node.epoch = result.epoch;
     node.epoch_since = now;
--- a/src/gateway/cache_directory_test.cc
+++ b/src/gateway/cache_directory_test.cc
@@ -308,6 +308,21 @@
   CHECK(directory.next_event("e1") == 10);
 }
 
+// Guards against a late second copy of an earlier answer on a kept connection: it would restore
+// segments that were freed since, and renew the validity of an old state.
+TEST_CASE("an answer from before the last one is ignored", "[gateway][cache]") {
+  CacheDirectory directory = make_directory();
+  const CachePollResult earlier{
+      .epoch = 1, .next = 5, .clock_ms = 5000, .events = {stored(0xb1, 12'800)}};
+  directory.on_events("s1", earlier, kStart);
+  directory.on_events("s1", {.epoch = 1, .next = 6, .clock_ms = 5100, .events = {stored(0xb1, 0)}},
+                      kStart);
+  directory.on_events("s1", earlier, kStart + 1000_ms);
+  CHECK(directory.next_event("s1") == 6);
+  CHECK_FALSE(
+      plan_of(directory, "e1", kNamespace, kPrompt, kAllUse, kStart + 1000_ms).fetch_endpoints[0]);
+}
+
 TEST_CASE("a restarted engine holds nothing", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("e2", events(1, {stored(0xb1, 12'800)}), kStart);
--- a/src/gateway/load_aggregator_test.cc
+++ b/src/gateway/load_aggregator_test.cc
@@ -17,6 +17,19 @@
 
 }  // namespace
 
+// Guards against a datagram that ends the process: the parser recurses into nested arrays.
+TEST_CASE("a datagram of nested arrays is rejected", "[gateway]") {
+  constexpr std::uint8_t kArrayOfOne = 0x91;
+  const std::vector<std::uint8_t> nested(16u << 10, kArrayOfOne);
+  CHECK_FALSE(decode_load_report(nested));
+  const std::string valid = encode_load_report(report(1, 1, 3));
+  const std::vector<std::uint8_t> bytes(valid.begin(), valid.end());
+  REQUIRE(decode_load_report(bytes));
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    CHECK_FALSE(decode_load_report(std::span(bytes).first(length)));
+  }
+}
+
 TEST_CASE("a report replaces the previous one of the same gateway", "[gateway]") {
   LoadAggregator aggregator;
   aggregator.apply(report(1, 1, 3), Instant{1000});
