--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -53,6 +53,12 @@
   return out;
 }
 
+// Returns the label for the ratio of an actual to a predicted time.
+std::string prediction_kind(double ratio) {
+  constexpr double kCloseFactor = 2;
+  return ratio > kCloseFactor ? "too_short" : ratio * kCloseFactor < 1 ? "too_long" : "close";
+}
+
 // Chooses a service in proportion to the weights, always the same one for a request id.
 const WeightedService& choose_target(const RouteRule& route, std::string_view request_id) {
   std::uint64_t total = 0;
@@ -319,8 +325,9 @@
   if (has_event && !request.first_event_at) {
     request.first_event_at = clock_.now();
     const Attempt& attempt = *request.attempt;
-    pool_.record_first_event(attempt.picked, *request.first_event_at - attempt.started_at,
-                             *request.first_event_at);
+    const double ratio = pool_.record_first_event(
+        attempt.picked, *request.first_event_at - attempt.started_at, *request.first_event_at);
+    metrics_.count("bluebellstep_gateway_predictions_total", prediction_kind(ratio));
     if (request.account != nullptr) {
       metrics_.first_token(request.account->name, request.route->name,
                            *request.first_event_at - request.arrived_at);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -527,17 +527,21 @@
   }
 }
 
-void UpstreamPool::record_first_event(const PickedUpstream& picked, Duration elapsed, Instant now) {
+double UpstreamPool::record_first_event(const PickedUpstream& picked,
+                                        Duration elapsed,
+                                        Instant now) {
   const auto found = upstreams_.find(picked.upstream_id);
   if (found == upstreams_.end()) {
-    return;
+    return 1;
   }
   FirstEventPredictor& predictor = predictors_[found->second.registration.service];
-  const auto expected = static_cast<std::int64_t>(predictor.predict_ms(picked.expected_work));
+  const double expected_ms = predictor.predict_ms(picked.expected_work);
   if (picked.cache_plan.fetches()) {
-    cache_.record_fetch_delay(picked.cache_plan.fetch_endpoints, elapsed - Duration{expected}, now);
+    cache_.record_fetch_delay(picked.cache_plan.fetch_endpoints,
+                              elapsed - Duration{static_cast<std::int64_t>(expected_ms)}, now);
   }
   predictor.record(picked.expected_work, elapsed);
+  return static_cast<double>(elapsed.ms) / expected_ms;
 }
 
 void UpstreamPool::record_finished(std::string_view id,
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -159,8 +159,9 @@
   /** The engine has prefilled the prompt of a request, or the attempt has ended. Call once for each
    * attempt, before `record_finished`. */
   void record_prefill_finished(const PickedUpstream& picked);
-  /** The first event of the response arrived `elapsed` after the request was sent. */
-  void record_first_event(const PickedUpstream& picked, Duration elapsed, Instant now);
+  /** The first event of the response arrived `elapsed` after the request was sent. Returns the
+   * ratio of that time to the expected one. */
+  double record_first_event(const PickedUpstream& picked, Duration elapsed, Instant now);
   /** An attempt at an upstream has ended.
    *
    * @param prompt_tokens  Number of prompt tokens of the request.
