--- a/src/gateway/admission_control.cc
+++ b/src/gateway/admission_control.cc
@@ -10,7 +10,8 @@
 double AdmissionControl::max_queue_ms(const AdmissionInputs& inputs) {
   double limit_ms = kMaxGoalMultiple * static_cast<double>(inputs.latency_goal.ms);
   if (inputs.urgent_goal && *inputs.urgent_goal > Duration{0}) {
-    limit_ms = std::min(limit_ms, kUrgentGoalShare * static_cast<double>(inputs.urgent_goal->ms));
+    limit_ms =
+        std::min(limit_ms, kMaxUrgentGoalMultiple * static_cast<double>(inputs.urgent_goal->ms));
   }
   const double by_goal = std::max(kMinQueueMs, limit_ms - inputs.own_ms);
   const double by_deadline =
--- a/src/gateway/admission_control.h
+++ b/src/gateway/admission_control.h
@@ -30,9 +30,9 @@
  public:
   /** A request is sent if its first event is expected within this multiple of its latency goal. */
   static constexpr double kMaxGoalMultiple = 1.0;
-  /** The queue behind a less urgent request must not exceed this share of the urgent goal, so that
-   * urgent requests are still admitted. */
-  static constexpr double kUrgentGoalShare = 0.8;
+  /** The queue behind a less urgent request must not exceed this multiple of the urgent goal, so
+   * that urgent requests still find engines with a short queue. */
+  static constexpr double kMaxUrgentGoalMultiple = 1.2;
   /** A queue of this length is accepted in any case, so that prompts whose own prefill takes as
    * long as the goal are not starved by others. */
   static constexpr double kMinQueueMs = 120;
