gateway: Poll each cache node by one gateway of a zone, and pass the answers on

Now the gateway that ranks first for a node polls it for its zone and sends the answer to the others as a datagram. Engines of the zone are followed in the same way.

--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -106,6 +106,19 @@
   }
 }
 
+bool CacheDirectory::on_relayed_events(std::string_view name,
+                                       std::uint64_t since,
+                                       const CachePollResult& result,
+                                       Instant now) {
+  const Node* node = find(name);
+  if (node == nullptr || !node->last_polled_at || node->epoch != result.epoch ||
+      since > node->next) {
+    return false;
+  }
+  on_events(name, result, now);
+  return true;
+}
+
 std::uint64_t CacheDirectory::next_event(std::string_view name) const {
   const Node* node = find(name);
   if (node == nullptr) {
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -143,6 +143,13 @@
   /** Applies the answer of a node to a poll. */
   void on_events(std::string_view node, const CachePollResult& result, Instant now);
 
+  /** Applies an answer that another gateway received to a poll from event number `since`. Returns
+   * false if events before it are missing here. */
+  bool on_relayed_events(std::string_view node,
+                         std::uint64_t since,
+                         const CachePollResult& result,
+                         Instant now);
+
   /** A poll from this event number returns only the number of the newest event. It is above every
    * number that a node reaches, and the largest integer that all JSON libraries can represent. */
   static constexpr std::uint64_t kFromNewestEvent = (std::uint64_t{1} << 53) - 1;
--- a/src/gateway/cache_event_poller.cc
+++ b/src/gateway/cache_event_poller.cc
@@ -24,6 +24,7 @@
   const std::vector<CacheNode> nodes = directory_.nodes();
   poll_scheduler_.set_nodes(nodes);
   nodes_.clear();
+  std::erase_if(relayed_at_, [&](const auto& item) { return !directory_.epoch(item.first); });
   for (const CacheNode& node : nodes) {
     nodes_.emplace(node.name, node);
   }
@@ -70,17 +71,37 @@
   if (node == nodes_.end() || !poll_scheduler_.contains(name)) {
     return;
   }
-  HttpCall call = platform::cache_events_call(node->second.endpoint, directory_.next_event(name),
-                                              kLongPollWait, kCallTimeout);
-  client_.send(std::move(call),
-               [this, name, alive = std::weak_ptr<bool>(alive_)](HttpClient::Response response) {
-                 if (!alive.expired()) {
-                   on_poll_answer(name, response);
-                 }
-               });
+  const Instant now = clock_.now();
+  if (is_relayed(name, now)) {
+    poll_after(relayed_at_.at(name) + kRelayTimeout - now, name);
+    return;
+  }
+  const std::uint64_t since = directory_.next_event(name);
+  HttpCall call =
+      platform::cache_events_call(node->second.endpoint, since, kLongPollWait, kCallTimeout);
+  client_.send(std::move(call), [this, name, since, alive = std::weak_ptr<bool>(alive_)](
+                                    const HttpClient::Response& response) {
+    if (!alive.expired()) {
+      on_poll_answer(name, since, response);
+    }
+  });
+}
+
+bool CacheEventPoller::is_relayed(const std::string& name, Instant now) const {
+  const auto relayed_at = relayed_at_.find(name);
+  return relayed_at != relayed_at_.end() && now < relayed_at->second + kRelayTimeout &&
+         !poll_scheduler_.polls_for_zone(name);
+}
+
+void CacheEventPoller::apply_update(const CacheUpdate& update) {
+  const Instant now = clock_.now();
+  if (directory_.on_relayed_events(update.node, update.since, update.result, now)) {
+    relayed_at_[update.node] = now;
+  }
 }
 
 void CacheEventPoller::on_poll_answer(const std::string& name,
+                                      std::uint64_t since,
                                       const HttpClient::Response& response) {
   poll_scheduler_.record_poll_finished(name);
   start_first_polls();
@@ -95,7 +116,16 @@
     return;
   }
   directory_.on_events(name, *events, clock_.now());
-  poll_after(node->second.is_store ? kStorePollDelay : kEnginePollDelay, name);
+  const bool shared = poll_scheduler_.is_shared(name);
+  const bool polls_for_zone = poll_scheduler_.polls_for_zone(name);
+  if (shared && polls_for_zone && on_update_ && since != CacheDirectory::kFromNewestEvent) {
+    on_update_({.node = name, .since = since, .result = *events});
+  }
+  if (shared && !polls_for_zone) {
+    poll_after(kRelayTimeout, name);
+  } else {
+    poll_after(node->second.is_store ? kStorePollDelay : kEnginePollDelay, name);
+  }
 }
 
 }  // namespace bluebellstep
--- a/src/gateway/cache_poll_scheduler.cc
+++ b/src/gateway/cache_poll_scheduler.cc
@@ -53,8 +53,9 @@
       continue;
     }
     const auto known = nodes_by_name_.find(node.name);
-    next.emplace(node.name,
-                 known == nodes_by_name_.end() ? Node{.is_store = node.is_store} : known->second);
+    next.emplace(node.name, known == nodes_by_name_.end()
+                                ? Node{.is_store = node.is_store, .in_zone = node.zone == zone_}
+                                : known->second);
   }
   nodes_by_name_ = std::move(next);
 }
@@ -80,6 +81,28 @@
   return chosen->first;
 }
 
+void CachePollScheduler::set_zone_gateways(std::span<const std::string> names) {
+  zone_gateway_hashes_.clear();
+  for (const std::string& name : names) {
+    if (hash64(name) != name_hash_) {
+      zone_gateway_hashes_.push_back(hash64(name));
+    }
+  }
+}
+
+bool CachePollScheduler::is_shared(std::string_view name) const {
+  const auto node = nodes_by_name_.find(name);
+  return node != nodes_by_name_.end() && (node->second.is_store || node->second.in_zone);
+}
+
+bool CachePollScheduler::polls_for_zone(std::string_view name) const {
+  const std::uint64_t node_hash = hash64(name);
+  const std::uint64_t own_score = rendezvous_score(node_hash, name_hash_);
+  return std::none_of(
+      zone_gateway_hashes_.begin(), zone_gateway_hashes_.end(),
+      [&](std::uint64_t gateway) { return rendezvous_score(node_hash, gateway) > own_score; });
+}
+
 void CachePollScheduler::record_poll_finished(std::string_view name) {
   if (const auto node = nodes_by_name_.find(name); node != nodes_by_name_.end()) {
     node->second.state = State::kPolled;
--- a/src/gateway/cache_poll_scheduler.h
+++ b/src/gateway/cache_poll_scheduler.h
@@ -56,6 +56,16 @@
   /** A poll of a node has ended, with or without an answer. */
   void record_poll_finished(std::string_view name);
 
+  /** Sets the names of the gateways of this zone, which pass on to each other what they poll. */
+  void set_zone_gateways(std::span<const std::string> names);
+
+  /** Whether the gateways of this zone pass on polls of the node: stores and engines of the zone.
+   */
+  bool is_shared(std::string_view name) const;
+
+  /** Whether this gateway polls a shared node for its zone. */
+  bool polls_for_zone(std::string_view name) const;
+
   /** Whether the node is to be polled. */
   bool contains(std::string_view name) const {
     return nodes_by_name_.find(name) != nodes_by_name_.end();
@@ -66,6 +76,7 @@
   struct Node {
     State state = State::kNotPolled;
     bool is_store = false;
+    bool in_zone = false;
   };
 
   std::vector<std::string_view> engines_to_poll(std::span<const CacheNode> nodes) const;
@@ -73,6 +84,7 @@
   std::uint64_t name_hash_;
   std::string zone_;
   bool polls_all_zones_;
+  std::vector<std::uint64_t> zone_gateway_hashes_;  // Without this gateway.
   std::map<std::string, Node, std::less<>> nodes_by_name_;
 };
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -67,6 +67,14 @@
       load_report_exchange.set_peers(std::move(peers));
       rollout_driver.set_lease_rank(synchronizer.lease_rank());
     });
+    synchronizer.on_zone_peers_changed([this](std::vector<Endpoint> peers) {
+      load_report_exchange.set_zone_peers(std::move(peers));
+    });
+    synchronizer.cache_event_poller().on_update(
+        [this](const CacheUpdate& update) { load_report_exchange.send_to_zone(update); });
+    load_report_exchange.on_cache_update([this](const CacheUpdate& update) {
+      synchronizer.cache_event_poller().apply_update(update);
+    });
     pool.on_loading([this] { load_report_exchange.report_soon(); });
     pool.on_prompt_sent([this](std::uint32_t tokens) { load_report_exchange.record_sent(tokens); });
     synchronizer.start();
--- a/src/gateway/load_aggregator.cc
+++ b/src/gateway/load_aggregator.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "gateway/datagram_format.h"
 
 namespace bluebellstep {
 
@@ -61,50 +62,12 @@
   return out;
 }
 
-namespace {
-
-// Stops the parser at nested values that are deeper than those of a report. The parser recurses, so
-// a datagram of nested arrays would exhaust the stack.
-class DepthCheck : public nlohmann::json_sax<nlohmann::json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return false; }  // Reports contain no objects.
-  bool key(string_t&) override { return false; }
-  bool end_object() override { return false; }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool end_array() override {
-    --depth_;
-    return true;
-  }
-  bool parse_error(std::size_t, const std::string&, const nlohmann::json::exception&) override {
-    return false;
-  }
-
- private:
-  static constexpr int kMaxDepth = 3;
-
-  int depth_ = 0;
-};
-
-}  // namespace
-
 std::optional<LoadReport> decode_load_report(std::span<const std::uint8_t> bytes) {
-  DepthCheck depth_check;
-  if (!nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &depth_check,
-                                 nlohmann::json::input_format_t::msgpack)) {
-    return std::nullopt;
-  }
-  const auto json =
-      nlohmann::json::from_msgpack(bytes.data(), bytes.data() + bytes.size(), true, false);
-  if (!json.is_array() || json.size() != 6) {
+  const auto parsed = parse_datagram(bytes);
+  if (!parsed || parsed->size() != 6) {
     return std::nullopt;
   }
+  const nlohmann::json& json = *parsed;
   try {
     LoadReport report{.gateway = json.at(0).get<std::string>(),
                       .sequence = json.at(2).get<std::uint64_t>(),
--- a/src/gateway/load_report_exchange.cc
+++ b/src/gateway/load_report_exchange.cc
@@ -79,6 +79,8 @@
     const std::span<const std::uint8_t> bytes(buffer.data(), static_cast<std::size_t>(size));
     if (auto report = decode_load_report(bytes)) {
       on_report_(std::move(*report));
+    } else if (const auto update = decode_cache_update(bytes); update && on_cache_update_) {
+      on_cache_update_(*update);
     }
   }
 }
@@ -92,19 +94,30 @@
   if (!report.upstream_loads.empty() || !last_report_was_empty_ ||
       now >= last_sent_at_ + ReportPacer::kIdleInterval) {
     last_sent_at_ = now;
-    const std::string bytes = encode_load_report(report);
-    for (const Endpoint& peer : peers_) {
-      if (std::optional<SocketAddress> address = to_socket_address(peer)) {
-        // Errors are ignored: the next report replaces this one.
-        (void)::sendto(fd_, bytes.data(), bytes.size(), 0, address->get(), address->length);
-      }
-    }
+    send(encode_load_report(report), peers_);
   }
   last_report_was_empty_ = report.upstream_loads.empty();
   pacer_.record_reported(clock_.now());
   schedule_report();
 }
 
+void LoadReportExchange::send(std::string_view bytes, const std::vector<Endpoint>& peers) const {
+  for (const Endpoint& peer : peers) {
+    if (std::optional<SocketAddress> address = to_socket_address(peer)) {
+      // Errors are ignored: the next report replaces this one, and a gateway that misses an update
+      // polls the node.
+      (void)::sendto(fd_, bytes.data(), bytes.size(), 0, address->get(), address->length);
+    }
+  }
+}
+
+void LoadReportExchange::send_to_zone(const CacheUpdate& update) {
+  const std::string bytes = encode_cache_update(update);
+  if (bytes.size() <= kMaxCacheUpdateBytes) {
+    send(bytes, zone_peers_);
+  }
+}
+
 void LoadReportExchange::set_peers(std::vector<Endpoint> peers) {
   peers_ = std::move(peers);
   pacer_.set_peer_count(peers_.size());
--- a/src/gateway/load_report_exchange.h
+++ b/src/gateway/load_report_exchange.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/cache_update.h"
 #include "gateway/load_aggregator.h"
 #include "gateway/report_pacer.h"
 #include "http/http_loop.h"
@@ -44,6 +45,17 @@
   /** Sets the gateways to which reports are sent. */
   void set_peers(std::vector<Endpoint> peers);
 
+  /** Sets the gateways of the same zone. */
+  void set_zone_peers(std::vector<Endpoint> peers) { zone_peers_ = std::move(peers); }
+
+  /** Sends an update to the gateways of the same zone. */
+  void send_to_zone(const CacheUpdate& update);
+
+  /** Sets the function to call with each update received. */
+  void on_cache_update(std::function<void(const CacheUpdate&)> callback) {
+    on_cache_update_ = std::move(callback);
+  }
+
   /** Sends a report soon, since the state of an upstream has changed. */
   void report_soon();
   /** A prompt was sent to an engine that must prefill `uncached_tokens` of its tokens. A large
@@ -53,6 +65,7 @@
  private:
   static void on_readable(h2o_socket_t* socket, const char* error);
   void read_all();
+  void send(std::string_view bytes, const std::vector<Endpoint>& peers) const;
   void send_report();
   void schedule_report();
 
@@ -60,7 +73,9 @@
   std::string name_;
   std::function<LoadReport()> make_report_;
   std::function<void(LoadReport)> on_report_;
+  std::function<void(const CacheUpdate&)> on_cache_update_;
   std::vector<Endpoint> peers_;
+  std::vector<Endpoint> zone_peers_;
   ReportPacer pacer_;
   std::optional<Instant> scheduled_for_;
   Clock clock_;
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -260,6 +260,8 @@
 
 void StateSynchronizer::on_gateways() {
   std::vector<Endpoint> peers;
+  std::vector<Endpoint> zone_peers;
+  std::vector<std::string> zone_names;
   std::vector<StoreSource::Gateway> gateways;
   const auto& objects = replica(ObjectKind::kGateways).objects();
   for (const auto& [name, object] : objects) {
@@ -267,12 +269,21 @@
     if (!gateway) {
       continue;
     }
-    if (gateway->endpoint != settings_.peers) {
+    const bool is_peer = gateway->endpoint != settings_.peers;
+    if (is_peer) {
       peers.push_back(gateway->endpoint);
     }
+    if (is_peer && gateway->zone == settings_.zone) {
+      zone_peers.push_back(gateway->endpoint);
+      zone_names.push_back(gateway->name);
+    }
     gateways.push_back(std::move(*gateway));
   }
   source_.set_gateways(gateways);
+  cache_event_poller_.set_zone_gateways(zone_names);
+  if (on_zone_peers_changed_) {
+    on_zone_peers_changed_(std::move(zone_peers));
+  }
   std::set<std::string, std::less<>> names;
   for (const auto& [name, object] : objects) {
     names.insert(name);
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -92,6 +92,15 @@
     on_peers_changed_ = std::move(callback);
   }
 
+  /** Sets the callback for changes of the other gateways of this zone, which receives their
+   * addresses. */
+  void on_zone_peers_changed(std::function<void(std::vector<Endpoint>)> callback) {
+    on_zone_peers_changed_ = std::move(callback);
+  }
+
+  /** Follows the cache nodes. */
+  CacheEventPoller& cache_event_poller() { return cache_event_poller_; }
+
   /** Whether requests can be served: a configuration and at least one upstream are known. */
   bool ready() const { return forwarder_.config() != nullptr && pool_.size() > 0; }
 
@@ -161,6 +170,7 @@
   Random random_;
   std::function<void()> on_weights_changed_;
   std::function<void(std::vector<Endpoint>)> on_peers_changed_;
+  std::function<void(std::vector<Endpoint>)> on_zone_peers_changed_;
   std::vector<std::unique_ptr<StoreWatcher>> watchers_;
   std::vector<Endpoint> peers_;
   GatewayMembership membership_;
