--- a/src/gateway/cache_update_test.cc
+++ b/src/gateway/cache_update_test.cc
@@ -84,12 +84,15 @@
 // against polls by each gateway, most of which are rejected.
 TEST_CASE("one gateway of a zone polls each shared node", "[gateway][load]") {
   constexpr int kGateways = 20;
+  constexpr int kStores = 40;
   std::vector<std::string> names;
+  names.reserve(kGateways);
   for (int i = 0; i < kGateways; ++i) {
     names.push_back("g" + std::to_string(i));
   }
   std::vector<CacheNode> nodes;
-  for (int i = 0; i < 40; ++i) {
+  nodes.reserve(kStores + 2);
+  for (int i = 0; i < kStores; ++i) {
     nodes.push_back({.name = "s" + std::to_string(i), .zone = "b", .is_store = true});
   }
   nodes.push_back({.name = "e1", .zone = "a"});
