gateway: Move the choice of upstreams and the peers' objects into files of their own

Moves only, but for the predictor of a service, which a choice looks up once instead of several times for each upstream, and a comment of a constant that is gone.

--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -121,6 +121,7 @@
   void on_peer_request(std::string_view path, std::function<void(std::string)> respond);
 
  private:
+  static std::string_view name_of(platform::ObjectKind kind);  // For the log.
   void add_watcher(platform::ObjectKind kind);
   void on_changes(platform::ObjectKind kind, ObjectReplica::Changes changes);
   void on_config(const platform::StoredObject& object);
--- /dev/null
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -0,0 +1,269 @@
+// What a gateway tells its peers of the store's objects, and how it follows one of them.
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log_event.h"
+#include "base/overloaded.h"
+#include "gateway/state_synchronizer.h"
+#include "http/socket_address.h"
+
+namespace bluebellstep {
+namespace {
+
+using platform::ObjectKind;
+
+constexpr std::string_view kPeerPath = "/v1/objects?known=";
+
+}  // namespace
+
+KnownRevisions StateSynchronizer::known_revisions() const {
+  KnownRevisions known;
+  for (const auto& watcher : watchers_) {
+    known.push_back(watcher->replica().revision());
+  }
+  return known;
+}
+
+// The store's revision also increases by changes of other kinds, which are no news.
+bool StateSynchronizer::has_changes_since(const KnownRevisions& known) const {
+  for (std::size_t i = 0; i < watchers_.size(); ++i) {
+    const ObjectReplica& replica = watchers_[i]->replica();
+    const std::uint64_t known_revision = i < known.size() ? known[i] : 0;
+    if (replica.revision() <= known_revision) {
+      continue;
+    }
+    const auto changes = replica.changes_since(known_revision);
+    if (!changes || !changes->empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+Instant StateSynchronizer::current_until() const {
+  return store_answered_at_ + (following_ ? kMaxFollowedAnswerAge : kMaxAnswerAge);
+}
+
+ChangesAnswer StateSynchronizer::changes_since(const KnownRevisions& known) const {
+  const Instant now = clock_.now();
+  ChangesAnswer answer{.current = store_reachable_ && now < current_until(),
+                       .age = now - store_answered_at_};
+  if (store_regained_at_) {
+    answer.store_regained_ago = now - *store_regained_at_;
+  }
+  for (std::size_t i = 0; i < watchers_.size(); ++i) {
+    const ObjectReplica& replica = watchers_[i]->replica();
+    const std::uint64_t known_revision = i < known.size() ? known[i] : 0;
+    if (replica.revision() <= known_revision) {
+      continue;
+    }
+    KindChanges kind{.kind = watchers_[i]->kind(), .revision = replica.revision()};
+    if (auto changes = replica.changes_since(known_revision)) {
+      kind.content = std::move(*changes);
+    } else {
+      std::vector<platform::StoredObject> objects;
+      for (const auto& [name, object] : replica.objects()) {
+        objects.push_back(object);
+      }
+      kind.content = std::move(objects);
+    }
+    answer.kinds.push_back(std::move(kind));
+  }
+  return answer;
+}
+
+void StateSynchronizer::on_peer_request(std::string_view path,
+                                        std::function<void(std::string)> respond) {
+  if (!path.starts_with(kChangesPath)) {
+    respond(answer_peer_query(path));
+    return;
+  }
+  const Instant now = clock_.now();
+  polled_at_ = now;
+  update_watch_wait();
+  ChangesQuery query = decode_changes_query(path);
+  // The answer must tell in time that the objects are outdated.
+  query.wait = std::min(query.wait, current_until() - now);
+  const Duration wait = query.wait + Duration{1};
+  const FollowerPolls::PollId held = follower_polls_.add(
+      std::move(query), [this, respond = std::move(respond)](const KnownRevisions& known) {
+        respond(encode_changes_answer(changes_since(known)));
+      });
+  if (held != 0) {
+    run_after(wait, [this, held] { follower_polls_.expire(held); });
+  }
+}
+
+void StateSynchronizer::update_watch_wait() {
+  const bool followed = polled_at_ && clock_.now() < *polled_at_ + kFollowerTimeout;
+  find_watcher(ObjectKind::kConfiguration)
+      ->set_watch_wait(followed ? kReaderWatchWait : StoreWatcher::kWatchWait);
+}
+
+void StateSynchronizer::set_following(bool following, std::string_view reason) {
+  if (following == following_) {
+    return;
+  }
+  following_ = following;
+  LogEvent("store_source_changed")
+      .field("following", following)
+      .field("why", reason)
+      .field("revision", replica(ObjectKind::kUpstreams).revision());
+  for (const auto& watcher : watchers_) {
+    if (following) {
+      watcher->pause();
+    } else {
+      watcher->resume();
+    }
+  }
+}
+
+void StateSynchronizer::follow_reader() {
+  const KnownRevisions known = known_revisions();
+  const bool all_listed = std::find(known.begin(), known.end(), 0) == known.end();
+  const auto reader = all_listed ? source_.reader(clock_.now()) : std::nullopt;
+  if (!reader) {
+    set_following(false, "no_reader");
+    run_after(kReaderCheckInterval, [this] { follow_reader(); });
+    return;
+  }
+  const Duration wait = following_ ? kFollowWait : Duration{0};
+  HttpCall call{.endpoint = *reader, .path = encode_changes_query({.known = known, .wait = wait})};
+  call.connect_timeout = kFollowTimeout;
+  call.idle_timeout = wait + kFollowTimeout;
+  client_.send(std::move(call), [this, reader = *reader, alive = std::weak_ptr<bool>(alive_)](
+                                    const HttpClient::Response& response) {
+    if (!alive.expired()) {
+      on_reader_answer(reader, response);
+    }
+  });
+}
+
+void StateSynchronizer::on_reader_answer(const Endpoint& reader,
+                                         const HttpClient::Response& response) {
+  auto answer =
+      response.status == 200 && std::holds_alternative<HttpClient::Complete>(response.outcome)
+          ? decode_changes_answer(response.body)
+          : std::nullopt;
+  if (!answer || !answer->current) {
+    source_.record_failure(reader, clock_.now());
+    set_following(false, answer ? "reader_lost_the_store" : "reader_did_not_answer");
+    follower_polls_.answer_all();
+    run_after(kReaderCheckInterval, [this] { follow_reader(); });
+    return;
+  }
+  apply_changes(std::move(*answer));
+  set_following(true, to_string(reader));
+  run_after(kFollowDelay, [this] { follow_reader(); });
+}
+
+void StateSynchronizer::apply_changes(ChangesAnswer answer) {
+  const Instant now = clock_.now();
+  if (following_ && answer.store_regained_ago &&
+      *answer.store_regained_ago < UpstreamPool::kOutageNoticeTime) {
+    // This gateway did not notice the outage, in which registrations of upstreams may have expired.
+    pool_.set_store_reachable(false, now);
+  }
+  pool_.set_store_reachable(true, now);
+  store_answered_at_ = std::max(store_answered_at_, now - answer.age);
+  if (!store_reachable_) {
+    LogEvent("store_regained", LogEvent::Severity::kWarning).field("kind", "reader");
+    store_reachable_ = true;
+  }
+  for (KindChanges& kind : answer.kinds) {
+    StoreWatcher* watcher = find_watcher(kind.kind);
+    if (watcher == nullptr) {
+      continue;  // This version does not watch the kind.
+    }
+    std::visit(Overloaded{[&](std::vector<platform::ObjectChange>& changes) {
+                            watcher->apply_changes(
+                                {.changes = std::move(changes), .store_revision = kind.revision});
+                          },
+                          [&](std::vector<platform::StoredObject>& objects) {
+                            watcher->apply_snapshot(std::move(objects), kind.revision);
+                          }},
+               kind.content);
+  }
+}
+
+// Returns the path of a query to a peer. It lists the revision known of each kind, in the order of
+// `kWatchedKinds`, so that the answer contains only newer objects.
+std::string StateSynchronizer::peer_query_path() const {
+  std::string path(kPeerPath);
+  for (const auto& watcher : watchers_) {
+    path.append(std::to_string(watcher->replica().revision())).append(",");
+  }
+  return path;
+}
+
+void StateSynchronizer::query_peer() {
+  if (peers_.empty()) {
+    return;
+  }
+  HttpCall call{.endpoint = peers_[random_.below(peers_.size())], .path = peer_query_path()};
+  call.connect_timeout = kPeerQueryTimeout;
+  call.idle_timeout = kPeerQueryTimeout;
+  peer_query_in_flight_ = true;
+  client_.send(std::move(call),
+               [this, alive = std::weak_ptr<bool>(alive_)](HttpClient::Response response) {
+                 if (!alive.expired()) {
+                   peer_query_in_flight_ = false;
+                   apply_peer_answer(response);
+                 }
+               });
+}
+
+std::string StateSynchronizer::answer_peer_query(std::string_view query) const {
+  const std::size_t start = query.find('=');
+  query = start == std::string_view::npos ? std::string_view() : query.substr(start + 1);
+  nlohmann::json kinds = nlohmann::json::array();
+  for (const auto& watcher : watchers_) {
+    const std::size_t comma = query.find(',');
+    const std::uint64_t known = parse_decimal(query.substr(0, comma)).value_or(0);
+    query = comma == std::string_view::npos ? std::string_view() : query.substr(comma + 1);
+    const ObjectReplica& replica = watcher->replica();
+    if (replica.revision() <= known) {
+      continue;
+    }
+    nlohmann::json objects = nlohmann::json::array();
+    for (const auto& [name, object] : replica.objects()) {
+      objects.push_back({name, object.revision, object.content});
+    }
+    kinds.push_back({{"kind", static_cast<int>(watcher->kind())},
+                     {"revision", replica.revision()},
+                     {"objects", std::move(objects)}});
+  }
+  return nlohmann::json{{"kinds", std::move(kinds)}}.dump();
+}
+
+void StateSynchronizer::apply_peer_answer(const HttpClient::Response& response) {
+  const auto json = response.status == 200 ? nlohmann::json::parse(response.body, nullptr, false)
+                                           : nlohmann::json();
+  if (!json.is_object()) {
+    return;  // The peer is down or starting; the next query chooses a peer again.
+  }
+  try {
+    for (const auto& item : json.at("kinds")) {
+      const auto kind = static_cast<ObjectKind>(item.at("kind").get<int>());
+      std::vector<platform::StoredObject> objects;
+      for (const auto& object : item.at("objects")) {
+        objects.push_back({.name = object.at(0).get<std::string>(),
+                           .revision = object.at(1).get<std::uint64_t>(),
+                           .content = object.at(2).get<std::string>()});
+      }
+      StoreWatcher* watcher = find_watcher(kind);
+      if (watcher == nullptr) {
+        continue;  // This version does not watch the kind.
+      }
+      const auto revision = item.at("revision").get<std::uint64_t>();
+      LogEvent("peer_knows_newer").field("kind", name_of(kind)).field("revision", revision);
+      watcher->apply_snapshot(std::move(objects), revision);
+    }
+  } catch (const nlohmann::json::exception& fault) {
+    LogEvent("peer_answer_not_understood", LogEvent::Severity::kWarning).field("why", fault.what());
+  }
+}
+
+}  // namespace bluebellstep
--- /dev/null
+++ b/src/gateway/upstream_choice.cc
@@ -0,0 +1,284 @@
+// Choice of an upstream for a request: estimates of the wait, of cached segments and of the cost at
+// each upstream, and admission.
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/hash.h"
+#include "gateway/upstream_pool.h"
+
+namespace bluebellstep {
+namespace {
+
+// Estimated wait caused by each request that an engine runs or has in its queue.
+constexpr double kWaitMsPerRunning = 0.4;
+constexpr double kWaitMsPerQueued = 15;
+// Share of an engine's KV cache that prompts of running requests can fill before further requests
+// wait, and the wait of a request whose prompt does not fit.
+constexpr double kUsableKvShare = 0.9;
+constexpr double kNoKvRoomMs = 250;
+// Cost of a kilobyte sent to another zone.
+constexpr double kOtherZoneMsPerKb = 0.2;
+// Processing time of one request at a plain service. Only ratios of waits matter.
+constexpr double kPlainRequestMs = 20;
+// Half-life of the weight of a reported load.
+constexpr double kLoadHalfLifeMs = 400;
+// Cost of the round trip to another zone.
+constexpr double kOtherZoneMs = 4;
+// Shorter segments do not influence the ranking: prefilling them again takes less time than finding
+// a cached copy.
+constexpr std::uint32_t kMinAffinityTokens = 512;
+// Share of the prefill time of shared segments that an upstream is expected to spend if they are
+// not known to be in its cache, by the upstream's rank. Other gateways send the segments to the
+// first ranks too, so they are likely to be cached there.
+constexpr double kRankCostShare[] = {0.35, 0.7, 1.0};
+// Upstreams whose scores differ by less than this count as equal, and each request orders them
+// differently. Gateways that choose between two load reports see the same loads and would otherwise
+// all choose the same upstream. Roughly the wait that all gateways together add between two
+// reports.
+constexpr double kEngineTieBreakMs = 20;
+constexpr double kPlainTieBreakMs = 3;
+// Prefilling a shared segment again is charged, in addition to the time that it takes.
+constexpr double kPrefillPenaltyFactor = 3;
+constexpr Duration kRetryAfterNoUpstream{400};
+constexpr Duration kRetryAfterCold{250};
+
+// Returns the segment by which upstreams are ranked: the first large one. The last segment is not
+// considered, since it belongs to the request alone.
+std::optional<PromptSegment> first_shared_segment(const PickQuery& query) {
+  for (std::size_t i = 0; i + 1 < query.prompt.size(); ++i) {
+    if (query.prompt[i].tokens >= kMinAffinityTokens) {
+      return query.prompt[i];
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+const FirstEventPredictor& UpstreamPool::predictor_of(const ServiceInfo& service) const {
+  static const FirstEventPredictor initial;
+  const FirstEventPredictor* known = predictor(service.name);
+  return known == nullptr ? initial : *known;
+}
+
+const FirstEventPredictor* UpstreamPool::predictor(std::string_view service) const {
+  const auto found = predictors_.find(service);
+  return found == predictors_.end() ? nullptr : &found->second;
+}
+
+// Returns the work that an upstream has before it starts on a request.
+FirstEventPredictor::Work UpstreamPool::queued_work(const Upstream& upstream,
+                                                    const PickQuery& query,
+                                                    Instant now) const {
+  const double age = static_cast<double>((now - upstream.load_reported_at).ms);
+  const double load_weight = std::exp2(-age / kLoadHalfLifeMs);
+  InFlightLoad in_flight = load_aggregator_.peer_load(LoadAggregator::key_of(upstream.id_hash));
+  in_flight += upstream.in_flight;
+  const double slots = std::max<std::uint32_t>(1, upstream.registration.slots);
+  if (!query.service->engine) {
+    const double open_requests =
+        std::max(static_cast<double>(in_flight.requests),
+                 load_weight * (upstream.load.running + upstream.load.waiting));
+    return {.other_ms = open_requests * kPlainRequestMs / slots};
+  }
+  const double requests = static_cast<double>(in_flight.requests);
+  const double running = std::max(requests, load_weight * upstream.load.running);
+  const double waiting =
+      std::max(load_weight * upstream.load.waiting, std::max(0.0, requests + 1 - slots));
+  FirstEventPredictor::Work work{
+      .tokens = static_cast<double>(in_flight.prefill_tokens),
+      .other_ms = running * kWaitMsPerRunning + waiting * kWaitMsPerQueued};
+  // Running requests keep their prompts in the KV cache. A request that does not fit waits until
+  // others end.
+  const double usable_kv_tokens =
+      static_cast<double>(query.service->engine->kv_capacity_tokens) * kUsableKvShare;
+  const double needed_kv_tokens =
+      static_cast<double>(in_flight.prompt_tokens) + query.prompt_tokens;
+  if (needed_kv_tokens > usable_kv_tokens && usable_kv_tokens > 0) {
+    work.other_ms += kNoKvRoomMs * needed_kv_tokens / usable_kv_tokens;
+  }
+  return work;
+}
+
+const UpstreamPool::PromptCacheState& UpstreamPool::cache_state_of(
+    const Upstream& upstream,
+    const PickQuery& query,
+    CacheStateByVersion& cache_states,
+    Instant now) const {
+  const std::uint64_t version = version_of(upstream, query.model).value_or(0);
+  const auto known = cache_states.find(version);
+  if (known != cache_states.end()) {
+    return known->second;
+  }
+  PromptCacheState added;
+  const bool isolated = query.account != nullptr && query.account->isolated;
+  added.cache_namespace =
+      cache_namespace(query.model, version, isolated ? query.account->name : "");
+  const auto rollout = rollouts_.find(query.model);
+  added.stores = {
+      .fetch = rollout == rollouts_.end() || version >= rollout->second.complete_version,
+      .save = version >= newest_target(query.model)};
+  added.fetch_candidates =
+      cache_.fetch_candidates(added.cache_namespace, query.prompt, added.stores,
+                              predictor_of(*query.service).tokens_per_ms(), query.tie_breaker, now);
+  return cache_states.emplace(version, std::move(added)).first->second;
+}
+
+// Returns a small cost that orders equal upstreams differently for each request.
+double UpstreamPool::tie_break_ms(const Upstream& upstream, const PickQuery& query) {
+  const double limit = query.service->engine ? kEngineTieBreakMs : kPlainTieBreakMs;
+  return limit * unit_interval(rendezvous_score(query.tie_breaker, upstream.id_hash));
+}
+
+// Estimates the cost of sending a request to an upstream. `rank` is the position of the upstream in
+// the affinity order of the prompt's first shared segment.
+UpstreamPool::Estimate UpstreamPool::estimate(const Upstream& upstream,
+                                              const PickQuery& query,
+                                              const FirstEventPredictor& predictor,
+                                              std::size_t rank,
+                                              CacheStateByVersion& cache_states,
+                                              Instant now) const {
+  const double tokens_per_ms = predictor.tokens_per_ms();
+  Estimate result{.queued = queued_work(upstream, query, now)};
+  result.cost_ms =
+      result.queued.tokens / tokens_per_ms + result.queued.other_ms + tie_break_ms(upstream, query);
+  if (upstream.registration.zone != query.zone) {
+    result.cost_ms +=
+        kOtherZoneMs + kOtherZoneMsPerKb * static_cast<double>(query.body_bytes) / 1024;
+  }
+  if (!query.service->engine) {
+    return result;
+  }
+  const PromptCacheState& known = cache_state_of(upstream, query, cache_states, now);
+  const CacheDirectory::Coverage coverage = cache_.coverage(
+      upstream.registration.id, known.cache_namespace, query.prompt, known.fetch_candidates, now);
+  result.cost_ms += coverage.fetch_ms;
+  const std::uint32_t own = query.prompt.empty() ? 0 : query.prompt.back().tokens;
+  const std::uint32_t shared = query.prompt_tokens - std::min(own, query.prompt_tokens);
+  const std::uint32_t covered = coverage.held_tokens + coverage.fetched_tokens;
+  result.own = {
+      .tokens = static_cast<double>(query.prompt_tokens - std::min(covered, query.prompt_tokens)),
+      .fetch_ms = coverage.fetch_ms};
+  if (covered < shared) {
+    const double cost =
+        kRankCostShare[std::min(rank, std::size(kRankCostShare) - 1)] * kPrefillPenaltyFactor;
+    result.cost_ms += cost * (shared - covered) / tokens_per_ms;
+  }
+  if (version_of(upstream, query.model).value_or(0) < newest_target(query.model)) {
+    // Answers from older weights are worth less to the caller.
+    constexpr double kOlderWeightsMs = 120;
+    result.cost_ms += kOlderWeightsMs;
+  }
+  return result;
+}
+
+AdmissionInputs UpstreamPool::admission_inputs(const Estimate& estimate,
+                                               const PickQuery& query,
+                                               const FirstEventPredictor& predictor) {
+  const double tokens_per_ms = predictor.tokens_per_ms();
+  const bool is_urgent = query.priority <= query.service->urgent_priority;
+  return {
+      .queue_ms = estimate.queued.tokens / tokens_per_ms + estimate.queued.other_ms,
+      .own_ms = predictor.predict_ms(estimate.own),
+      .latency_goal = query.latency_goal,
+      .urgent_goal = is_urgent ? std::nullopt : std::optional(query.service->urgent_latency_goal),
+      .time_left = query.time_left};
+}
+
+PickResult UpstreamPool::pick(const PickQuery& query, Instant now) {
+  struct Candidate {
+    Upstream* upstream;
+    std::uint64_t affinity;
+  };
+  std::vector<Candidate> candidates;
+  const auto shared = first_shared_segment(query);
+  const double own_share = traffic_share(now);
+  bool request_limited = false;
+  for (int pass = 0; pass < 2 && candidates.empty(); ++pass) {
+    // Ejected upstreams are used only if there is no other.
+    const bool include_ejected = pass == 1;
+    for (auto& [id, upstream] : upstreams_) {
+      if (!may_receive(upstream, query, now) ||
+          (!include_ejected && !is_healthy(upstream, query, now))) {
+        continue;
+      }
+      apply_peer_reports(upstream, now);
+      if (!within_request_limit(upstream, *query.service, own_share, now)) {
+        request_limited = true;
+        continue;
+      }
+      candidates.push_back(
+          {&upstream, shared ? rendezvous_score(shared->id, upstream.id_hash) : std::uint64_t{0}});
+    }
+  }
+  if (candidates.empty()) {
+    return request_limited ? NoUpstreamAvailable{kRetryAfterCold, "upstreams_cold"}
+                           : NoUpstreamAvailable{kRetryAfterNoUpstream, "no_upstream"};
+  }
+  if (shared) {
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate& a, const Candidate& b) { return a.affinity > b.affinity; });
+  }
+  const FirstEventPredictor& predictor = predictor_of(*query.service);
+  const bool may_refuse = query.service->engine && query.latency_goal > Duration{0};
+  const Candidate* best = nullptr;
+  Estimate best_estimate;
+  std::optional<Duration> shortest_delay;
+  NoUpstreamAvailable refusal{.reason = "overloaded"};
+  CacheStateByVersion cache_states;
+  for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
+    const Estimate candidate =
+        estimate(*candidates[rank].upstream, query, predictor, rank, cache_states, now);
+    if (may_refuse) {
+      const AdmissionInputs inputs = admission_inputs(candidate, query, predictor);
+      if (const auto delay = AdmissionControl::retry_delay(inputs)) {
+        if (!shortest_delay || *delay < *shortest_delay) {
+          shortest_delay = delay;
+          refusal.retry_after = *delay;
+          refusal.admission = inputs;
+        }
+        continue;
+      }
+    }
+    if (best == nullptr || candidate.cost_ms < best_estimate.cost_ms) {
+      best = &candidates[rank];
+      best_estimate = candidate;
+    }
+  }
+  if (best == nullptr) {
+    return refusal;
+  }
+  return plan_request(*best->upstream, best_estimate, query, cache_states, now);
+}
+
+PickedUpstream UpstreamPool::plan_request(const Upstream& upstream,
+                                          const Estimate& estimate,
+                                          const PickQuery& query,
+                                          CacheStateByVersion& cache_states,
+                                          Instant now) const {
+  const UpstreamRegistration& registration = upstream.registration;
+  PickedUpstream picked{.upstream_id = registration.id,
+                        .endpoint = registration.endpoint,
+                        .weight_version = version_of(upstream, query.model)};
+  if (!query.service->engine) {
+    return picked;
+  }
+  const PromptCacheState& known = cache_state_of(upstream, query, cache_states, now);
+  const CacheDirectory::Coverage coverage = cache_.coverage(
+      registration.id, known.cache_namespace, query.prompt, known.fetch_candidates, now);
+  picked.cache_namespace = known.cache_namespace;
+  picked.held_tokens = coverage.held_tokens;
+  picked.cache_plan = cache_.plan(registration.id, known.cache_namespace, query.prompt,
+                                  known.fetch_candidates, known.stores, now);
+  picked.uncached_tokens =
+      query.prompt_tokens -
+      std::min(query.prompt_tokens, coverage.held_tokens + picked.cache_plan.fetched_tokens);
+  picked.expected_work = {.tokens = estimate.queued.tokens + picked.uncached_tokens,
+                          .fetch_ms = picked.cache_plan.fetch_ms,
+                          .other_ms = estimate.queued.other_ms};
+  return picked;
+}
+
+}  // namespace bluebellstep
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -295,11 +295,14 @@
   };
   Estimate estimate(const Upstream& upstream,
                     const PickQuery& query,
+                    const FirstEventPredictor& predictor,
                     std::size_t rank,
                     CacheStateByVersion& cache_states,
                     Instant now) const;
   // Returns what decides on the admission of the request at an engine.
-  AdmissionInputs admission_inputs(const Estimate& estimate, const PickQuery& query) const;
+  static AdmissionInputs admission_inputs(const Estimate& estimate,
+                                          const PickQuery& query,
+                                          const FirstEventPredictor& predictor);
   const PromptCacheState& cache_state_of(const Upstream& upstream,
                                          const PickQuery& query,
                                          CacheStateByVersion& cache_states,
