settings: Check ranges of bounds, and that a stop limit leaves time to stop

A stop_limit below balancer_delay or below 2 s ended a process by a failed assertion at its stop; found by reading. Negative bounds and too short terms of a gateway were taken as they were. The faults of endless bytes stand in one table now, since they were eight copies of the same steps.

--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -204,56 +204,32 @@
 // Guards against memory that grows with the bytes of a faulty upstream, and against callers that
 // wait for it.
 TEST_CASE("bytes without end close the connection and end the request", "[gateway][faults]") {
+  struct Fault {
+    std::string name;
+    std::string route;
+    std::string start;
+    std::string repeated;
+  };
+  const std::string block(32u << 10, 'x');
+  const auto fault = GENERATE_COPY(values<Fault>({
+      {"head", "order", "HTTP/1.1 200 OK\r\nX: ", block},
+      {"interim responses", "order", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"response to another request", "order", response_head("r0", "X: y"), block},
+      {"body with a length", "order", response_head("r1", "Content-Length: 99999999999"), block},
+      {"chunked body", "order", response_head("r1", "Transfer-Encoding: chunked"),
+       "8000\r\n" + block + "\r\n"},
+      {"chunk size", "order", response_head("r1", "Transfer-Encoding: chunked"),
+       std::string(1024, '0')},
+      {"body until the end of the connection", "order", response_head("r1", "X: y"), block},
+      {"stream without an event boundary", "stream", response_head("r1", "X: y"), block},
+  }));
+  INFO(fault.name);
   Fixture fixture;
   CallerView caller;
-  const std::string piece(32u << 10, 'x');
-  SECTION("head") {
-    fixture.start(caller, "order", "r1");
-    RawSocket upstream = fixture.accept_request();
-    upstream.send("HTTP/1.1 200 OK\r\nX: ");
-    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
-  }
-  SECTION("interim responses") {
-    fixture.start(caller, "order", "r1");
-    RawSocket upstream = fixture.accept_request();
-    CHECK(send_without_end(upstream, "HTTP/1.1 100 Continue\r\n\r\n", kEndless) < kEndless);
-  }
-  SECTION("response to another request") {
-    fixture.start(caller, "order", "r1");
-    RawSocket upstream = fixture.accept_request();
-    upstream.send(response_head("r0", "X: y"));
-    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
-  }
-  SECTION("body with a length") {
-    fixture.start(caller, "order", "r1");
-    RawSocket upstream = fixture.accept_request();
-    upstream.send(response_head("r1", "Content-Length: 99999999999"));
-    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
-  }
-  SECTION("chunked body") {
-    fixture.start(caller, "order", "r1");
-    RawSocket upstream = fixture.accept_request();
-    upstream.send(response_head("r1", "Transfer-Encoding: chunked"));
-    CHECK(send_without_end(upstream, "8000\r\n" + piece + "\r\n", kEndless) < kEndless);
-  }
-  SECTION("chunk size") {
-    fixture.start(caller, "order", "r1");
-    RawSocket upstream = fixture.accept_request();
-    upstream.send(response_head("r1", "Transfer-Encoding: chunked"));
-    CHECK(send_without_end(upstream, std::string(1024, '0'), kEndless) < kEndless);
-  }
-  SECTION("body until the end of the connection") {
-    fixture.start(caller, "order", "r1");
-    RawSocket upstream = fixture.accept_request();
-    upstream.send(response_head("r1", "X: y"));
-    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
-  }
-  SECTION("stream without an event boundary") {
-    fixture.start(caller, "stream", "r1");
-    RawSocket upstream = fixture.accept_request();
-    upstream.send(response_head("r1", "X: y"));
-    CHECK(send_without_end(upstream, piece, kEndless) < kEndless);
-  }
+  fixture.start(caller, fault.route, "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(fault.start);
+  CHECK(send_without_end(upstream, fault.repeated, kEndless) < kEndless);
   REQUIRE(caller.wait());
   CHECK((caller.text().starts_with("HTTP/1.1 502") || !caller.complete()));
 }
--- a/src/settings/common_settings.cc
+++ b/src/settings/common_settings.cc
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "base/ed25519.h"
+#include "shutdown/drain_controller.h"
 
 namespace bluebellstep {
 namespace {
@@ -61,6 +62,10 @@
   }
   read_operator_keys(root, settings.operator_keys);
   root.read("stop_limit", settings.stop_limit, Presence::kOptional);
+  // A process that stops announces its leave first.
+  if (settings.stop_limit <= DrainTimes().leave_notice_time) {
+    root.add_error("stop_limit", "a duration of more than 2s");
+  }
   root.read("heartbeat_interval", settings.heartbeat_interval, Presence::kOptional);
   root.read("silence_limit", settings.silence_limit, Presence::kOptional);
   if (settings.heartbeat_interval < 10_ms) {
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -14,6 +14,9 @@
   read_process_settings(root, settings);
   root.read("peers", settings.peers, Presence::kOptional);
   root.read("balancer_delay", settings.balancer_delay, Presence::kOptional);
+  if (settings.stop_limit <= settings.balancer_delay) {
+    root.add_error("stop_limit", "a duration above balancer_delay");
+  }
   SettingsErrors errors = reader.finish();
   if (!errors.errors.empty()) {
     return boost::leaf::new_error(std::move(errors));
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -8,6 +8,11 @@
 namespace bluebellstep {
 namespace {
 
+// Commands are sent until 700 ms before the end of a lease.
+constexpr Duration kMinLeaseTerm{1000};
+// The window is counted in ten parts.
+constexpr Duration kMinRepeatWindow{100};
+
 void read_bounds(SettingsReader::Section& section, GatewayBounds& bounds) {
   section.read("stop_limit", bounds.stop_limit, Presence::kOptional);
   section.read("lease_term", bounds.lease_term, Presence::kOptional);
@@ -18,6 +23,21 @@
   section.read("repeat_window", bounds.repeat_window, Presence::kOptional);
   section.read("cold_overage", bounds.cold_overage, Presence::kOptional);
   section.read("cold_slack", bounds.cold_slack, Presence::kOptional);
+  if (bounds.lease_term < kMinLeaseTerm) {
+    section.add_error("lease_term", "a duration of at least 1s");
+  }
+  if (bounds.repeat_window < kMinRepeatWindow) {
+    section.add_error("repeat_window", "a duration of at least 100ms");
+  }
+  const auto check_not_negative = [&](std::string_view key, double value) {
+    if (value < 0) {
+      section.add_error(key, "a number of at least 0");
+    }
+  };
+  check_not_negative("repeat_ratio", bounds.repeat_ratio);
+  check_not_negative("repeat_extra", bounds.repeat_extra);
+  check_not_negative("cold_overage", bounds.cold_overage);
+  check_not_negative("cold_slack", bounds.cold_slack);
 }
 
 }  // namespace
--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -47,6 +47,20 @@
   CHECK(settings->bounds.repeat_window == Duration{10'000});
 }
 
+// Guards against a retry budget or a lease that never allows anything, without an error.
+TEST_CASE("bounds of a gateway outside their range are rejected", "[settings][gateway]") {
+  const auto with_bound = [](std::string_view bound) {
+    return std::string(kCompleteSettings) + "  " + std::string(bound) + "\n";
+  };
+  CHECK(errors_of(with_bound("cold_slack: 0")).empty());
+  CHECK_THAT(errors_of(with_bound("cold_slack: -1")), Catch::Contains("at least 0"));
+  CHECK_THAT(errors_of(with_bound("repeat_extra: -0.5")), Catch::Contains("at least 0"));
+  CHECK_THAT(errors_of(with_bound("repeat_window: 0s")), Catch::Contains("at least 100ms"));
+  std::string short_lease(kCompleteSettings);
+  short_lease.replace(short_lease.find("3000ms"), 6, "300ms");
+  CHECK_THAT(errors_of(short_lease), Catch::Contains("bounds.lease_term"));
+}
+
 // Guards against a reload that claims to apply settings that need a restart.
 TEST_CASE("a running gateway applies new limits and first peers, but no new address",
           "[settings][gateway]") {
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -87,6 +87,16 @@
   CHECK(std::count(errors.begin(), errors.end(), '\n') == 6);
 }
 
+// Guards against settings with which a process ends by a failed assertion.
+TEST_CASE("a stop limit that leaves no time to announce the stop is rejected", "[settings]") {
+  std::string long_delay = kEntry + "stop_limit: 4s\n";
+  CHECK(errors_of(&parse_entry_settings, long_delay).empty());
+  long_delay.replace(long_delay.find("balancer_delay: 2s"), 18, "balancer_delay: 6s");
+  CHECK_THAT(errors_of(&parse_entry_settings, long_delay), Catch::Contains("above balancer_delay"));
+  CHECK_THAT(errors_of(&parse_sidecar_settings, kSidecar + "stop_limit: 1s\n"),
+             Catch::Contains("more than 2s"));
+}
+
 TEST_CASE("rules between settings are checked", "[settings]") {
   CHECK_THAT(errors_of(&parse_entry_settings, kEntry + "silence_limit: 600ms\n"),
              Catch::Contains("silence_limit: found \"600ms\", expected at least twice"));
