gateway: Send followers changes only, never complete lists

All gateways list the store when they start; a reader that listed later than a follower knew no earlier removals and answered with all objects, 1.2 MB to each follower, again at each poll. It now answers that it cannot tell; the follower's own watches reach a revision that the reader knows before it asks again, 5 s later. The messages lose the second form of content.

--- a/src/gateway/object_changes.cc
+++ b/src/gateway/object_changes.cc
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "base/overloaded.h"
 #include "http1/message_parser.h"
 
 namespace bluebellstep {
@@ -32,22 +31,11 @@
 Json encode_kind(const KindChanges& kind) {
   Json changed = Json::array();
   Json removed = Json::array();
-  const bool complete = std::holds_alternative<std::vector<platform::StoredObject>>(kind.content);
-  std::visit(
-      Overloaded{[&](const std::vector<platform::ObjectChange>& changes) {
-                   for (const platform::ObjectChange& change : changes) {
-                     (change.removed ? removed : changed).push_back(encode_object(change.object));
-                   }
-                 },
-                 [&](const std::vector<platform::StoredObject>& objects) {
-                   for (const platform::StoredObject& object : objects) {
-                     changed.push_back(encode_object(object));
-                   }
-                 }},
-      kind.content);
+  for (const platform::ObjectChange& change : kind.changes) {
+    (change.removed ? removed : changed).push_back(encode_object(change.object));
+  }
   return {{"kind", static_cast<int>(kind.kind)},
           {"revision", kind.revision},
-          {"complete", complete},
           {"objects", std::move(changed)},
           {"removed", std::move(removed)}};
 }
@@ -55,22 +43,12 @@
 KindChanges decode_kind(const Json& json) {
   KindChanges kind{.kind = static_cast<platform::ObjectKind>(json.at("kind").get<int>()),
                    .revision = json.at("revision").get<std::uint64_t>()};
-  if (json.at("complete").get<bool>()) {
-    std::vector<platform::StoredObject> objects;
-    for (const Json& object : json.at("objects")) {
-      objects.push_back(decode_object(object));
-    }
-    kind.content = std::move(objects);
-    return kind;
-  }
-  std::vector<platform::ObjectChange> changes;
   for (const Json& object : json.at("objects")) {
-    changes.push_back({.object = decode_object(object), .removed = false});
+    kind.changes.push_back({.object = decode_object(object), .removed = false});
   }
   for (const Json& object : json.at("removed")) {
-    changes.push_back({.object = decode_object(object), .removed = true});
+    kind.changes.push_back({.object = decode_object(object), .removed = true});
   }
-  kind.content = std::move(changes);
   return kind;
 }
 
--- a/src/gateway/object_changes.h
+++ b/src/gateway/object_changes.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 #include "base/clock.h"
@@ -30,13 +29,13 @@
 struct KindChanges {
   platform::ObjectKind kind{};
   std::uint64_t revision = 0;  // The follower knows all changes up to this one afterwards.
-  // Changes since the known revision, or the complete list if those are no longer known.
-  std::variant<std::vector<platform::ObjectChange>, std::vector<platform::StoredObject>> content;
+  std::vector<platform::ObjectChange> changes;
 };
 
 /** The answer to a `ChangesQuery`. */
 struct ChangesAnswer {
-  // The gateway reads the store itself and has had an answer lately.
+  // The answering gateway has heard of the store lately, and knows all changes since the revisions
+  // of the query.
   bool current = false;
   Duration age{0};                             // Since the store's last answer.
   std::optional<Duration> store_regained_ago;  // Unset if the store was never lost.
--- a/src/gateway/object_changes_test.cc
+++ b/src/gateway/object_changes_test.cc
@@ -23,24 +23,24 @@
   CHECK(query.wait == Duration{1000});
 
   ChangesAnswer answer{.current = true, .age = Duration{40}, .store_regained_ago = Duration{90}};
-  answer.kinds.push_back({.kind = platform::ObjectKind::kUpstreams,
-                          .revision = 9,
-                          .content = std::vector<platform::ObjectChange>{
-                              {object("a", 8), false}, {{.name = "b", .revision = 9}, true}}});
+  answer.kinds.push_back(
+      {.kind = platform::ObjectKind::kUpstreams,
+       .revision = 9,
+       .changes = {{object("a", 8), false}, {{.name = "b", .revision = 9}, true}}});
   answer.kinds.push_back({.kind = platform::ObjectKind::kTargetWeights,
                           .revision = 5,
-                          .content = std::vector<platform::StoredObject>{object("m", 5)}});
+                          .changes = {{object("m", 5), false}}});
   const auto decoded = decode_changes_answer(encode_changes_answer(answer));
   REQUIRE(decoded);
   CHECK(decoded->current);
   CHECK(decoded->age == Duration{40});
   CHECK(decoded->store_regained_ago == Duration{90});
   REQUIRE(decoded->kinds.size() == 2);
-  const auto& changes = std::get<std::vector<platform::ObjectChange>>(decoded->kinds[0].content);
+  const auto& changes = decoded->kinds[0].changes;
   REQUIRE(changes.size() == 2);
   CHECK(changes[0].object.content == R"({"a":1})");
   CHECK(changes[1].removed);
-  CHECK(std::get<std::vector<platform::StoredObject>>(decoded->kinds[1].content).size() == 1);
+  CHECK(decoded->kinds[1].changes.size() == 1);
 }
 
 // Guards against a gateway that ends, or takes nonsense for objects, because of a faulty peer.
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/log_event.h"
-#include "base/overloaded.h"
 #include "gateway/state_synchronizer.h"
 #include "http/socket_address.h"
 
@@ -59,17 +58,15 @@
     if (replica.revision() <= known_revision) {
       continue;
     }
-    KindChanges kind{.kind = watchers_[i]->kind(), .revision = replica.revision()};
-    if (auto changes = replica.changes_since(known_revision)) {
-      kind.content = std::move(*changes);
-    } else {
-      std::vector<platform::StoredObject> objects;
-      for (const auto& [name, object] : replica.objects()) {
-        objects.push_back(object);
-      }
-      kind.content = std::move(objects);
+    auto changes = replica.changes_since(known_revision);
+    if (!changes) {
+      // Complete lists for all followers would take seconds after a restart of all gateways. The
+      // follower's own watches reach a known revision before it asks again.
+      return {.current = false, .age = answer.age};
     }
-    answer.kinds.push_back(std::move(kind));
+    answer.kinds.push_back({.kind = watchers_[i]->kind(),
+                            .revision = replica.revision(),
+                            .changes = std::move(*changes)});
   }
   return answer;
 }
@@ -177,14 +174,7 @@
     if (watcher == nullptr) {
       continue;  // This version does not watch the kind.
     }
-    std::visit(Overloaded{[&](std::vector<platform::ObjectChange>& changes) {
-                            watcher->apply_changes(
-                                {.changes = std::move(changes), .store_revision = kind.revision});
-                          },
-                          [&](std::vector<platform::StoredObject>& objects) {
-                            watcher->apply_snapshot(std::move(objects), kind.revision);
-                          }},
-               kind.content);
+    watcher->apply_changes({.changes = std::move(kind.changes), .store_revision = kind.revision});
   }
 }
 
