gateway: Look up a watcher in one place, and name the delay that a comment lost

StateSynchronizer::replica repeated the search of find_watcher. The comment of kPollRetryDelay said 'the same' of a constant that stood no longer before it. No behaviour changes.

--- a/src/gateway/cache_event_poller.h
+++ b/src/gateway/cache_event_poller.h
@@ -35,7 +35,7 @@
   /** A shared node is polled if no other gateway passed on an answer for this time. Shorter than
    * `CacheDirectory::kStoreStateValidity` by the duration of a poll. */
   static constexpr Duration kRelayTimeout{1150};
-  /** The same after a poll that failed. */
+  /** Delay between a poll that failed and the next poll of the node. */
   static constexpr Duration kPollRetryDelay{1500};
 
   CacheEventPoller(HttpLoop& loop,
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -166,9 +166,7 @@
 }
 
 const ObjectReplica& StateSynchronizer::replica(ObjectKind kind) const {
-  const auto found = std::find_if(watchers_.begin(), watchers_.end(),
-                                  [kind](const auto& watcher) { return watcher->kind() == kind; });
-  return (*found)->replica();
+  return find_watcher(kind)->replica();
 }
 
 void StateSynchronizer::on_changes(ObjectKind kind, ObjectReplica::Changes changes) {
@@ -433,7 +431,7 @@
   run_after(kPeerQueryInterval, [this] { run_periodic_tasks(); });
 }
 
-StoreWatcher* StateSynchronizer::find_watcher(ObjectKind kind) {
+StoreWatcher* StateSynchronizer::find_watcher(ObjectKind kind) const {
   const auto found = std::find_if(watchers_.begin(), watchers_.end(),
                                   [kind](const auto& watcher) { return watcher->kind() == kind; });
   return found == watchers_.end() ? nullptr : found->get();
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -153,7 +153,7 @@
   // Shortens the watches of the configuration while other gateways follow this one.
   void update_watch_wait();
   void set_following(bool following, std::string_view reason);
-  StoreWatcher* find_watcher(platform::ObjectKind kind);
+  StoreWatcher* find_watcher(platform::ObjectKind kind) const;
   void query_peer();
   std::string peer_query_path() const;
   void apply_peer_answer(const HttpClient::Response& response);
