gateway: Log delays of the event loop, suspension and the time limit of each request

Callers saw requests held past their time-out (CONFIG) and servers saw requests of callers that had left (GONE). The logs could not tell a lagging event loop, a suspended machine and a lowered time-out apart.

`HttpLoop` measures how far an iteration exceeds the wait that it was allowed. The gateway logs delays from 200 ms and suspension from 20 ms as `loop_delayed`, counts them, and logs the time limit of each request in `request_end`.

No logic is changed.

--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 #include "base/overloaded.h"
 
@@ -15,6 +16,14 @@
   return {std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count()};
 }
 
+Instant read_clock(clockid_t id) {
+  timespec time{};
+  ::clock_gettime(id, &time);
+  constexpr std::int64_t kMsPerSecond = 1000;
+  constexpr std::int64_t kNsPerMs = 1'000'000;
+  return {static_cast<std::int64_t>(time.tv_sec) * kMsPerSecond + time.tv_nsec / kNsPerMs};
+}
+
 }  // namespace
 
 Instant Clock::now() const {
@@ -31,4 +40,12 @@
       source_);
 }
 
+Duration Clock::suspended() const {
+  return std::visit(Overloaded{[](SystemTime) {
+                                 return read_clock(CLOCK_BOOTTIME) - read_clock(CLOCK_MONOTONIC);
+                               },
+                               [](const ManualTime*) { return Duration{0}; }},
+                    source_);
+}
+
 }  // namespace bluebellstep
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -84,6 +84,10 @@
    * durations. */
   Instant wall() const;
 
+  /** Returns for how long the machine was suspended since it started, to about a millisecond. 0 for
+   * a `ManualTime`. */
+  Duration suspended() const;
+
  private:
   struct SystemTime {};
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -128,7 +128,7 @@
     const ClientAccount* account = nullptr;
     const ServiceInfo* service = nullptr;
     Instant arrived_at;
-    Instant deadline;
+    Instant deadline;  // Set with `service`.
     std::optional<Attempt> attempt;            // The current one.
     std::vector<std::string> tried_upstreams;  // Ids of upstreams that are not tried again.
     std::uint32_t possible_runs = 0;           // Attempts on which the request may have run.
--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -146,6 +146,9 @@
       .field("sends", request.attempts_sent)
       .field("runs", request.possible_runs)
       .field("ms", (now - request.arrived_at).ms);
+  if (request.service != nullptr) {
+    event.field("limit_ms", (request.deadline - request.arrived_at).ms);
+  }
   if (request.first_event_at) {
     event.field("first_event_ms", (*request.first_event_at - request.arrived_at).ms);
     event.field("events", static_cast<std::uint64_t>(request.event_buffer.event_count()));
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -32,8 +32,12 @@
 // Time reserved for the exit of the process before the stop limit, at which it is killed. 700 ms
 // was too short on a tenth of a CPU core.
 constexpr Duration kExitReserve{1200};
-// Interval at which buffered log lines are written.
+// Interval at which buffered log lines are written and delays of the event loop are recorded.
 constexpr Duration kLogFlushInterval{250};
+// Shorter delays of the event loop are not logged.
+constexpr Duration kMinLoggedDelay{200};
+constexpr Duration kLongDelay{500};
+constexpr Duration kMinLoggedSuspension{20};
 
 PoolLimits pool_limits(const GatewayBounds& bounds) {
   return {.cold_overage = bounds.cold_overage,
@@ -78,7 +82,7 @@
     pool.on_loading([this] { load_report_exchange.report_soon(); });
     pool.on_prompt_sent([this](std::uint32_t tokens) { load_report_exchange.record_sent(tokens); });
     synchronizer.start();
-    flush_log(loop);
+    run_periodic_tasks(loop);
   }
 
   void apply_settings(const GatewaySettings& settings) {
@@ -101,9 +105,29 @@
     load_aggregator.apply(std::move(report), now);
   }
 
-  static void flush_log(HttpLoop& loop) {
+  void run_periodic_tasks(HttpLoop& loop) {
+    record_loop_delay(loop.take_longest_delay());
     flush_stdout_log();
-    loop.post_after(kLogFlushInterval, [&loop] { flush_log(loop); });
+    loop.post_after(kLogFlushInterval, [this, &loop, alive = std::weak_ptr<bool>(alive)] {
+      if (!alive.expired()) {
+        run_periodic_tasks(loop);
+      }
+    });
+  }
+
+  // A delay is due to a pause of the process, a lack of processor time or work that takes long.
+  void record_loop_delay(Duration delay) {
+    const Duration suspended_time = clock.suspended() - last_suspended_time;
+    if (delay < kMinLoggedDelay && suspended_time < kMinLoggedSuspension) {
+      return;
+    }
+    last_suspended_time = last_suspended_time + suspended_time;
+    metrics.count("bluebellstep_gateway_loop_delays_total",
+                  delay < kLongDelay ? "below_500ms" : "from_500ms");
+    LogEvent("loop_delayed", LogEvent::Severity::kWarning)
+        .field("delay_ms", delay.ms)
+        .field("suspended_ms", suspended_time.ms)
+        .field("open_requests", static_cast<std::uint64_t>(forwarder.open_requests()));
   }
 
   Clock clock;
@@ -117,7 +141,10 @@
   RolloutDriver rollout_driver;
   LoadReportExchange load_report_exchange;
   CallerListener caller_listener;
+  Duration last_suspended_time = clock.suspended();
   bool stopping = false;
+  // Expires with this object; timers check it before they use the object.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 DrainTimes drain_times(const GatewaySettings& settings) {
--- a/src/http/http_loop.cc
+++ b/src/http/http_loop.cc
@@ -44,6 +44,7 @@
 // h2o takes its buffers without a lock from the recycler of the thread that created it.
 void HttpLoop::Impl::open() {
   loop_ = h2o_evloop_create();
+  poll_started_at_ = clock_.now();
   constexpr std::uint64_t kDayMs = 24ull * 60 * 60 * 1000;
   h2o_timeout_init(loop_, &long_timeout_, kDayMs);
   queue_ = h2o_multithread_create_queue(loop_);
@@ -102,10 +103,21 @@
     // h2o waits for events before it runs the callbacks of writes that completed immediately in a
     // task. Therefore it must not wait after tasks, which delayed such callbacks by up to 1 s.
     const bool ran_tasks = ran_posted || ran_timers || ran_deferred;
-    h2o_evloop_run(loop_, ran_tasks ? 0 : time_to_next_timer());
+    const std::int32_t wait_ms = ran_tasks ? 0 : time_to_next_timer();
+    const Instant now = clock_.now();
+    const Duration previous_overrun = overrun(now);
+    longest_delay_ = std::max(longest_delay_, previous_overrun_ + previous_overrun);
+    previous_overrun_ = previous_overrun;
+    poll_started_at_ = now;
+    poll_wait_ = Duration{wait_ms};
+    h2o_evloop_run(loop_, wait_ms);
   }
 }
 
+Duration HttpLoop::Impl::overrun(Instant now) const {
+  return std::max(Duration{0}, now - poll_started_at_ - poll_wait_);
+}
+
 bool HttpLoop::Impl::ready_to_stop() {
   if (stop_deadline_ == Instant{}) {
     stop_deadline_ = clock_.now() + kCloseTimeout;
@@ -192,6 +204,14 @@
   impl_->run_and_wait(std::move(task));
 }
 
+Duration HttpLoop::delay() const {
+  return impl_->delay();
+}
+
+Duration HttpLoop::take_longest_delay() {
+  return impl_->take_longest_delay();
+}
+
 bool HttpLoop::on_loop_thread() const {
   return impl_->on_loop_thread();
 }
--- a/src/http/http_loop.h
+++ b/src/http/http_loop.h
@@ -36,6 +36,13 @@
    * thread. */
   void run_and_wait(std::function<void()> task);
 
+  /** Estimates how long what is handled now may have waited for the loop: how far its previous and
+   * its current iteration exceeded the waits that they were allowed. Only on the HTTP thread. */
+  Duration delay() const;
+
+  /** Returns the longest delay since the last call. Only on the HTTP thread. */
+  Duration take_longest_delay();
+
   /** Whether the caller is on the HTTP thread. */
   bool on_loop_thread() const;
 
--- a/src/http/http_loop_impl.h
+++ b/src/http/http_loop_impl.h
@@ -64,6 +64,12 @@
   /** A timeout of one day, for h2o objects whose timeouts are implemented in this module. */
   h2o_timeout_t* long_timeout() { return &long_timeout_; }
 
+  /** See `HttpLoop::delay`. */
+  Duration delay() const { return previous_overrun_ + overrun(clock_.now()); }
+
+  /** See `HttpLoop::take_longest_delay`. */
+  Duration take_longest_delay() { return std::exchange(longest_delay_, Duration{0}); }
+
   /** Monotonic time. */
   Instant now() const { return clock_.now(); }
 
@@ -84,6 +90,8 @@
   bool run_due_timers();
   bool run_deferred();
   std::int32_t time_to_next_timer();
+  // Returns how far the current iteration has exceeded the wait that it was allowed.
+  Duration overrun(Instant now) const;
   static void on_wake_up(h2o_multithread_receiver_t* receiver, h2o_linklist_t* messages);
 
   Clock clock_;
@@ -101,6 +109,10 @@
   std::vector<std::function<void()>> deferred_;
   std::multimap<Instant, std::function<void()>> timers_;
   int closing_count_ = 0;
+  Instant poll_started_at_;  // Of the current iteration.
+  Duration poll_wait_{0};    // The wait that the current iteration was allowed.
+  Duration previous_overrun_{0};
+  Duration longest_delay_{0};
   Instant stop_deadline_;
   std::thread thread_;  // The last member, since the thread uses the others.
 };
