--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -6,6 +6,7 @@
 #include "base/id.h"
 #include "base/log_event.h"
 #include "base/verdict.h"
+#include "tests/support/suspended_time.h"
 
 namespace bluebellstep {
 
@@ -17,6 +18,18 @@
   CHECK(clock.wall() == Instant{5007});
 }
 
+// Guards against deadlines and leases that last longer by the time for which the machine was
+// suspended.
+TEST_CASE("monotonic time includes the time for which the machine was suspended", "[base]") {
+  constexpr Duration kSuspension{5000};
+  const Clock clock;
+  const Instant before = clock.now();
+  const Duration suspended_before = clock.suspended();
+  simulate_suspension(kSuspension);
+  CHECK((clock.now() - before).ms >= kSuspension.ms);
+  CHECK((clock.suspended() - suspended_before).ms >= kSuspension.ms - 1);
+}
+
 TEST_CASE("a name table keeps the id of a name", "[base]") {
   NameTable<AccountId> names;
   const AccountId first = names.intern("a");
