gateway: Look for the end of the caller's connection before each attempt

Callers: servers got requests whose callers had left (GONE). A caller's disconnect lies behind its request in the same socket, and behind timers in the event loop. A gateway that lagged sent the request, or sent it again, before it read the disconnect.

`Forwarder::dispatch`, through which the first attempt, every retry and every resumption pass, now asks the caller's socket first (POLLRDHUP). This costs one system call an attempt and needs no estimate of the delay.

--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -72,6 +72,8 @@
   bool quiet_since(Instant since) const {
     return idle() && timeout_started_at_ <= since && !stream_.has_unread_bytes();
   }
+  /** The caller has closed the connection. `on_closed` may not have been called yet. */
+  bool caller_left() const { return stream_.peer_closed(); }
   /** Response bytes that the kernel has not accepted yet. */
   std::size_t unsent() const { return stream_.unsent(); }
   /** Requests read so far. */
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -100,6 +100,10 @@
     Connection* entry = find(id);
     return entry == nullptr ? std::size_t{0} : entry->connection->unsent();
   };
+  writer.caller_left = [this, id] {
+    Connection* entry = find(id);
+    return entry == nullptr || entry->connection->caller_left();
+  };
   const RequestId request_id = forwarder_.start(std::move(request), std::move(writer));
   if (Connection* entry = find(id); entry != nullptr && forwarder_.contains(request_id)) {
     entry->request_id = request_id;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -168,6 +168,10 @@
 }
 
 void Forwarder::dispatch(Request& request) {
+  if (request.response_writer.caller_left()) {
+    finish_request(request, "caller_left", 0);
+    return;
+  }
   const Instant now = clock_.now();
   if (time_left(request, now) < kMinTimeLeft) {
     fail_request(request, request.possible_runs > 0, "deadline");
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -48,6 +48,8 @@
   std::function<void()> abort;
   /** Returns the number of bytes that are buffered and not yet accepted by the kernel. */
   std::function<std::size_t()> unsent;
+  /** Returns whether the caller has closed the connection, also if that has not been read yet. */
+  std::function<bool()> caller_left;
 };
 
 /** Forwards requests until they are answered, fail, or their caller disconnects. Runs on the HTTP
--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -43,7 +43,8 @@
     return {.write = [this](std::string_view bytes) { add(bytes); },
             .complete = [this](bool) { end(true); },
             .abort = [this] { end(false); },
-            .unsent = [] { return std::size_t{0}; }};
+            .unsent = [] { return std::size_t{0}; },
+            .caller_left = [] { return false; }};
   }
 
   /** Waits until the response ends. Returns false if it does not within `timeout_ms`. */
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -2,6 +2,7 @@
 
 #include "http1/byte_stream.h"
 
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <utility>
@@ -63,6 +64,14 @@
          unread > 0;
 }
 
+bool ByteStream::peer_closed() const {
+  if (socket_ == nullptr) {
+    return true;
+  }
+  pollfd poll_fd{.fd = h2o_socket_get_fd(socket_), .events = POLLRDHUP, .revents = 0};
+  return ::poll(&poll_fd, 1, 0) > 0;
+}
+
 void ByteStream::flush() {
   if (!connected_ || !sending_.empty() || pending_.empty()) {
     return;
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -59,6 +59,10 @@
    * would reset it. */
   bool has_unread_bytes() const;
 
+  /** Whether the peer has closed or reset the connection, also if bytes before that have not been
+   * passed to `on_bytes` yet. */
+  bool peer_closed() const;
+
   /** Whether the connection was established, also after it has ended. */
   bool connected() const { return connected_; }
   /** Whether the connection is closed. */
