http: Read sockets before timers run if the event loop is late

Callers got 504 for requests whose answer had arrived, and requests were sent again although their first answer had: after a delay, the timers that had become due ran before the sockets were read.

The loop now polls without waiting before due timers if its iteration was more than 20 ms late. This holds for all users of `HttpLoop`: forwarder, calls to the store and to peers, health checks. A loop in time makes no further system call.

--- a/src/http/http_loop.cc
+++ b/src/http/http_loop.cc
@@ -95,6 +95,10 @@
 void HttpLoop::Impl::run() {
   while (true) {
     const bool ran_posted = run_posted();
+    // A timeout must not expire while what it waits for has arrived and was not read in time.
+    if (overrun(clock_.now()) > kMaxOverrunBeforeTimers && has_due_timer()) {
+      poll(0);
+    }
     const bool ran_timers = run_due_timers();
     const bool ran_deferred = run_deferred();
     if (stopping_ && ready_to_stop()) {
@@ -103,17 +107,20 @@
     // h2o waits for events before it runs the callbacks of writes that completed immediately in a
     // task. Therefore it must not wait after tasks, which delayed such callbacks by up to 1 s.
     const bool ran_tasks = ran_posted || ran_timers || ran_deferred;
-    const std::int32_t wait_ms = ran_tasks ? 0 : time_to_next_timer();
-    const Instant now = clock_.now();
-    const Duration previous_overrun = overrun(now);
-    longest_delay_ = std::max(longest_delay_, previous_overrun_ + previous_overrun);
-    previous_overrun_ = previous_overrun;
-    poll_started_at_ = now;
-    poll_wait_ = Duration{wait_ms};
-    h2o_evloop_run(loop_, wait_ms);
+    poll(ran_tasks ? 0 : time_to_next_timer());
   }
 }
 
+void HttpLoop::Impl::poll(std::int32_t wait_ms) {
+  const Instant now = clock_.now();
+  const Duration last_overrun = overrun(now);
+  longest_delay_ = std::max(longest_delay_, previous_overrun_ + last_overrun);
+  previous_overrun_ = last_overrun;
+  poll_started_at_ = now;
+  poll_wait_ = Duration{wait_ms};
+  h2o_evloop_run(loop_, wait_ms);
+}
+
 Duration HttpLoop::Impl::overrun(Instant now) const {
   return std::max(Duration{0}, now - poll_started_at_ - poll_wait_);
 }
@@ -141,6 +148,10 @@
   return true;
 }
 
+bool HttpLoop::Impl::has_due_timer() const {
+  return !timers_.empty() && timers_.begin()->first <= clock_.now();
+}
+
 bool HttpLoop::Impl::run_due_timers() {
   if (timers_.empty()) {
     return false;
--- a/src/http/http_loop_impl.h
+++ b/src/http/http_loop_impl.h
@@ -80,15 +80,20 @@
   // The destructor of a server shuts its connections down, so only a bug makes closing last this
   // long.
   static constexpr Duration kCloseTimeout{2000};
+  // If an iteration exceeds its wait by more than this, sockets are read before timers run.
+  static constexpr Duration kMaxOverrunBeforeTimers{20};
 
   void open();
   void run();
+  // Waits for events for up to `wait_ms` and runs their callbacks.
+  void poll(std::int32_t wait_ms);
   void close();
   bool ready_to_stop();
   // Each of these returns whether a task has run.
   bool run_posted();
   bool run_due_timers();
   bool run_deferred();
+  bool has_due_timer() const;
   std::int32_t time_to_next_timer();
   // Returns how far the current iteration has exceeded the wait that it was allowed.
   Duration overrun(Instant now) const;
