gateway: Count the time for which a request waited unread towards its limit

A gateway that was paused, or had no processor time, took the moment at which it read a request for that of its arrival, so each request got the delay of the event loop on top.

`HttpLoop::delay` bounds how long what is read now may have waited: the time that the previous and the current iteration took beyond their allowed waits. It uses the time at which h2o polled, since a poll that an event ends early has not used its wait. `CallerConnection` dates requests back by it, but not before the connection could carry them; what the first poll after an accept finds may be as old as the connection. A request whose limit has passed by then is refused as not run instead of being sent on.

Ruled out: TCP_INFO's time of the last received data.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/caller_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bluebellstep {
@@ -15,13 +16,16 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(h2o_socket_t* socket,
+CallerConnection::CallerConnection(const HttpLoop& loop,
+                                   h2o_socket_t* socket,
                                    CallerLimits limits,
-                                   Instant now,
                                    Listener listener)
-    : limits_(limits),
+    : loop_(loop),
+      limits_(limits),
       listener_(std::move(listener)),
-      timeout_started_at_(now),
+      ready_since_(clock_.now() - loop.delay()),
+      accepted_in_poll_(loop.poll_count()),
+      timeout_started_at_(clock_.now()),
       stream_(socket,
               {.on_connected = nullptr,
                .on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
@@ -113,10 +117,17 @@
   }
   state_ = State::kResponding;
   ++request_count_;
+  request_.arrived_at = earliest_arrival();
   listener_.on_request(std::move(request_));
   return false;
 }
 
+Instant CallerConnection::earliest_arrival() const {
+  // What the first poll after the accept finds may have arrived with the connection.
+  const bool first_poll = loop_.poll_count() <= accepted_in_poll_ + 1;
+  return first_poll ? ready_since_ : std::max(ready_since_, clock_.now() - loop_.delay());
+}
+
 void CallerConnection::report_error(CallerRequestError error) {
   state_ = State::kResponding;
   input_.clear();
@@ -124,6 +135,7 @@
 }
 
 void CallerConnection::finish_response(bool close, Instant now) {
+  ready_since_ = now;
   timeout_started_at_ = now;
   head_started_ = !input_.empty();
   if (close) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -7,6 +7,7 @@
 #define BLUEBELLSTEP_GATEWAY_CALLER_CONNECTION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,6 +17,7 @@
 #include "base/clock.h"
 #include "base/id.h"
 #include "gateway/serving_config.h"
+#include "http/http_loop.h"
 #include "http1/byte_stream.h"
 #include "http1/message_parser.h"
 
@@ -27,6 +29,8 @@
 struct CallerRequest {
   std::unique_ptr<MessageHead> head;
   std::string body;
+  /** The earliest time at which the request may have been complete in the socket. */
+  Instant arrived_at;
 };
 
 /** Why no request could be read from a connection. The numbers are logged. */
@@ -51,7 +55,11 @@
     std::function<void()> on_closed;
   };
 
-  CallerConnection(h2o_socket_t* socket, CallerLimits limits, Instant now, Listener listener);
+  /** `loop` is the event loop of the socket. */
+  CallerConnection(const HttpLoop& loop,
+                   h2o_socket_t* socket,
+                   CallerLimits limits,
+                   Listener listener);
 
   /** Sends bytes of the response to the current request. */
   void send(std::string_view bytes) { stream_.write(bytes); }
@@ -88,10 +96,18 @@
   bool read_head();
   bool read_body();
   void report_error(CallerRequestError error);
+  // Returns the earliest time at which what is read now may have arrived.
+  Instant earliest_arrival() const;
 
+  const HttpLoop& loop_;
+  Clock clock_;
   CallerLimits limits_;
   Listener listener_;
   State state_ = State::kReadingHead;
+  // When the connection was accepted or the last response ended. No request that is read later
+  // counts as older.
+  Instant ready_since_;
+  std::uint64_t accepted_in_poll_;  // `HttpLoop::poll_count` when the connection was accepted.
   // When the connection was accepted, the last response ended, or the first byte of the current
   // request arrived, whichever was last. Timeouts are measured from here.
   Instant timeout_started_at_;
@@ -101,7 +117,6 @@
   std::optional<BodyDecoder> body_decoder_;
   std::size_t received_body_bytes_ = 0;  // Of the current request, with the chunked encoding.
   std::uint64_t request_count_ = 0;
-  Clock clock_;
   // Expires with this object, so that a callback that destroys it is noticed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   ByteStream stream_;  // Last, since its callbacks use the other members.
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -56,7 +56,7 @@
   const CallerLimits limits = forwarder_.config() ? forwarder_.config()->limits : CallerLimits{};
   Connection& entry = connections_[id];
   entry.connection = std::make_unique<CallerConnection>(
-      socket, limits, clock_.now(),
+      loop_, socket, limits,
       CallerConnection::Listener{
           .on_request = [this, id](CallerRequest request) { on_request(id, std::move(request)); },
           .on_request_error =
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -108,8 +108,8 @@
   request.body = std::move(caller_request.body);
   request.caller = platform::decode_caller_request_head(*request.head);
   request.config = config_;
-  request.arrived_at = clock_.now();
-  request.last_progress_at = request.arrived_at;
+  request.arrived_at = caller_request.arrived_at;
+  request.last_progress_at = clock_.now();
   requests_.emplace(id, std::move(owned));
   if (request.config == nullptr) {
     refuse_request(request, "no_configuration", kNoConfigRetryDelay);
@@ -136,7 +136,7 @@
   const Duration time_limit =
       std::min(request.route->timeout, request.caller.time_left.value_or(request.route->timeout));
   request.deadline = request.arrived_at + time_limit;
-  retry_budget(request).count_request(retry_limits_, request.arrived_at);
+  retry_budget(request).count_request(retry_limits_, clock_.now());
   dispatch(request);
   return id;
 }
--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -107,7 +107,8 @@
 
   void start(CallerView& caller, std::string_view route, std::string_view id) {
     loop_.run_and_wait([&] {
-      CallerRequest request{.head = std::make_unique<MessageHead>()};
+      CallerRequest request{
+          .head = std::make_unique<MessageHead>(), .body = "", .arrived_at = Clock().now()};
       std::size_t consumed = 0;
       const std::string text = "GET /" + std::string(route) +
                                "/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + std::string(id) +
--- a/src/http/http_loop.cc
+++ b/src/http/http_loop.cc
@@ -118,11 +118,18 @@
   previous_overrun_ = last_overrun;
   poll_started_at_ = now;
   poll_wait_ = Duration{wait_ms};
+  ++poll_count_;
   h2o_evloop_run(loop_, wait_ms);
 }
 
 Duration HttpLoop::Impl::overrun(Instant now) const {
-  return std::max(Duration{0}, now - poll_started_at_ - poll_wait_);
+  const Duration elapsed = now - poll_started_at_;
+  // h2o reads the time of day when it has polled. The time of day may have been adjusted since.
+  const Duration since_poll = clock_.wall() - Instant{static_cast<std::int64_t>(h2o_now(loop_))};
+  constexpr Duration kRounding{2};
+  const bool plausible = since_poll >= Duration{0} - kRounding && since_poll <= elapsed + kRounding;
+  const Duration busy = plausible ? std::clamp(since_poll, Duration{0}, elapsed) : Duration{0};
+  return busy + std::max(Duration{0}, elapsed - busy - poll_wait_);
 }
 
 bool HttpLoop::Impl::ready_to_stop() {
@@ -219,6 +226,10 @@
   return impl_->delay();
 }
 
+std::uint64_t HttpLoop::poll_count() const {
+  return impl_->poll_count();
+}
+
 Duration HttpLoop::take_longest_delay() {
   return impl_->take_longest_delay();
 }
--- a/src/http/http_loop.h
+++ b/src/http/http_loop.h
@@ -36,10 +36,14 @@
    * thread. */
   void run_and_wait(std::function<void()> task);
 
-  /** Estimates how long what is handled now may have waited for the loop: how far its previous and
-   * its current iteration exceeded the waits that they were allowed. Only on the HTTP thread. */
+  /** Returns the longest time for which what is handled now may have waited for the loop: the time
+   * that its previous and its current iteration have taken beyond the waits that they were allowed.
+   * Only on the HTTP thread. */
   Duration delay() const;
 
+  /** Number of times that the sockets were polled. Only on the HTTP thread. */
+  std::uint64_t poll_count() const;
+
   /** Returns the longest delay since the last call. Only on the HTTP thread. */
   Duration take_longest_delay();
 
--- a/src/http/http_loop_impl.h
+++ b/src/http/http_loop_impl.h
@@ -67,6 +67,9 @@
   /** See `HttpLoop::delay`. */
   Duration delay() const { return previous_overrun_ + overrun(clock_.now()); }
 
+  /** See `HttpLoop::poll_count`. */
+  std::uint64_t poll_count() const { return poll_count_; }
+
   /** See `HttpLoop::take_longest_delay`. */
   Duration take_longest_delay() { return std::exchange(longest_delay_, Duration{0}); }
 
@@ -80,7 +83,7 @@
   // The destructor of a server shuts its connections down, so only a bug makes closing last this
   // long.
   static constexpr Duration kCloseTimeout{2000};
-  // If an iteration exceeds its wait by more than this, sockets are read before timers run.
+  // If an iteration is late by more than this, sockets are read before timers run.
   static constexpr Duration kMaxOverrunBeforeTimers{20};
 
   void open();
@@ -95,7 +98,8 @@
   bool run_deferred();
   bool has_due_timer() const;
   std::int32_t time_to_next_timer();
-  // Returns how far the current iteration has exceeded the wait that it was allowed.
+  // Returns by how much the poll of the current iteration exceeded the wait that it was allowed,
+  // plus the time since the poll.
   Duration overrun(Instant now) const;
   static void on_wake_up(h2o_multithread_receiver_t* receiver, h2o_linklist_t* messages);
 
@@ -116,6 +120,7 @@
   int closing_count_ = 0;
   Instant poll_started_at_;  // Of the current iteration.
   Duration poll_wait_{0};    // The wait that the current iteration was allowed.
+  std::uint64_t poll_count_ = 0;
   Duration previous_overrun_{0};
   Duration longest_delay_{0};
   Instant stop_deadline_;
