gateway: Send no request whose caller left during the connect

A request waits for its connection to be established. A gateway that lags sends it then, before it reads the end of the caller's connection.

The forwarder now looks for that end when the connection is established. A connection that is not kept is closed at once; so far it stayed open, and sent what was pending, until the end of the iteration.

--- a/src/gateway/connection_pool.cc
+++ b/src/gateway/connection_pool.cc
@@ -55,6 +55,7 @@
     connections.idle.push_back({std::move(connection), now + reuse_time});
     return;
   }
+  connection->close();
   loop_.impl().defer([closing = std::shared_ptr<UpstreamConnection>(
                           std::move(connection))]() mutable { closing.reset(); });
 }
--- a/src/gateway/delayed_gateway_test.cc
+++ b/src/gateway/delayed_gateway_test.cc
@@ -142,6 +142,33 @@
   CHECK(connection.receive_some(kForwardTimeMs) == kNothing);
 }
 
+// Guards against work for callers that left while the gateway connected to the upstream: the
+// request was sent when the connection was established, before the end of the caller's one was
+// read.
+TEST_CASE("a request whose caller left during the connect is not sent", "[gateway][delay]") {
+  constexpr Duration kPause{50};
+  RawListener upstream;
+  Fixture fixture;
+  fixture.add_upstream("u1", upstream);
+  RawSocket caller = fixture.connect();
+  sleep_for(kPause);  // Until the connection is accepted.
+  std::thread second_block;
+  fixture.block([&] {
+    caller.send(request("order", "left"));
+    // Runs in the iteration that reads the request and starts to connect.
+    second_block = std::thread([&] {
+      fixture.block([&] {
+        caller.close();
+        sleep_for(kPause);
+      });
+    });
+    sleep_for(kPause);
+  });
+  second_block.join();
+  RawSocket connection = upstream.accept();
+  CHECK(connection.receive_some(kForwardTimeMs) == kNothing);
+}
+
 // Guards against a second attempt for a caller that left while the first one was silent: the timer
 // of the attempt ran before the end of the caller's connection was read.
 TEST_CASE("a request is not sent again after its caller has left", "[gateway][delay]") {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -252,13 +252,21 @@
   const RequestId id = request.id;
   attempt.connection->send_request(
       head, request.body, request.caller.method, request.caller.request_id,
-      {.on_head = [this, id](const MessageHead& response) { on_head(id, response); },
+      {.on_connected = [this, id] { on_connected(id); },
+       .on_head = [this, id](const MessageHead& response) { on_head(id, response); },
        .on_content = [this, id](std::string_view content) { on_content(id, content); },
        .on_end = [this, id](ExchangeOutcome outcome,
                             std::string_view reason) { on_end(id, outcome, reason); }});
   schedule_check(request);
 }
 
+void Forwarder::on_connected(RequestId id) {
+  Request* request = find(id);
+  if (request != nullptr && request->response_writer.caller_left()) {
+    on_caller_disconnected(id);
+  }
+}
+
 void Forwarder::on_head(RequestId id, const MessageHead& head) {
   Request* request = find(id);
   if (request == nullptr || !request->attempt) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -159,6 +159,7 @@
   bool acquire_connection(Request& request, const PickedUpstream& picked);
   // Sends the request over the connection of the current attempt.
   void transmit(Request& request);
+  void on_connected(RequestId id);
   void on_head(RequestId id, const MessageHead& head);
   void on_content(RequestId id, std::string_view content);
   void on_end(RequestId id, ExchangeOutcome outcome, std::string_view reason);
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -21,7 +21,7 @@
     : read_request_id_(std::move(read_request_id)),
       stream_(loop,
               endpoint,
-              {.on_connected = nullptr,
+              {.on_connected = [this] { on_connected(); },
                .on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
                .on_end = [this](StreamEnd stream_end) { on_stream_end(stream_end); }}) {}
 
@@ -44,6 +44,18 @@
   stream_.write(message);
 }
 
+void UpstreamConnection::close() {
+  request_in_flight_ = false;
+  reusable_ = false;
+  stream_.close();
+}
+
+void UpstreamConnection::on_connected() {
+  if (request_in_flight_) {
+    listener_.on_connected();
+  }
+}
+
 void UpstreamConnection::on_bytes(std::string_view bytes) {
   if (!request_in_flight_) {
     // No response is expected: this is a late second response, or not HTTP.
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -35,6 +35,8 @@
  public:
   /** Callbacks for one request. */
   struct Listener {
+    /** Called if the connection had to be established, before the request is sent. */
+    std::function<void()> on_connected;
     std::function<void(const MessageHead&)> on_head;
     std::function<void(std::string_view content)> on_content;
     /** Called once, as the last callback. */
@@ -66,7 +68,11 @@
   /** Prevents further requests, for an upstream that announced that it closes the connection. */
   void disable_reuse() { reusable_ = false; }
 
+  /** Closes the connection. What was not sent yet is discarded, and no callback follows. */
+  void close();
+
  private:
+  void on_connected();
   void on_bytes(std::string_view bytes);
   void on_stream_end(StreamEnd stream_end);
   bool read_head();
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -58,6 +58,14 @@
   }
 }
 
+void ByteStream::close() {
+  closing_ = true;
+  pending_.clear();
+  if (socket_ != nullptr) {
+    h2o_socket_close(std::exchange(socket_, nullptr));
+  }
+}
+
 bool ByteStream::has_unread_bytes() const {
   int unread = 0;
   return socket_ != nullptr && ::ioctl(h2o_socket_get_fd(socket_), FIONREAD, &unread) == 0 &&
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -52,6 +52,10 @@
    */
   void close_after_writes();
 
+  /** Closes the connection. Bytes that were not handed to the kernel are discarded. No callback
+   * follows. */
+  void close();
+
   /** Number of bytes that were passed to `write` and not yet handed to the kernel. */
   std::size_t unsent() const { return pending_.size() + sending_.size(); }
 
