base: Let monotonic time include the suspension of the machine

Callers of a suspended machine waited longer by the time of the suspension, and its holder kept a lease, a belief about the store or a cold bound that much longer: `Clock::now` read CLOCK_MONOTONIC, which does not count suspension.

It reads CLOCK_BOOTTIME now, so that all timers, deadlines, leases and ages in the product count it.

Not changed: timers of kj in `src/rpc` (heartbeats between entry instances and sidecars), which use CLOCK_MONOTONIC inside the library.

--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -2,7 +2,6 @@
 
 #include "base/clock.h"
 
-#include <chrono>
 #include <ctime>
 
 #include "base/overloaded.h"
@@ -10,12 +9,6 @@
 namespace bluebellstep {
 namespace {
 
-template <typename SystemClock>
-Instant read_system_clock() {
-  const auto since_epoch = SystemClock::now().time_since_epoch();
-  return {std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count()};
-}
-
 Instant read_clock(clockid_t id) {
   timespec time{};
   ::clock_gettime(id, &time);
@@ -27,17 +20,15 @@
 }  // namespace
 
 Instant Clock::now() const {
-  return std::visit(
-      Overloaded{[](SystemTime) { return read_system_clock<std::chrono::steady_clock>(); },
-                 [](const ManualTime* time) { return time->monotonic; }},
-      source_);
+  return std::visit(Overloaded{[](SystemTime) { return read_clock(CLOCK_BOOTTIME); },
+                               [](const ManualTime* time) { return time->monotonic; }},
+                    source_);
 }
 
 Instant Clock::wall() const {
-  return std::visit(
-      Overloaded{[](SystemTime) { return read_system_clock<std::chrono::system_clock>(); },
-                 [](const ManualTime* time) { return time->unix_time; }},
-      source_);
+  return std::visit(Overloaded{[](SystemTime) { return read_clock(CLOCK_REALTIME); },
+                               [](const ManualTime* time) { return time->unix_time; }},
+                    source_);
 }
 
 Duration Clock::suspended() const {
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -76,8 +76,8 @@
   /** Constructs a clock that reads `time`, which must outlive the clock. */
   explicit Clock(const ManualTime& time) : source_(&time) {}
 
-  /** Returns monotonic time, for timers and deadlines. It is not comparable between processes; use
-   * `wall` for that. */
+  /** Returns monotonic time, for timers and deadlines. It includes the time for which the machine
+   * was suspended. It is not comparable between processes; use `wall` for that. */
   Instant now() const;
 
   /** Returns Unix time. It jumps when the system clock is adjusted; use `now` to measure
