gateway: Apply a lowered time-out to requests that wait

Callers waited for the time-out that their route had when they asked, although the operator had lowered it since: a request kept the configuration of its arrival.

When a configuration is set, a request without any response gets at most the time-out that its route has now, counted from then on, so that no caller is cut off at the moment of the change. A stream that has begun keeps its limit.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -98,6 +98,27 @@
   return found == requests_.end() ? nullptr : found->second.get();
 }
 
+void Forwarder::set_config(std::shared_ptr<const ServingConfig> config) {
+  config_ = std::move(config);
+  for (auto& [id, request] : requests_) {
+    if (request->route != nullptr && !request->response_started) {
+      limit_wait(*request);
+    }
+  }
+}
+
+void Forwarder::limit_wait(Request& request) {
+  const RouteRule* route = config_->find_route(request.caller.host, request.caller.path);
+  if (route == nullptr || route->timeout >= request.route->timeout) {
+    return;
+  }
+  const Instant deadline = clock_.now() + route->timeout;
+  if (deadline < request.deadline) {
+    request.deadline = deadline;
+    schedule_check(request);
+  }
+}
+
 RequestId Forwarder::start(CallerRequest caller_request, CallerResponseWriter response_writer) {
   const RequestId id{next_id_++};
   auto owned = std::make_unique<Request>();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -65,8 +65,9 @@
   Forwarder& operator=(const Forwarder&) = delete;
   ~Forwarder();
 
-  /** Sets the configuration for requests that start from now on. */
-  void set_config(std::shared_ptr<const ServingConfig> config) { config_ = std::move(config); }
+  /** Sets the configuration for requests that start from now on. Requests without any response get
+   * at most the timeout that their route has now, counted from now. */
+  void set_config(std::shared_ptr<const ServingConfig> config);
   /** Returns the current configuration; null before the first one. */
   const std::shared_ptr<const ServingConfig>& config() const { return config_; }
 
@@ -130,7 +131,7 @@
     const ClientAccount* account = nullptr;
     const ServiceInfo* service = nullptr;
     Instant arrived_at;
-    Instant deadline;  // Set with `service`.
+    Instant deadline;                          // Set with `service`.
     std::optional<Attempt> attempt;            // The current one.
     std::vector<std::string> tried_upstreams;  // Ids of upstreams that are not tried again.
     std::uint32_t possible_runs = 0;           // Attempts on which the request may have run.
@@ -191,6 +192,8 @@
   void end_attempt(Request& request, AttemptOutcome outcome, bool keep_connection);
   // Fails or retries a request whose timeout has passed, else schedules the next check.
   void check_timeouts(Request& request);
+  // Applies the timeout of the request's route in the current configuration if that is shorter.
+  void limit_wait(Request& request);
   Instant next_check_time(const Request& request) const;
   void schedule_check(Request& request);
   void arm_timer();
