http: Measure the delay of the event loop without the time of day

`HttpLoop::delay` read the time of h2o's last poll to learn whether an event had ended the wait. h2o updates that time again after its callbacks, so work inside a callback was not measured after a poll that ended early.

A wait is at most 50 ms now instead of 1 s and counts as used up, so the delay is at most 100 ms too short.

--- a/src/http/http_loop.cc
+++ b/src/http/http_loop.cc
@@ -123,13 +123,7 @@
 }
 
 Duration HttpLoop::Impl::overrun(Instant now) const {
-  const Duration elapsed = now - poll_started_at_;
-  // h2o reads the time of day when it has polled. The time of day may have been adjusted since.
-  const Duration since_poll = clock_.wall() - Instant{static_cast<std::int64_t>(h2o_now(loop_))};
-  constexpr Duration kRounding{2};
-  const bool plausible = since_poll >= Duration{0} - kRounding && since_poll <= elapsed + kRounding;
-  const Duration busy = plausible ? std::clamp(since_poll, Duration{0}, elapsed) : Duration{0};
-  return busy + std::max(Duration{0}, elapsed - busy - poll_wait_);
+  return std::max(Duration{0}, now - poll_started_at_ - poll_wait_);
 }
 
 bool HttpLoop::Impl::ready_to_stop() {
@@ -194,8 +188,9 @@
       return 0;
     }
   }
-  // Limits the wait, so that the loop stops in time even if a wake-up is lost.
-  constexpr std::int64_t kMaxWaitMs = 1000;
+  // Limits the error of `delay`, which cannot tell whether an event ended the wait. It also lets
+  // the loop stop in time if a wake-up is lost.
+  constexpr std::int64_t kMaxWaitMs = 50;
   if (stopping_) {
     return 10;
   }
--- a/src/http/http_loop.h
+++ b/src/http/http_loop.h
@@ -36,7 +36,7 @@
    * thread. */
   void run_and_wait(std::function<void()> task);
 
-  /** Returns the longest time for which what is handled now may have waited for the loop: the time
+  /** Returns how long what is handled now may have waited for the loop, up to 0.1 s less: the time
    * that its previous and its current iteration have taken beyond the waits that they were allowed.
    * Only on the HTTP thread. */
   Duration delay() const;
--- a/src/http/http_loop_impl.h
+++ b/src/http/http_loop_impl.h
@@ -98,8 +98,7 @@
   bool run_deferred();
   bool has_due_timer() const;
   std::int32_t time_to_next_timer();
-  // Returns by how much the poll of the current iteration exceeded the wait that it was allowed,
-  // plus the time since the poll.
+  // Returns how far the current iteration has exceeded the wait that it was allowed.
   Duration overrun(Instant now) const;
   static void on_wake_up(h2o_multithread_receiver_t* receiver, h2o_linklist_t* messages);
 
