gateway: Decode large objects of the store in the background

Servers got requests of callers that had left (GONE), with the site as given. Each change carries the whole configuration. It was parsed, encoded and parsed again on the event loop, as often as it had changed since the last answer, and copied and encoded for each follower.

`BackgroundWorker` runs such work on a thread of its own and passes the results to the loop: answers of the store and of the reader that a gateway follows, the configuration, and answers to followers, from 64 KB on. Of several changes of the configuration only the last one is decoded. Whether a follower has missed changes is checked without copying them.

--- a/src/gateway/object_replica.cc
+++ b/src/gateway/object_replica.cc
@@ -70,6 +70,18 @@
   }
 }
 
+bool ObjectReplica::has_changes_since(std::uint64_t revision) const {
+  if (revision < removals_known_from_) {
+    return true;
+  }
+  const auto is_newer = [revision](const platform::StoredObject& object) {
+    return object.revision > revision;
+  };
+  return std::any_of(objects_.begin(), objects_.end(),
+                     [&](const auto& entry) { return is_newer(entry.second); }) ||
+         std::any_of(removals_.begin(), removals_.end(), is_newer);
+}
+
 std::optional<ObjectReplica::Changes> ObjectReplica::changes_since(std::uint64_t revision) const {
   if (revision < removals_known_from_) {
     return std::nullopt;
--- a/src/gateway/object_replica.h
+++ b/src/gateway/object_replica.h
@@ -32,6 +32,9 @@
   /** Applies the changes that a watch returned. Returns those that were not known yet. */
   Changes apply(platform::ObjectChanges changes);
 
+  /** Whether `changes_since(revision)` would return changes or none for lack of history. */
+  bool has_changes_since(std::uint64_t revision) const;
+
   /** Returns the changes since `revision`; nothing if some of them may no longer be known. */
   std::optional<Changes> changes_since(std::uint64_t revision) const;
 
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -73,6 +73,7 @@
                           CachePollScheduler(settings.name, settings.zone, settings.link_mbps)),
       forwarder_(forwarder),
       random_(hash64(settings.name)),
+      worker_(loop),
       peers_(settings.first_peers),
       membership_(settings.name),
       source_(settings.name, settings.zone),
@@ -110,7 +111,7 @@
 
 void StateSynchronizer::add_watcher(ObjectKind kind) {
   watchers_.push_back(std::make_unique<StoreWatcher>(
-      loop_, client_, settings_.store, kind,
+      loop_, client_, worker_, settings_.store, kind,
       StoreWatcher::Listener{
           .on_changes =
               [this, kind](ObjectReplica::Changes changes) {
@@ -178,13 +179,13 @@
         .field("removed", change.removed);
     if (kind == ObjectKind::kUpstreams) {
       on_upstream(change);
-    } else if (kind == ObjectKind::kConfiguration && !change.removed) {
-      on_config(change.object);
     } else if (kind == ObjectKind::kTargetWeights && !change.removed) {
       on_target_weights(change.object);
     }
   }
-  if (kind == ObjectKind::kConfiguration || kind == ObjectKind::kUpstreams) {
+  if (kind == ObjectKind::kConfiguration) {
+    on_configs(changes);
+  } else if (kind == ObjectKind::kUpstreams) {
     update_cache_nodes();
   }
   if (kind == ObjectKind::kZonesOutOfService) {
@@ -197,11 +198,27 @@
   follower_polls_.on_changes();
 }
 
-void StateSynchronizer::on_config(const platform::StoredObject& object) {
-  if (object.name != platform::config_object_name()) {
+void StateSynchronizer::on_configs(const ObjectReplica::Changes& changes) {
+  // Each change contains the complete configuration, so only the last one is decoded.
+  const auto last =
+      std::find_if(changes.rbegin(), changes.rend(), [](const platform::ObjectChange& change) {
+        return !change.removed && change.object.name == platform::config_object_name();
+      });
+  if (last == changes.rend()) {
     return;
   }
-  auto decoded = platform::decode_config(object.content);
+  const std::string& content = last->object.content;
+  if (content.size() < StoreWatcher::kMinBackgroundBytes) {
+    apply_config(platform::decode_config(content));
+    return;
+  }
+  worker_.run([content] { return platform::decode_config(content); },
+              [this](platform::DecodeResult<ServingConfig>&& decoded) {
+                apply_config(std::move(decoded));
+              });
+}
+
+void StateSynchronizer::apply_config(platform::DecodeResult<ServingConfig>&& decoded) {
   if (const auto* fault = std::get_if<platform::DecodeError>(&decoded)) {
     LogEvent("config_not_understood", LogEvent::Severity::kError).field("why", fault->reason);
     return;
@@ -217,6 +234,7 @@
       .field("routes", static_cast<std::uint64_t>(config.routes.size()))
       .field("accounts", static_cast<std::uint64_t>(config.accounts.size()));
   forwarder_.set_config(std::make_shared<const ServingConfig>(std::move(config)));
+  update_cache_nodes();
 }
 
 void StateSynchronizer::on_upstream(const platform::ObjectChange& change) {
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -29,6 +29,7 @@
 #include "gateway/store_source.h"
 #include "gateway/store_watcher.h"
 #include "gateway/upstream_pool.h"
+#include "http/background_worker.h"
 #include "http/http_client.h"
 #include "http/http_loop.h"
 #include "settings/gateway_settings.h"
@@ -124,7 +125,8 @@
   static std::string_view name_of(platform::ObjectKind kind);  // For the log.
   void add_watcher(platform::ObjectKind kind);
   void on_changes(platform::ObjectKind kind, ObjectReplica::Changes changes);
-  void on_config(const platform::StoredObject& object);
+  void on_configs(const ObjectReplica::Changes& changes);
+  void apply_config(platform::DecodeResult<ServingConfig>&& decoded);
   void on_upstream(const platform::ObjectChange& change);
   void on_zones_out_of_service();
   void on_target_weights(const platform::StoredObject& object);
@@ -148,7 +150,7 @@
   ChangesAnswer changes_since(const KnownRevisions& known) const;
   // Polls the gateway that `source_` selects, again and again.
   void follow_reader();
-  void on_reader_answer(const Endpoint& reader, const HttpClient::Response& response);
+  void on_reader_answer(const Endpoint& reader, std::optional<ChangesAnswer> answer);
   void apply_changes(ChangesAnswer answer);
   // Shortens the watches of the configuration while other gateways follow this one.
   void update_watch_wait();
@@ -172,6 +174,7 @@
   std::function<void()> on_weights_changed_;
   std::function<void(std::vector<Endpoint>)> on_peers_changed_;
   std::function<void(std::vector<Endpoint>)> on_zone_peers_changed_;
+  BackgroundWorker worker_;  // Decodes what would delay the event loop.
   std::vector<std::unique_ptr<StoreWatcher>> watchers_;
   std::vector<Endpoint> peers_;
   GatewayMembership membership_;
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -15,6 +15,22 @@
 
 constexpr std::string_view kPeerPath = "/v1/objects?known=";
 
+std::optional<ChangesAnswer> decode_reader_answer(const HttpClient::Response& response) {
+  const bool complete =
+      response.status == 200 && std::holds_alternative<HttpClient::Complete>(response.outcome);
+  return complete ? decode_changes_answer(response.body) : std::nullopt;
+}
+
+std::size_t content_bytes(const ChangesAnswer& answer) {
+  std::size_t bytes = 0;
+  for (const KindChanges& kind : answer.kinds) {
+    for (const platform::ObjectChange& change : kind.changes) {
+      bytes += change.object.content.size();
+    }
+  }
+  return bytes;
+}
+
 }  // namespace
 
 KnownRevisions StateSynchronizer::known_revisions() const {
@@ -30,11 +46,7 @@
   for (std::size_t i = 0; i < watchers_.size(); ++i) {
     const ObjectReplica& replica = watchers_[i]->replica();
     const std::uint64_t known_revision = i < known.size() ? known[i] : 0;
-    if (replica.revision() <= known_revision) {
-      continue;
-    }
-    const auto changes = replica.changes_since(known_revision);
-    if (!changes || !changes->empty()) {
+    if (replica.revision() > known_revision && replica.has_changes_since(known_revision)) {
       return true;
     }
   }
@@ -86,7 +98,13 @@
   const Duration wait = query.wait + Duration{1};
   const FollowerPolls::PollId held = follower_polls_.add(
       std::move(query), [this, respond = std::move(respond)](const KnownRevisions& known) {
-        respond(encode_changes_answer(changes_since(known)));
+        ChangesAnswer answer = changes_since(known);
+        if (content_bytes(answer) < StoreWatcher::kMinBackgroundBytes) {
+          respond(encode_changes_answer(answer));
+          return;
+        }
+        worker_.run([answer = std::move(answer)] { return encode_changes_answer(answer); },
+                    respond);
       });
   if (held != 0) {
     run_after(wait, [this, held] { follower_polls_.expire(held); });
@@ -131,19 +149,23 @@
   call.connect_timeout = kFollowTimeout;
   call.idle_timeout = wait + kFollowTimeout;
   client_.send(std::move(call), [this, reader = *reader, alive = std::weak_ptr<bool>(alive_)](
-                                    const HttpClient::Response& response) {
-    if (!alive.expired()) {
-      on_reader_answer(reader, response);
+                                    HttpClient::Response response) {
+    if (alive.expired()) {
+      return;
+    }
+    if (response.body.size() < StoreWatcher::kMinBackgroundBytes) {
+      on_reader_answer(reader, decode_reader_answer(response));
+      return;
     }
+    worker_.run([response = std::move(response)] { return decode_reader_answer(response); },
+                [this, reader](std::optional<ChangesAnswer> answer) {
+                  on_reader_answer(reader, std::move(answer));
+                });
   });
 }
 
 void StateSynchronizer::on_reader_answer(const Endpoint& reader,
-                                         const HttpClient::Response& response) {
-  auto answer =
-      response.status == 200 && std::holds_alternative<HttpClient::Complete>(response.outcome)
-          ? decode_changes_answer(response.body)
-          : std::nullopt;
+                                         std::optional<ChangesAnswer> answer) {
   if (!answer || !answer->current) {
     source_.record_failure(reader, clock_.now());
     set_following(false, answer ? "reader_lost_the_store" : "reader_did_not_answer");
--- a/src/gateway/store_watcher.cc
+++ b/src/gateway/store_watcher.cc
@@ -11,11 +11,13 @@
 
 StoreWatcher::StoreWatcher(HttpLoop& loop,
                            HttpClient& client,
+                           BackgroundWorker& worker,
                            const Endpoint& store,
                            platform::ObjectKind kind,
                            Listener listener)
     : loop_(loop),
       client_(client),
+      worker_(worker),
       store_(store),
       kind_(kind),
       listener_(std::move(listener)),
@@ -23,14 +25,26 @@
 
 StoreWatcher::~StoreWatcher() = default;
 
-template <typename Handler>
-void StoreWatcher::send(HttpCall call, Handler handler) {
-  client_.send(std::move(call),
-               [this, alive = std::weak_ptr<bool>(alive_), handler](HttpClient::Response response) {
-                 if (!alive.expired()) {
-                   (this->*handler)(response);
-                 }
-               });
+template <typename Result>
+void StoreWatcher::send(HttpCall call,
+                        Result (*decode)(const HttpClient::Response&),
+                        void (StoreWatcher::*handler)(Result)) {
+  client_.send(std::move(call), [this, alive = std::weak_ptr<bool>(alive_), decode,
+                                 handler](HttpClient::Response response) {
+    if (alive.expired()) {
+      return;
+    }
+    if (response.body.size() < kMinBackgroundBytes) {
+      (this->*handler)(decode(response));
+      return;
+    }
+    worker_.run([decode, response = std::move(response)] { return decode(response); },
+                [this, alive, handler](Result result) {
+                  if (!alive.expired()) {
+                    (this->*handler)(std::move(result));
+                  }
+                });
+  });
 }
 
 void StoreWatcher::run_after(Duration delay, std::function<void()> task) {
@@ -49,11 +63,11 @@
   if (after_name.empty()) {
     listed_objects_.clear();
   }
-  send(platform::list_call(store_, kind_, after_name, kCallTimeout), &StoreWatcher::on_list_page);
+  send(platform::list_call(store_, kind_, after_name, kCallTimeout), platform::decode_page,
+       &StoreWatcher::on_list_page);
 }
 
-void StoreWatcher::on_list_page(const HttpClient::Response& response) {
-  auto result = platform::decode_page(response);
+void StoreWatcher::on_list_page(platform::PageResult result) {
   if (const auto* fault = std::get_if<PlatformUnavailable>(&result)) {
     on_call_failed(*fault);
     return;
@@ -91,11 +105,10 @@
     return;
   }
   send(platform::watch_call(store_, kind_, replica_.revision(), wait, kCallTimeout),
-       &StoreWatcher::on_watch_answer);
+       platform::decode_changes, &StoreWatcher::on_watch_answer);
 }
 
-void StoreWatcher::on_watch_answer(const HttpClient::Response& response) {
-  auto result = platform::decode_changes(response);
+void StoreWatcher::on_watch_answer(platform::ChangesResult result) {
   std::visit(Overloaded{[&](platform::ObjectChanges& changes) {
                           reachable_ = true;
                           listener_.on_call_ended(true);
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -4,6 +4,7 @@
 #ifndef BLUEBELLSTEP_GATEWAY_STORE_WATCHER_H_
 #define BLUEBELLSTEP_GATEWAY_STORE_WATCHER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "gateway/object_replica.h"
+#include "http/background_worker.h"
 #include "http/http_client.h"
 #include "http/http_loop.h"
 
@@ -33,6 +35,8 @@
   static constexpr Duration kCallTimeout{800};
   /** Delay before the retry of a failed call. Refused calls are charged too. */
   static constexpr Duration kRetryDelay{400};
+  /** Larger objects and responses are decoded by a `BackgroundWorker`; others take a few ms. */
+  static constexpr std::size_t kMinBackgroundBytes = 64u << 10;
   /** Delay before the next watch after changes were received, so that a burst of changes takes few
    * calls. */
   static constexpr Duration kBatchDelay{150};
@@ -53,6 +57,7 @@
 
   StoreWatcher(HttpLoop& loop,
                HttpClient& client,
+               BackgroundWorker& worker,
                const Endpoint& store,
                platform::ObjectKind kind,
                Listener listener);
@@ -85,18 +90,22 @@
  private:
   void list(std::string after_name);
   void watch(Duration wait);
-  void on_list_page(const HttpClient::Response& response);
-  void on_watch_answer(const HttpClient::Response& response);
+  void on_list_page(platform::PageResult result);
+  void on_watch_answer(platform::ChangesResult result);
   void on_call_failed(const PlatformUnavailable& fault);
   void retry();
   Duration batch_delay() const;
   void notify_changes(ObjectReplica::Changes changes);
-  template <typename Handler>
-  void send(HttpCall call, Handler handler);
+  // Sends `call` and passes the response, decoded by `decode`, to `handler`.
+  template <typename Result>
+  void send(HttpCall call,
+            Result (*decode)(const HttpClient::Response&),
+            void (StoreWatcher::*handler)(Result));
   void run_after(Duration delay, std::function<void()> task);
 
   HttpLoop& loop_;
   HttpClient& client_;
+  BackgroundWorker& worker_;
   Endpoint store_;
   platform::ObjectKind kind_;
   Listener listener_;
