gateway: Log the segments of failed attempts

Servers were crashed one after the other by requests of one kind (BUDGET). The log named the first segment of a prompt only, at the end of the request, so it could not tell what the failed attempts have in common.

`send_failed` names up to eight segments and whether the answer had begun. No logic is changed.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -468,13 +468,7 @@
                                   std::string_view reason) {
   const std::string upstream_id = request.attempt->picked.upstream_id;
   const bool reached = outcome != AttemptOutcome::kNotReached;
-  LogEvent("send_failed")
-      .field("request", request.caller.request_id)
-      .field("upstream", upstream_id)
-      .field("why", reason)
-      .field("reused_connection", request.attempt->reused)
-      .field("may_have_run", may_have_run)
-      .field("after_ms", (clock_.now() - request.attempt->started_at).ms);
+  log_failed_attempt(request, may_have_run, reason);
   const bool response_complete = outcome == AttemptOutcome::kRejected ||
                                  outcome == AttemptOutcome::kAnswered ||
                                  outcome == AttemptOutcome::kError;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -201,6 +201,7 @@
   // Time left for an upstream to respond.
   Duration time_left(const Request& request, Instant now) const;
   void log_refused_admission(const Request& request, const NoUpstreamAvailable& refusal) const;
+  void log_failed_attempt(const Request& request, bool may_have_run, std::string_view reason) const;
   void log_request_end(const Request& request,
                        std::string_view outcome,
                        int status,
--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -1,9 +1,12 @@
 // Responses that the gateway generates itself, and the log line at the end of each request.
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 
 #include "base/log_event.h"
@@ -24,6 +27,16 @@
   return {digits.data(), end};
 }
 
+// Formats the ids of the first segments of a prompt.
+std::string segment_ids_text(std::span<const PromptSegment> prompt) {
+  constexpr std::size_t kMaxLogged = 8;
+  std::string text;
+  for (const PromptSegment& segment : prompt.first(std::min(prompt.size(), kMaxLogged))) {
+    text.append(text.empty() ? "" : ",").append(hex_text(segment.id));
+  }
+  return text;
+}
+
 std::string_view kind_text(RequestKind kind) {
   switch (kind) {
     case RequestKind::kIdempotent:
@@ -132,6 +145,23 @@
                                                    : predictor->tokens_per_ms())));
 }
 
+void Forwarder::log_failed_attempt(const Request& request,
+                                   bool may_have_run,
+                                   std::string_view reason) const {
+  const Attempt& attempt = *request.attempt;
+  LogEvent event("send_failed");
+  event.field("request", request.caller.request_id)
+      .field("upstream", attempt.picked.upstream_id)
+      .field("why", reason)
+      .field("reused_connection", attempt.reused)
+      .field("may_have_run", may_have_run)
+      .field("after_ms", (clock_.now() - attempt.started_at).ms);
+  if (!request.caller.prompt.empty()) {
+    event.field("parts", segment_ids_text(request.caller.prompt))
+        .field("answer_begun", attempt.prefill_reported);
+  }
+}
+
 void Forwarder::log_request_end(const Request& request,
                                 std::string_view outcome,
                                 int status,
