--- /dev/null
+++ b/src/gateway/crashing_prompt_test.cc
@@ -0,0 +1,147 @@
+// Tests of the forwarder with a prompt segment under which upstreams crash, on real sockets.
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include "gateway/caller_listener.h"
+#include "gateway/forwarder.h"
+#include "tests/support/raw_socket.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr int kUpstreams = 16;
+// The users' bound: crashes after which at most three further requests may reach an upstream.
+constexpr int kMaxCrashes = 5;
+constexpr std::string_view kDeadlySegment = "dead";
+
+std::shared_ptr<const ServingConfig> make_config() {
+  ServingConfig config{.version = 1};
+  RouteRule prompt{.name = "prompt",
+                   .host = "h",
+                   .path_prefix = "/prompt/",
+                   .kind = RequestKind::kStream,
+                   .timeout = Duration{3000},
+                   .latency_goal = Duration{300},
+                   .targets = {{.service = "s"}},
+                   .max_attempts = 2,
+                   .resumable = true};
+  config.routes = {prompt};
+  config.services.emplace("s", ServiceInfo{.name = "s", .max_connections = 100});
+  return std::make_shared<const ServingConfig>(std::move(config));
+}
+
+/** Upstreams that close the connection of each request with the deadly segment and answer others.
+ * They share one address. */
+class Upstreams {
+ public:
+  Upstreams() : thread_([this] { serve(); }) {}
+  ~Upstreams() {
+    stopping_ = true;
+    RawSocket::connect(listener_.port());
+    thread_.join();
+  }
+
+  std::uint16_t port() const { return listener_.port(); }
+  int crashes() const { return crashes_; }
+
+ private:
+  void serve() {
+    while (true) {
+      RawSocket connection = listener_.accept();
+      if (stopping_) {
+        return;
+      }
+      const std::string request = connection.receive_until("\r\n\r\n");
+      if (request.find(kDeadlySegment) != std::string::npos) {
+        ++crashes_;
+        continue;
+      }
+      const std::size_t id = request.find("Request-Id: ");
+      connection.send("HTTP/1.1 200 OK\r\n" + request.substr(id, request.find('\r', id) - id) +
+                      "\r\nServer-Seal: s\r\nConnection: close\r\nContent-Length: 15\r\n\r\n" +
+                      "id: 1\ndata: x\n\n");
+    }
+  }
+
+  RawListener listener_{64};
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> crashes_{0};
+  std::thread thread_;
+};
+
+/** A gateway on real sockets. */
+class Fixture {
+ public:
+  explicit Fixture(std::uint16_t upstream_port) {
+    loop_.run_and_wait([&] {
+      pool_ = std::make_unique<UpstreamPool>(PoolLimits{}, cache_, load_aggregator_, quota_);
+      forwarder_ = std::make_unique<Forwarder>(loop_, *pool_, metrics_, "a",
+                                               RetryLimits{.ratio = 1, .fixed_retries = 100});
+      forwarder_->set_config(make_config());
+      for (int i = 0; i < kUpstreams; ++i) {
+        pool_->put({.id = "u" + std::to_string(i),
+                    .service = "s",
+                    .endpoint = {"127.0.0.1", upstream_port},
+                    .zone = "a",
+                    .slots = 4},
+                   Clock().now());
+      }
+      listener_ =
+          std::make_unique<CallerListener>(loop_, Endpoint{"127.0.0.1", port_}, *forwarder_);
+    });
+  }
+  ~Fixture() {
+    loop_.run_and_wait([this] {
+      listener_.reset();
+      forwarder_.reset();
+      pool_.reset();
+    });
+  }
+
+  /** Sends a request with the given prompt and returns the response. */
+  std::string request(std::string_view id, std::string_view prompt) const {
+    RawSocket caller = RawSocket::connect(port_);
+    caller.send("GET /prompt/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + std::string(id) +
+                "\r\nPrompt-Prefix: " + std::string(prompt) +
+                "\r\nDeadline-Ms: 3000\r\nConnection: close\r\n\r\n");
+    return caller.receive_all();
+  }
+
+ private:
+  std::uint16_t port_ = RawListener().port();
+  HttpLoop loop_;
+  Metrics metrics_;
+  LoadAggregator load_aggregator_;
+  CacheDirectory cache_{load_aggregator_};
+  RequestQuota quota_{"g1", Clock().now()};
+  std::unique_ptr<UpstreamPool> pool_;
+  std::unique_ptr<Forwarder> forwarder_;
+  std::unique_ptr<CallerListener> listener_;
+};
+
+}  // namespace
+
+// Guards against a prompt segment that crashes one upstream after the other, and against the loss
+// of sound prompts that begin with the same segment.
+TEST_CASE("a prompt segment under which upstreams crash is not sent to further ones",
+          "[gateway][quarantine]") {
+  Upstreams upstreams;
+  const Fixture fixture(upstreams.port());
+  for (int i = 0; i < 8; ++i) {
+    fixture.request("deadly" + std::to_string(i),
+                    "a1:100," + std::string(kDeadlySegment) + ":50," + std::to_string(i) + ":10");
+  }
+  CHECK(upstreams.crashes() <= kMaxCrashes);
+  for (int i = 0; i < 4; ++i) {
+    const std::string response =
+        fixture.request("sound" + std::to_string(i), "a1:100,b" + std::to_string(i) + ":50,c1:10");
+    CHECK(response.starts_with("HTTP/1.1 200"));
+  }
+}
+
+}  // namespace bluebellstep
