--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -253,6 +253,21 @@
   CHECK_FALSE(caller.complete());
 }
 
+// Guards against a broken stream that looks complete since it has neither a length nor chunks.
+TEST_CASE("a stream that ends with its connection inside an event is broken off",
+          "[gateway][faults]") {
+  Fixture fixture;
+  CallerView caller;
+  fixture.start(caller, "stream", "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(response_head("r1", "X: y"));
+  upstream.send("id: 1\ndata: a\n\nid: 2\ndata:");
+  upstream.close();
+  REQUIRE(caller.wait());
+  CHECK_FALSE(caller.complete());
+  CHECK(caller.text().find("id: 2") == std::string::npos);
+}
+
 // Guards against sound streams that are cut because their events come slowly.
 TEST_CASE("a slow stream within the patience of its caller is delivered in full",
           "[gateway][faults]") {
