gateway: Refuse requests that waited for half a second to be read

Callers of a gateway that had no processor time, or was frozen, got answers after their time-out: it took on all requests that waited in its sockets, and so answered these and the ones behind them later and later. They are refused as not run now (`gateway_late`), with a time after which to ask again.

The decision uses the time that the request waited, not the delay of the loop at the moment: a connection that is accepted late passes one more iteration before its request is read.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -15,6 +15,10 @@
 namespace bluebellstep {
 namespace {
 
+// A request that may have waited longer than this to be read is refused: the gateway is late, and
+// taking on more work would make it later still.
+constexpr Duration kMaxUnreadTime{500};
+constexpr Duration kLateRetryDelay{500};
 // An attempt with less time left cannot be answered before the deadline.
 constexpr Duration kMinTimeLeft{10};
 // The deadline that the upstream is given is this much earlier than that of the request, so that
@@ -137,6 +141,10 @@
       std::min(request.route->timeout, request.caller.time_left.value_or(request.route->timeout));
   request.deadline = request.arrived_at + time_limit;
   retry_budget(request).count_request(retry_limits_, clock_.now());
+  if (clock_.now() - request.arrived_at > kMaxUnreadTime) {
+    refuse_request(request, "gateway_late", kLateRetryDelay);
+    return id;
+  }
   dispatch(request);
   return id;
 }
