gateway: Quarantine prompt segments only for crashes that a connect confirms

Each lost connection before the first event counted as a crash of the prompt's segments. Three in a row without an answer quarantine a segment, and nothing is answered under a quarantine, so nothing ends it early.

The next attempt waits for the result, so that it is not sent to another upstream by the crash that completes the evidence.

Ruled out: a shorter quarantine (it would let deadly prompts through at each end), trials during the quarantine (hundreds of gateways would each send one).

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -82,9 +82,11 @@
       metrics_(metrics),
       zone_(std::move(zone)),
       retry_limits_(retry_limits),
-      connections_(loop, [](const MessageHead& head) {
-        return platform::decode_upstream_response_head(head).request_id;
-      }) {}
+      connections_(loop,
+                   [](const MessageHead& head) {
+                     return platform::decode_upstream_response_head(head).request_id;
+                   }),
+      crash_check_(loop) {}
 
 Forwarder::~Forwarder() = default;
 
@@ -390,8 +392,7 @@
       on_complete(*request);
       return;
     case ExchangeOutcome::kLost:
-      record_prompt_crash(*request);
-      on_attempt_failed(*request, AttemptOutcome::kFailed, true, reason);
+      on_upstream_lost(*request, reason);
       return;
     case ExchangeOutcome::kBroken:
       on_attempt_failed(*request, AttemptOutcome::kFailed, true, reason);
@@ -402,16 +403,34 @@
   }
 }
 
-void Forwarder::record_prompt_crash(const Request& request) {
-  const Attempt& attempt = *request.attempt;
-  if (request.caller.prompt.empty() || attempt.prefill_reported) {
-    return;
-  }
-  quarantine_.record_crash(request.caller.prompt, hash64(attempt.picked.upstream_id),
-                           attempt.started_at, clock_.now());
-  if (on_prompt_crash_) {
-    on_prompt_crash_();
+void Forwarder::on_upstream_lost(Request& request, std::string_view reason) {
+  const bool before_first_event = !request.attempt->prefill_reported;
+  if (before_first_event && !request.caller.prompt.empty()) {
+    check_prompt_crash(request);
   }
+  on_attempt_failed(request, AttemptOutcome::kFailed, true, reason);
+}
+
+void Forwarder::check_prompt_crash(Request& request) {
+  request.waits_for_crash_check = true;
+  const PickedUpstream& picked = request.attempt->picked;
+  crash_check_.start(
+      picked.upstream_id, picked.endpoint,
+      [this, id = request.id, prompt = request.caller.prompt,
+       upstream_hash = hash64(picked.upstream_id), sent_at = request.attempt->started_at,
+       lost_at = clock_.now()](bool crashed) {
+        metrics_.count("bluebellstep_gateway_crash_checks_total", crashed ? "crashed" : "running");
+        if (crashed) {
+          quarantine_.record_crash(prompt, upstream_hash, sent_at, lost_at, clock_.now());
+          if (on_prompt_crash_) {
+            on_prompt_crash_();
+          }
+        }
+        Request* waiting = find(id);
+        if (waiting != nullptr && std::exchange(waiting->waits_for_crash_check, false)) {
+          dispatch(*waiting);
+        }
+      });
 }
 
 void Forwarder::on_complete(Request& request) {
@@ -461,8 +480,7 @@
   const bool is_complete = !request.event_buffer.has_partial() && request.response_started;
   if (!is_complete) {
     // An answer that ends with its connection ends in the same way if the upstream crashes.
-    record_prompt_crash(request);
-    on_attempt_failed(request, AttemptOutcome::kFailed, true, "stream_cut");
+    on_upstream_lost(request, "stream_cut");
     return;
   }
   end_attempt(request, AttemptOutcome::kAnswered, true);
@@ -497,7 +515,9 @@
   }
   if (should_retry(request, may_have_run)) {
     metrics_.count("bluebellstep_gateway_repeats_total", std::string(reason));
-    dispatch(request);
+    if (!request.waits_for_crash_check) {
+      dispatch(request);
+    }
     return;
   }
   fail_request(request, request.possible_runs > 0, reason);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -26,6 +26,7 @@
 #include "base/verdict.h"
 #include "gateway/caller_connection.h"
 #include "gateway/connection_pool.h"
+#include "gateway/crash_check.h"
 #include "gateway/decoded_headers.h"
 #include "gateway/segment_quarantine.h"
 #include "gateway/service_retry_budget.h"
@@ -143,6 +144,8 @@
     std::uint32_t possible_runs = 0;           // Attempts on which the request may have run.
     std::uint32_t attempts_sent = 0;  // Attempts that reached an upstream, rejected ones included.
     std::uint32_t connect_failures = 0;
+    // No attempt is in progress; the next one waits for the result of `crash_check_`.
+    bool waits_for_crash_check = false;
     bool response_started = false;  // The head of a streamed response was sent to the caller.
     bool chunked = false;           // The response to the caller uses chunked transfer encoding.
     SseEventBuffer event_buffer;
@@ -170,12 +173,16 @@
   void on_head(RequestId id, const MessageHead& head);
   void on_content(RequestId id, std::string_view content);
   void on_end(RequestId id, ExchangeOutcome outcome, std::string_view reason);
-  // The upstream of a prompt was lost before the first event.
-  void record_prompt_crash(const Request& request);
+  // The connection of the current attempt ended before the response was complete.
+  void on_upstream_lost(Request& request, std::string_view reason);
+  // Finds out whether the upstream of the current attempt has crashed, and counts that against the
+  // segments of the prompt.
+  void check_prompt_crash(Request& request);
   void on_complete(Request& request);
   void on_stream_complete(Request& request);
   void forward_events(Request& request, std::string_view content);
-  // Ends the current attempt; retries the request if that is allowed, and fails it otherwise.
+  // Ends the current attempt; retries the request if that is allowed, and fails it otherwise. The
+  // retry waits for the end of a crash check.
   void on_attempt_failed(Request& request,
                          AttemptOutcome outcome,
                          bool may_have_run,
@@ -228,6 +235,7 @@
   std::map<RequestId, std::unique_ptr<Request>> requests_;
   ConnectionPool connections_;
   SegmentQuarantine quarantine_;
+  CrashCheck crash_check_;
   std::function<void()> on_prompt_crash_;
   std::map<std::string, ServiceRetryBudget, std::less<>> retry_budgets_;  // By service.
   std::size_t buffered_body_bytes_ = 0;        // Sum over the current attempts.
--- a/src/gateway/segment_quarantine.cc
+++ b/src/gateway/segment_quarantine.cc
@@ -89,9 +89,10 @@
 void SegmentQuarantine::record_crash(std::span<const PromptSegment> prompt,
                                      std::uint64_t upstream,
                                      Instant sent_at,
+                                     Instant crashed_at,
                                      Instant now) {
-  Crash crash{.sent_at = sent_at, .crashed_at = now, .report_until = now + kReportTime};
-  crash.id = combine_hashes(upstream, static_cast<std::uint64_t>(now.ms));
+  Crash crash{.sent_at = sent_at, .crashed_at = crashed_at, .report_until = now + kReportTime};
+  crash.id = combine_hashes(upstream, static_cast<std::uint64_t>(crashed_at.ms));
   for (const PromptSegment& segment : shared_segments(prompt)) {
     crash.segments.push_back(segment.id);
     crash.id = combine_hashes(crash.id, segment.id);
--- a/src/gateway/segment_quarantine.h
+++ b/src/gateway/segment_quarantine.h
@@ -27,7 +27,7 @@
 
 namespace bluebellstep {
 
-/** An attempt that ended with the loss of its upstream before the first event. */
+/** An attempt that ended with the crash of its upstream before the first event. */
 struct SegmentCrash {
   std::uint64_t id = 0;  // The same at all gateways.
   // Relative to the time of the report.
@@ -71,13 +71,14 @@
   /** Each crash and clearance is part of the reports for this time, since datagrams get lost. */
   static constexpr Duration kReportTime{1000};
 
-  /** An attempt ended with the loss of its upstream before the first event.
+  /** An attempt ended with the crash of its upstream before the first event.
    *
    * @param upstream  Hash that identifies the upstream.
    */
   void record_crash(std::span<const PromptSegment> prompt,
                     std::uint64_t upstream,
                     Instant sent_at,
+                    Instant crashed_at,
                     Instant now);
 
   /** The first event of an attempt arrived. */
