gateway: Keep the limit of cold upstreams when a zone is back in service

Cause: an engine is cold from the end of the evacuation on, but its registration says so up to a heartbeat later, and gateways that were cut off may have seen neither the beginning nor the end. Each sent by the limit for warm engines, whose sum is up to twice that for cold ones.

Upstreams of a zone that is back in service count as cold for the configured cold time and a second. Gateways pass such zones on with changes of the store, and a gateway that starts asks another one.

A failed trial: limits by view also while the store is out for all.

--- a/src/gateway/object_changes.cc
+++ b/src/gateway/object_changes.cc
@@ -54,6 +54,22 @@
 
 }  // namespace
 
+nlohmann::json encode_returned_zones(const std::vector<ReturnedZone>& zones) {
+  Json json = Json::array();
+  for (const ReturnedZone& zone : zones) {
+    json.push_back({zone.zone, zone.ago.ms});
+  }
+  return json;
+}
+
+std::vector<ReturnedZone> decode_returned_zones(const nlohmann::json& json) {
+  std::vector<ReturnedZone> zones;
+  for (const Json& zone : json) {
+    zones.push_back({zone.at(0).get<std::string>(), Duration{zone.at(1).get<std::int64_t>()}});
+  }
+  return zones;
+}
+
 std::string encode_changes_query(const ChangesQuery& query) {
   std::string path(kChangesPath);
   path.append(kKnownParameter);
@@ -91,6 +107,12 @@
   if (answer.store_regained_ago) {
     json["store_regained_ago_ms"] = answer.store_regained_ago->ms;
   }
+  if (answer.view_age) {
+    json["view_age_ms"] = answer.view_age->ms;
+  }
+  if (!answer.returned_zones.empty()) {
+    json["returned_zones"] = encode_returned_zones(answer.returned_zones);
+  }
   return json.dump();
 }
 
@@ -105,6 +127,12 @@
     if (const auto ago = json.find("store_regained_ago_ms"); ago != json.end()) {
       answer.store_regained_ago = Duration{ago->get<std::int64_t>()};
     }
+    if (const auto age = json.find("view_age_ms"); age != json.end()) {
+      answer.view_age = Duration{age->get<std::int64_t>()};
+    }
+    if (const auto zones = json.find("returned_zones"); zones != json.end()) {
+      answer.returned_zones = decode_returned_zones(*zones);
+    }
     for (const Json& kind : json.at("kinds")) {
       answer.kinds.push_back(decode_kind(kind));
     }
--- a/src/gateway/object_changes.h
+++ b/src/gateway/object_changes.h
@@ -5,16 +5,23 @@
 #define BLUEBELLSTEP_GATEWAY_OBJECT_CHANGES_H_
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/serving_config.h"
 #include "platform/object_format.h"
 
 namespace bluebellstep {
 
+/** Encodes zones that were back in service as JSON, and decodes them. Throws
+ * `nlohmann::json::exception` for other JSON. */
+nlohmann::json encode_returned_zones(const std::vector<ReturnedZone>& zones);
+std::vector<ReturnedZone> decode_returned_zones(const nlohmann::json& json);
+
 /** For each watched kind, in a fixed order, the store's revision up to which a gateway knows all
  * changes. */
 using KnownRevisions = std::vector<std::uint64_t>;
@@ -37,9 +44,13 @@
   // The answering gateway has heard of the store lately, and knows all changes since the revisions
   // of the query.
   bool current = false;
-  Duration age{0};                             // Since the store's last answer.
+  Duration age{0};  // Since the store's last answer.
+  // Since the zones out of service were last known. Unset by earlier versions, and before they are
+  // known.
+  std::optional<Duration> view_age;
   std::optional<Duration> store_regained_ago;  // Unset if the store was never lost.
   std::vector<KindChanges> kinds;              // Only those with a newer revision.
+  std::vector<ReturnedZone> returned_zones;
 };
 
 inline constexpr std::string_view kChangesPath = "/v1/changes";
--- a/src/gateway/object_changes_test.cc
+++ b/src/gateway/object_changes_test.cc
@@ -22,7 +22,11 @@
   CHECK(query.known == KnownRevisions{7, 0, 12});
   CHECK(query.wait == Duration{1000});
 
-  ChangesAnswer answer{.current = true, .age = Duration{40}, .store_regained_ago = Duration{90}};
+  ChangesAnswer answer{.current = true,
+                       .age = Duration{40},
+                       .view_age = Duration{60},
+                       .store_regained_ago = Duration{90}};
+  answer.returned_zones.push_back({"a", Duration{700}});
   answer.kinds.push_back(
       {.kind = platform::ObjectKind::kUpstreams,
        .revision = 9,
@@ -34,6 +38,10 @@
   REQUIRE(decoded);
   CHECK(decoded->current);
   CHECK(decoded->age == Duration{40});
+  CHECK(decoded->view_age == Duration{60});
+  REQUIRE(decoded->returned_zones.size() == 1);
+  CHECK(decoded->returned_zones[0].zone == "a");
+  CHECK(decoded->returned_zones[0].ago == Duration{700});
   CHECK(decoded->store_regained_ago == Duration{90});
   REQUIRE(decoded->kinds.size() == 2);
   const auto& changes = decoded->kinds[0].changes;
--- a/src/gateway/request_quota.cc
+++ b/src/gateway/request_quota.cc
@@ -38,10 +38,8 @@
   ++membership_version_;
 }
 
-std::uint32_t RequestQuota::allowance(std::uint64_t upstream_hash,
-                                      double limit,
-                                      Instant now) const {
-  if (!usable(now)) {
+std::uint32_t RequestQuota::part(std::uint64_t upstream_hash, double limit) const {
+  if (registered_.empty()) {
     return 0;
   }
   const auto total = static_cast<std::uint64_t>(std::floor(std::max(1.0, limit * kUsedShare)));
--- a/src/gateway/request_quota.h
+++ b/src/gateway/request_quota.h
@@ -53,11 +53,17 @@
   /** This gateway was registered for the first time at `now`; the others do not know it yet. */
   void set_joined(Instant now) { usable_from_ = now + kJoinDelay; }
 
-  /** Returns the number of requests that this gateway may send within a second.
+  /** Returns the number of requests that this gateway may send within a second: its part, or 0
+   * while it is not `usable`.
    *
    * @param limit  Number of requests that all gateways may send within a second.
    */
-  std::uint32_t allowance(std::uint64_t upstream_hash, double limit, Instant now) const;
+  std::uint32_t allowance(std::uint64_t upstream_hash, double limit, Instant now) const {
+    return usable(now) ? part(upstream_hash, limit) : 0;
+  }
+
+  /** Returns the part of this gateway among all that it knows; 0 if it knows none. */
+  std::uint32_t part(std::uint64_t upstream_hash, double limit) const;
 
   /** Number of known gateways, including this one. */
   std::size_t gateway_count() const { return member_hashes_.size() + 1; }
@@ -65,7 +71,7 @@
   /** Whether allowances are above 0 at present; see the class comment. */
   bool usable(Instant now) const { return now >= usable_from_ && !registered_.empty(); }
 
-  /** Changes with each change of the known names, so that allowances can be cached. */
+  /** Changes with each change of the known names, so that parts can be cached. */
   std::uint64_t membership_version() const { return membership_version_; }
 
  private:
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -78,6 +78,7 @@
   std::string name;
   std::uint32_t max_connections = 0;  // To each upstream, summed over all gateways.
   double cold_requests_per_s = 0;     // Capacity of a cold upstream; 0 for no limit.
+  Duration cold_time{3000};           // For which an upstream stays cold.
   std::optional<EngineSpec> engine;   // Model engines only.
   // Of the most urgent routes to the service; set by `ServingConfig::set_urgent_goals`.
   std::int64_t urgent_priority = 0;
@@ -123,6 +124,12 @@
   const ServiceInfo* find_service(std::string_view name) const;
 };
 
+/** A zone that had been out of service and was back `ago`. */
+struct ReturnedZone {
+  std::string zone;
+  Duration ago{0};
+};
+
 /** An upstream's registration in the platform's store, written by the upstream. */
 struct UpstreamRegistration {
   std::string id;
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -117,6 +117,12 @@
               [this, kind](ObjectReplica::Changes changes) {
                 on_changes(kind, std::move(changes));
               },
+          .on_current =
+              [this, kind] {
+                if (kind == ObjectKind::kZonesOutOfService) {
+                  pool_.record_view(clock_.now(), clock_.now());
+                }
+              },
           .on_call_ended = [this, kind](bool reachable) { on_call_ended(kind, reachable); },
           .may_probe = [this, kind] { return may_probe(kind); }}));
 }
@@ -127,6 +133,8 @@
   }
   write_registration(0);
   run_periodic_tasks();
+  // Another gateway may know of zones that were back in service just before this one started.
+  query_peer();
   follow_reader();
 }
 
@@ -259,7 +267,7 @@
   for (const auto& [name, object] : replica(ObjectKind::kZonesOutOfService).objects()) {
     zones.insert(name);
   }
-  pool_.set_zones_out_of_service(std::move(zones));
+  pool_.set_zones_out_of_service(std::move(zones), clock_.now());
 }
 
 void StateSynchronizer::on_target_weights(const platform::StoredObject& object) {
@@ -439,13 +447,19 @@
 }
 
 void StateSynchronizer::run_periodic_tasks() {
-  pool_.remove_expired_registrations(clock_.now());
+  const Instant now = clock_.now();
+  pool_.remove_expired_registrations(now);
   check_registrations();
   update_watch_wait();
   free_outdated_segments();
   if (!store_reachable_ && !peer_query_in_flight_) {
     query_peer();
   }
+  if (!store_reachable_ && membership_.hears_majority(now)) {
+    // The store is out of reach of most gateways. The operator is assumed not to reach it either,
+    // so that no zone is taken out of service or back.
+    pool_.record_view(now, now);
+  }
   run_after(kPeerQueryInterval, [this] { run_periodic_tasks(); });
 }
 
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -41,6 +41,22 @@
   return known;
 }
 
+std::optional<Duration> StateSynchronizer::view_age() const {
+  const auto as_of = pool_.view_as_of();
+  return as_of ? std::optional(clock_.now() - *as_of) : std::nullopt;
+}
+
+void StateSynchronizer::record_passed_view(std::optional<Duration> age,
+                                           const std::vector<ReturnedZone>& returned_zones) {
+  const Instant now = clock_.now();
+  for (const ReturnedZone& zone : returned_zones) {
+    pool_.record_returned_zone(zone.zone, now - zone.ago);
+  }
+  if (age) {
+    pool_.record_view(now - *age, now);
+  }
+}
+
 // The store's revision also increases by changes of other kinds, which are no news.
 bool StateSynchronizer::has_changes_since(const KnownRevisions& known) const {
   for (std::size_t i = 0; i < watchers_.size(); ++i) {
@@ -60,7 +76,9 @@
 ChangesAnswer StateSynchronizer::changes_since(const KnownRevisions& known) const {
   const Instant now = clock_.now();
   ChangesAnswer answer{.current = store_reachable_ && now < current_until(),
-                       .age = now - store_answered_at_};
+                       .age = now - store_answered_at_,
+                       .view_age = view_age(),
+                       .returned_zones = pool_.returned_zones(now)};
   if (store_regained_at_) {
     answer.store_regained_ago = now - *store_regained_at_;
   }
@@ -198,6 +216,7 @@
     }
     watcher->apply_changes({.changes = std::move(kind.changes), .store_revision = kind.revision});
   }
+  record_passed_view(answer.view_age, answer.returned_zones);
 }
 
 // Returns the path of a query to a peer. It lists the revision known of each kind, in the order of
@@ -247,7 +266,13 @@
                      {"revision", replica.revision()},
                      {"objects", std::move(objects)}});
   }
-  return nlohmann::json{{"kinds", std::move(kinds)}}.dump();
+  nlohmann::json answer{
+      {"kinds", std::move(kinds)},
+      {"returned_zones", encode_returned_zones(pool_.returned_zones(clock_.now()))}};
+  if (const auto age = view_age()) {
+    answer["view_age_ms"] = age->ms;
+  }
+  return answer.dump();
 }
 
 void StateSynchronizer::apply_peer_answer(const HttpClient::Response& response) {
@@ -273,6 +298,11 @@
       LogEvent("peer_knows_newer").field("kind", name_of(kind)).field("revision", revision);
       watcher->apply_snapshot(std::move(objects), revision);
     }
+    const auto age = json.find("view_age_ms");
+    const auto zones = json.find("returned_zones");
+    record_passed_view(
+        age == json.end() ? std::nullopt : std::optional(Duration{age->get<std::int64_t>()}),
+        zones == json.end() ? std::vector<ReturnedZone>() : decode_returned_zones(*zones));
   } catch (const nlohmann::json::exception& fault) {
     LogEvent("peer_answer_not_understood", LogEvent::Severity::kWarning).field("why", fault.what());
   }
--- a/src/gateway/store_watcher.cc
+++ b/src/gateway/store_watcher.cc
@@ -8,6 +8,20 @@
 #include "base/overloaded.h"
 
 namespace bluebellstep {
+namespace {
+
+Duration watch_wait(platform::ObjectKind kind) {
+  switch (kind) {
+    case platform::ObjectKind::kGateways:
+      return StoreWatcher::kGatewaysWatchWait;
+    case platform::ObjectKind::kZonesOutOfService:
+      return StoreWatcher::kZonesWatchWait;
+    default:
+      return StoreWatcher::kWatchWait;
+  }
+}
+
+}  // namespace
 
 StoreWatcher::StoreWatcher(HttpLoop& loop,
                            HttpClient& client,
@@ -21,7 +35,7 @@
       store_(store),
       kind_(kind),
       listener_(std::move(listener)),
-      watch_wait_(kind == platform::ObjectKind::kGateways ? kGatewaysWatchWait : kWatchWait) {}
+      watch_wait_(watch_wait(kind)) {}
 
 StoreWatcher::~StoreWatcher() = default;
 
@@ -87,6 +101,7 @@
   reachable_ = true;
   can_watch_ = true;
   notify_changes(replica_.replace(std::exchange(listed_objects_, {}), list_revision_));
+  notify_current();
   listener_.on_call_ended(true);
   watch(watch_wait_);
 }
@@ -114,6 +129,7 @@
                           listener_.on_call_ended(true);
                           const bool changed = !changes.changes.empty();
                           notify_changes(replica_.apply(std::move(changes)));
+                          notify_current();
                           if (changed) {
                             run_after(batch_delay(), [this] { watch(watch_wait_); });
                           } else {
@@ -179,6 +195,12 @@
   notify_changes(replica_.apply(std::move(changes)));
 }
 
+void StoreWatcher::notify_current() const {
+  if (listener_.on_current) {
+    listener_.on_current();
+  }
+}
+
 void StoreWatcher::notify_changes(ObjectReplica::Changes changes) {
   if (!changes.empty()) {
     listener_.on_changes(std::move(changes));
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -24,6 +24,8 @@
   /** How long the store may hold a watch while nothing changes. Also bounds how long a store that
    * accepts calls but does not answer them goes undetected. */
   static constexpr Duration kWatchWait{3000};
+  /** The same for watches of the zones out of service; see `UpstreamPool::record_view`. */
+  static constexpr Duration kZonesWatchWait{900};
   /** The same for watches of gateways. Longer, since no change of a gateway is urgent and each call
    * is charged. */
   static constexpr Duration kGatewaysWatchWait{12'000};
@@ -48,6 +50,9 @@
   struct Listener {
     /** The replica changed. */
     std::function<void(ObjectReplica::Changes)> on_changes;
+    /** The replica contains all changes made before the call whose answer is handled. May be unset.
+     */
+    std::function<void()> on_current;
     /** A call ended. `reachable` is true if the store answered it. */
     std::function<void(bool reachable)> on_call_ended;
     /** Returns whether a retry may be sent to the store after a failed call. Called before each
@@ -95,6 +100,7 @@
   void on_call_failed(const PlatformUnavailable& fault);
   void retry();
   Duration batch_delay() const;
+  void notify_current() const;
   void notify_changes(ObjectReplica::Changes changes);
   // Sends `call` and passes the response, decoded by `decode`, to `handler`.
   template <typename Result>
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/log_event.h"
 
 namespace bluebellstep {
 namespace {
@@ -26,9 +27,11 @@
 // A request may be sent up to the connect timeout after it was counted, so requests that are
 // counted in different seconds may be sent within one.
 constexpr Duration kColdWindow{1300};
-// An upstream that answers again after connections to it failed is taken for a restarted one for
-// this time, unless its registration tells.
-constexpr Duration kAssumedColdTime{4000};
+// An upstream that may have become cold unnoticed counts as cold for this much longer than a cold
+// upstream is: the belief may be older than the fact.
+constexpr Duration kColdMargin{1000};
+// Zones that were back in service longer ago are not passed on to other gateways.
+constexpr Duration kReturnedZoneTime{60'000};
 // A failed connection is reported to the other gateways for this time.
 constexpr Duration kUnreachableReportTime{1500};
 // The reports count if at least two gateways, and one of so many, cannot reach the upstream: the
@@ -138,33 +141,82 @@
   });
 }
 
+void UpstreamPool::set_zones_out_of_service(std::set<std::string, std::less<>> zones, Instant now) {
+  for (const std::string& zone : zones_out_of_service_) {
+    if (!zones.contains(zone)) {
+      record_returned_zone(zone, now);
+    }
+  }
+  zones_out_of_service_ = std::move(zones);
+}
+
+std::vector<ReturnedZone> UpstreamPool::returned_zones(Instant now) const {
+  std::vector<ReturnedZone> zones;
+  for (const auto& [zone, returned_at] : zones_returned_at_) {
+    if (now < returned_at + kReturnedZoneTime) {
+      zones.push_back({zone, now - returned_at});
+    }
+  }
+  return zones;
+}
+
+void UpstreamPool::record_returned_zone(std::string_view zone, Instant at) {
+  const auto [entry, added] = zones_returned_at_.try_emplace(std::string(zone), at);
+  if (!added) {
+    // Gateways see the same return at slightly different times and tell each other.
+    if (at <= entry->second + kColdMargin) {
+      return;
+    }
+    entry->second = at;
+  }
+  LogEvent("zone_returned").field("zone", zone);
+}
+
+void UpstreamPool::record_view(Instant as_of, Instant now) {
+  if (view_as_of_ && as_of > *view_as_of_ + kMaxViewAge) {
+    view_regained_at_ = now;
+    LogEvent("view_regained", LogEvent::Severity::kWarning)
+        .field("age_ms", (now - *view_as_of_).ms);
+  }
+  view_as_of_ = std::max(as_of, view_as_of_.value_or(as_of));
+}
+
 void UpstreamPool::apply_peer_reports(Upstream& upstream, Instant now) const {
   const std::uint32_t unreachable =
       load_aggregator_.peer_load(LoadAggregator::key_of(upstream.id_hash)).unreachable;
   const auto quorum = std::max<std::size_t>(kMinUnreachableReports,
                                             gateway_count() / kGatewaysPerUnreachableReport);
   if (unreachable >= quorum) {
-    upstream.assumed_cold_until = now + kAssumedColdTime;
+    upstream.restart_suspected_at = now;
   }
 }
 
-bool UpstreamPool::is_cold(const Upstream& upstream, Instant now) const {
-  return now < std::max(upstream.cold_until, upstream.assumed_cold_until);
+bool UpstreamPool::is_cold(const Upstream& upstream,
+                           const ServiceInfo& service,
+                           Instant now) const {
+  if (now < upstream.cold_until) {
+    return true;
+  }
+  const Instant cold_since = now - service.cold_time - kColdMargin;
+  const auto returned = zones_returned_at_.find(upstream.registration.zone);
+  return (upstream.restart_suspected_at && *upstream.restart_suspected_at > cold_since) ||
+         (returned != zones_returned_at_.end() && returned->second > cold_since);
 }
 
-// Returns the number of requests that this gateway may send to a cold upstream within
+bool UpstreamPool::may_be_cold(const ServiceInfo& service, Instant now) const {
+  return (view_as_of_ && now > *view_as_of_ + kMaxViewAge) ||
+         (view_regained_at_ && now < *view_regained_at_ + service.cold_time + kColdMargin);
+}
+
+// Returns this gateway's part of the requests that all gateways may send to the upstream within
 // `kColdWindow`.
-std::uint32_t UpstreamPool::cold_allowance(Upstream& upstream, double limit, Instant now) const {
-  if (!quota_.usable(now)) {
-    return 0;
-  }
-  if (upstream.quota_version != quota_.membership_version() ||
-      upstream.cold_allowance_limit != limit) {
-    upstream.cold_allowance = quota_.allowance(upstream.id_hash, limit, now);
-    upstream.cold_allowance_limit = limit;
+std::uint32_t UpstreamPool::quota_part(Upstream& upstream, double limit) const {
+  if (upstream.quota_version != quota_.membership_version() || upstream.quota_limit != limit) {
+    upstream.quota_part = quota_.part(upstream.id_hash, limit);
+    upstream.quota_limit = limit;
     upstream.quota_version = quota_.membership_version();
   }
-  return upstream.cold_allowance;
+  return upstream.quota_part;
 }
 
 // Returns the estimated share of the requests of all gateways that this gateway sends. The balancer
@@ -194,8 +246,11 @@
   }
   const double bound = service.cold_requests_per_s * limits_.cold_overage + limits_.cold_slack;
   const std::deque<Instant>& times = upstream.recent_request_times;
-  if (is_cold(upstream, now)) {
-    return times.size() < cold_allowance(upstream, bound, now);
+  if (is_cold(upstream, service, now)) {
+    return quota_.usable(now) && times.size() < quota_part(upstream, bound);
+  }
+  if (may_be_cold(service, now)) {
+    return times.size() < quota_part(upstream, bound);
   }
   const auto recent_requests =
       times.end() - std::upper_bound(times.begin(), times.end(), now - kRateWindow);
@@ -300,7 +355,7 @@
       upstream.health.record_success(now);
       upstream.unreachable_ejection = Duration{0};
       if (std::exchange(upstream.failed_since_success, false)) {
-        upstream.assumed_cold_until = now + kAssumedColdTime;
+        upstream.restart_suspected_at = now;
       }
       return;
     case AttemptOutcome::kError:
@@ -321,7 +376,7 @@
     case AttemptOutcome::kNotReached:
       upstream.health.cancel_trial();
       upstream.failed_since_success = true;
-      upstream.assumed_cold_until = now + kAssumedColdTime;
+      upstream.restart_suspected_at = now;
       upstream.unreached_until = now + kUnreachableReportTime;
       upstream.unreachable_ejection =
           upstream.unreachable_ejection == Duration{0}
@@ -335,7 +390,7 @@
       upstream.health.record_failure(now);
       if (upstream.health.consecutive_failures() >= UpstreamHealth::kFailuresToEject) {
         upstream.failed_since_success = true;
-        upstream.assumed_cold_until = now + kAssumedColdTime;
+        upstream.restart_suspected_at = now;
       }
       if (upstream.health.consecutive_failures() >= UpstreamHealth::kFailuresToEject) {
         cache_.exclude_from_fetch(id, now + kFetchExclusion);
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -126,9 +126,23 @@
   /** Replaces all registrations by those of a complete list. Missing ones are treated as in
    * `remove`. */
   void replace_all(std::vector<UpstreamRegistration> registrations, Instant now);
-  void set_zones_out_of_service(std::set<std::string, std::less<>> zones) {
-    zones_out_of_service_ = std::move(zones);
-  }
+  /** Sets the zones whose upstreams receive nothing. The upstreams of a zone that is no longer out
+   * of service count as cold. */
+  void set_zones_out_of_service(std::set<std::string, std::less<>> zones, Instant now);
+  /** Returns the zones that were back in service lately, for gateways that have started since. */
+  std::vector<ReturnedZone> returned_zones(Instant now) const;
+  /** Another gateway has seen that a zone was back in service. */
+  void record_returned_zone(std::string_view zone, Instant at);
+  /** The zones out of service are known as of `as_of`. A gateway whose knowledge is older than
+   * `kMaxViewAge` may have missed that a zone was taken out of service and back, and that its
+   * upstreams are cold. Until it knows better, it sends no more to each upstream than its part of
+   * the limit for cold ones. */
+  void record_view(Instant as_of, Instant now);
+  /** When the zones out of service were last known. Empty before the first call of `record_view`.
+   */
+  std::optional<Instant> view_as_of() const { return view_as_of_; }
+  /** A zone that is out of service for a shorter time may pass unnoticed. */
+  static constexpr Duration kMaxViewAge{3000};
   /** Sets the version that engines of a model should have. Versions that are not newer than the
    * current target are ignored.
    *
@@ -235,9 +249,9 @@
     UpstreamRegistration registration;
     std::uint64_t id_hash = 0;
     Instant cold_until;
-    // The upstream may have been restarted: connections to it failed or were lost, here or at other
-    // gateways, and its registration has not been renewed since.
-    Instant assumed_cold_until;
+    // When the upstream may last have been restarted: connections to it failed or were lost, here
+    // or at other gateways, and its registration has not been renewed since.
+    std::optional<Instant> restart_suspected_at;
     Instant unreached_until;  // Connections to it have failed lately; for the load report.
     bool failed_since_success = false;
     std::optional<Instant> kept_until;  // Set if the registration was removed around an outage.
@@ -252,9 +266,10 @@
     // Doubles with each failed connection; 0 after an answer.
     Duration unreachable_ejection{0};
     std::deque<Instant> recent_request_times;  // Times of requests within `kColdWindow`.
-    // Allowance of `quota_` for a limit, as long as `quota_version` is its membership version.
-    std::uint32_t cold_allowance = 0;
-    double cold_allowance_limit = 0;
+    // This gateway's part of a limit by `quota_`, as long as `quota_version` is its membership
+    // version.
+    std::uint32_t quota_part = 0;
+    double quota_limit = 0;
     std::uint64_t quota_version = 0;
   };
 
@@ -269,8 +284,10 @@
 
   // Takes in that other gateways cannot reach the upstream.
   void apply_peer_reports(Upstream& upstream, Instant now) const;
-  bool is_cold(const Upstream& upstream, Instant now) const;
-  std::uint32_t cold_allowance(Upstream& upstream, double limit, Instant now) const;
+  bool is_cold(const Upstream& upstream, const ServiceInfo& service, Instant now) const;
+  // Whether this gateway may not know that the upstreams of the service are cold.
+  bool may_be_cold(const ServiceInfo& service, Instant now) const;
+  std::uint32_t quota_part(Upstream& upstream, double limit) const;
   bool within_request_limit(Upstream& upstream,
                             const ServiceInfo& service,
                             double traffic_share,
@@ -327,6 +344,9 @@
   const RequestQuota& quota_;
   std::map<std::string, Upstream, std::less<>> upstreams_;
   std::set<std::string, std::less<>> zones_out_of_service_;
+  std::map<std::string, Instant, std::less<>> zones_returned_at_;
+  std::optional<Instant> view_as_of_;        // See `record_view`.
+  std::optional<Instant> view_regained_at_;  // It had been older than `kMaxViewAge`.
   std::map<std::string, TargetVersions, std::less<>> targets_;  // By model; lists are never empty.
   struct Rollout {
     std::uint64_t oldest = 0;  // Oldest version of all engines at the last update.
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -95,7 +95,7 @@
   CHECK(f.pick(f.plain_query()).empty());
   f.add_plain("o2", "b");
   CHECK(f.pick(f.plain_query()) == "o2");
-  f.pool.set_zones_out_of_service({"b"});
+  f.pool.set_zones_out_of_service({"b"}, kStart);
   CHECK(f.pick(f.plain_query()).empty());
 }
 
