tests: Share the gateway on sockets and the count in a sliding window

Three fixtures built the same loop, pool, forwarder and listener (`SocketGateway` now), and two simulations counted requests in a sliding second (`most_within`).

--- a/src/gateway/caller_listener_test.cc
+++ b/src/gateway/caller_listener_test.cc
@@ -4,64 +4,34 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <memory>
-#include <string>
+#include <string_view>
 #include <thread>
+#include <vector>
 
-#include "gateway/forwarder.h"
-#include "tests/support/raw_socket.h"
+#include "tests/support/socket_gateway.h"
 
 namespace bluebellstep {
 namespace {
 
-/** A listener whose requests are refused, since there is no configuration. */
-class Fixture {
+/** A gateway whose requests are refused, since there is no configuration. */
+class Fixture : public SocketGateway {
  public:
-  Fixture() {
-    loop_.run_and_wait([this] {
-      pool_ = std::make_unique<UpstreamPool>(PoolLimits{}, cache_, load_aggregator_, quota_);
-      forwarder_ = std::make_unique<Forwarder>(loop_, *pool_, metrics_, "a", RetryLimits{});
-      listener_ =
-          std::make_unique<CallerListener>(loop_, Endpoint{"127.0.0.1", port_}, *forwarder_);
-    });
-  }
-  ~Fixture() {
-    loop_.run_and_wait([this] {
-      listener_.reset();
-      forwarder_.reset();
-      pool_.reset();
-    });
-  }
-
-  RawSocket connect() const { return RawSocket::connect(port_); }
+  Fixture() : SocketGateway(RetryLimits{}) {}
 
   /** Runs `while_blocked` while the loop handles nothing else, then stops the listener. */
   template <typename Function>
   void stop_after(Function while_blocked) {
-    loop_.run_and_wait([&] {
+    run_on_loop([&] {
       while_blocked();
-      listener_->stop_accepting();
+      listener().stop_accepting();
     });
   }
 
   std::size_t open_requests() {
     std::size_t open = 0;
-    loop_.run_and_wait([&] { open = listener_->open_requests(); });
+    run_on_loop([&] { open = listener().open_requests(); });
     return open;
   }
-
- private:
-  static std::uint16_t free_port() { return RawListener().port(); }
-
-  std::uint16_t port_ = free_port();
-  HttpLoop loop_;
-  Metrics metrics_;
-  LoadAggregator load_aggregator_;
-  CacheDirectory cache_{load_aggregator_};
-  RequestQuota quota_{"g1", Clock().now()};
-  std::unique_ptr<UpstreamPool> pool_;
-  std::unique_ptr<Forwarder> forwarder_;
-  std::unique_ptr<CallerListener> listener_;
 };
 
 constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n\r\n";
--- a/src/gateway/crashing_prompt_test.cc
+++ b/src/gateway/crashing_prompt_test.cc
@@ -9,9 +9,7 @@
 #include <string_view>
 #include <thread>
 
-#include "gateway/caller_listener.h"
-#include "gateway/forwarder.h"
-#include "tests/support/raw_socket.h"
+#include "tests/support/socket_gateway.h"
 
 namespace bluebellstep {
 namespace {
@@ -85,54 +83,24 @@
 
 using Upstreams = std::array<Upstream, kUpstreams>;
 
-/** A gateway on real sockets. */
-class Fixture {
+/** A gateway in front of the upstreams. */
+class Fixture : public SocketGateway {
  public:
-  explicit Fixture(const Upstreams& upstreams) {
-    loop_.run_and_wait([&] {
-      pool_ = std::make_unique<UpstreamPool>(PoolLimits{}, cache_, load_aggregator_, quota_);
-      forwarder_ = std::make_unique<Forwarder>(loop_, *pool_, metrics_, "a",
-                                               RetryLimits{.ratio = 1, .fixed_retries = 100});
-      forwarder_->set_config(make_config());
-      for (const Upstream& upstream : upstreams) {
-        pool_->put({.id = "u" + std::to_string(upstream.port()),
-                    .service = "s",
-                    .endpoint = {"127.0.0.1", upstream.port()},
-                    .zone = "a",
-                    .slots = 4},
-                   Clock().now());
-      }
-      listener_ =
-          std::make_unique<CallerListener>(loop_, Endpoint{"127.0.0.1", port_}, *forwarder_);
-    });
-  }
-  ~Fixture() {
-    loop_.run_and_wait([this] {
-      listener_.reset();
-      forwarder_.reset();
-      pool_.reset();
-    });
+  explicit Fixture(const Upstreams& upstreams) : SocketGateway({.ratio = 1, .fixed_retries = 100}) {
+    set_config(make_config());
+    for (const Upstream& upstream : upstreams) {
+      add_upstream("u" + std::to_string(upstream.port()), upstream.port());
+    }
   }
 
   /** Sends a request with the given prompt and returns the response. */
   std::string request(std::string_view id, std::string_view prompt) const {
-    RawSocket caller = RawSocket::connect(port_);
+    RawSocket caller = connect();
     caller.send("GET /prompt/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + std::string(id) +
                 "\r\nPrompt-Prefix: " + std::string(prompt) +
                 "\r\nDeadline-Ms: 3000\r\nConnection: close\r\n\r\n");
     return caller.receive_all();
   }
-
- private:
-  std::uint16_t port_ = RawListener().port();
-  HttpLoop loop_;
-  Metrics metrics_;
-  LoadAggregator load_aggregator_;
-  CacheDirectory cache_{load_aggregator_};
-  RequestQuota quota_{"g1", Clock().now()};
-  std::unique_ptr<UpstreamPool> pool_;
-  std::unique_ptr<Forwarder> forwarder_;
-  std::unique_ptr<CallerListener> listener_;
 };
 
 }  // namespace
--- a/src/gateway/delayed_gateway_test.cc
+++ b/src/gateway/delayed_gateway_test.cc
@@ -3,16 +3,13 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
 
-#include "gateway/caller_listener.h"
-#include "gateway/forwarder.h"
-#include "tests/support/raw_socket.h"
+#include "tests/support/socket_gateway.h"
 
 namespace bluebellstep {
 namespace {
@@ -58,47 +55,13 @@
          "\r\nServer-Seal: s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody";
 }
 
-/** A gateway on real sockets with upstreams that the test accepts and answers. */
-class Fixture {
+/** A gateway with upstreams that the test accepts and answers. */
+class Fixture : public SocketGateway {
  public:
-  Fixture() {
-    loop_.run_and_wait([this] {
-      pool_ = std::make_unique<UpstreamPool>(PoolLimits{}, cache_, load_aggregator_, quota_);
-      forwarder_ = std::make_unique<Forwarder>(loop_, *pool_, metrics_, "a",
-                                               RetryLimits{.ratio = 1, .fixed_retries = 10});
-      forwarder_->set_config(make_config(1, kTimeout));
-      listener_ =
-          std::make_unique<CallerListener>(loop_, Endpoint{"127.0.0.1", port_}, *forwarder_);
-    });
-  }
-  ~Fixture() {
-    loop_.run_and_wait([this] {
-      listener_.reset();
-      forwarder_.reset();
-      pool_.reset();
-    });
-  }
-
-  void add_upstream(const std::string& id, const RawListener& upstream) {
-    loop_.run_and_wait([&] {
-      pool_->put({.id = id,
-                  .service = "s",
-                  .endpoint = {"127.0.0.1", upstream.port()},
-                  .zone = "a",
-                  .slots = 4},
-                 Clock().now());
-    });
+  Fixture() : SocketGateway({.ratio = 1, .fixed_retries = 10}) {
+    set_config(make_config(1, kTimeout));
   }
 
-  void set_config(std::shared_ptr<const ServingConfig> config) {
-    loop_.run_and_wait([&] { forwarder_->set_config(std::move(config)); });
-  }
-
-  RawSocket connect() const { return RawSocket::connect(port_); }
-
-  /** Runs `while_blocked` while the loop handles nothing else. */
-  void block(const std::function<void()>& while_blocked) { loop_.run_and_wait(while_blocked); }
-
   /** Has a request answered, so that the gateway keeps a connection to the upstream. Returns the
    * upstream's end of it. */
   RawSocket open_upstream_connection(RawListener& upstream) {
@@ -110,19 +73,6 @@
     REQUIRE(caller.receive_until("body").ends_with("body"));
     return connection;
   }
-
- private:
-  static std::uint16_t free_port() { return RawListener().port(); }
-
-  std::uint16_t port_ = free_port();
-  HttpLoop loop_;
-  Metrics metrics_;
-  LoadAggregator load_aggregator_;
-  CacheDirectory cache_{load_aggregator_};
-  RequestQuota quota_{"g1", Clock().now()};
-  std::unique_ptr<UpstreamPool> pool_;
-  std::unique_ptr<Forwarder> forwarder_;
-  std::unique_ptr<CallerListener> listener_;
 };
 
 }  // namespace
@@ -132,9 +82,9 @@
 TEST_CASE("a request whose caller left before it was read is not sent on", "[gateway][delay]") {
   RawListener upstream;
   Fixture fixture;
-  fixture.add_upstream("u1", upstream);
+  fixture.add_upstream("u1", upstream.port());
   RawSocket connection = fixture.open_upstream_connection(upstream);
-  fixture.block([&] {
+  fixture.run_on_loop([&] {
     RawSocket caller = fixture.connect();
     caller.send(request("order", "left"));
     caller.close();
@@ -150,15 +100,15 @@
   constexpr Duration kPause{50};
   RawListener upstream;
   Fixture fixture;
-  fixture.add_upstream("u1", upstream);
+  fixture.add_upstream("u1", upstream.port());
   RawSocket caller = fixture.connect();
   sleep_for(kPause);  // Until the connection is accepted.
   std::thread second_block;
-  fixture.block([&] {
+  fixture.run_on_loop([&] {
     caller.send(request("order", "left"));
     // Runs in the iteration that reads the request and starts to connect.
     second_block = std::thread([&] {
-      fixture.block([&] {
+      fixture.run_on_loop([&] {
         caller.close();
         sleep_for(kPause);
       });
@@ -176,13 +126,13 @@
   RawListener first;
   RawListener second;
   Fixture fixture;
-  fixture.add_upstream("u1", first);
+  fixture.add_upstream("u1", first.port());
   RawSocket caller = fixture.connect();
   caller.send(request("lookup", "left"));
   RawSocket attempt = first.accept();
   attempt.receive_until("\r\n\r\n");
-  fixture.add_upstream("u2", second);
-  fixture.block([&] {
+  fixture.add_upstream("u2", second.port());
+  fixture.run_on_loop([&] {
     caller.close();
     sleep_for(Duration{500});  // Longer than the limit on an attempt without response.
   });
@@ -195,11 +145,11 @@
           "[gateway][delay]") {
   RawListener upstream;
   Fixture fixture;
-  fixture.add_upstream("u1", upstream);
+  fixture.add_upstream("u1", upstream.port());
   const RawSocket connection = fixture.open_upstream_connection(upstream);
   RawSocket caller = fixture.connect();
   Instant sent_at;
-  fixture.block([&] {
+  fixture.run_on_loop([&] {
     caller.send(request("order", "waits"));
     sent_at = Clock().now();
     sleep_for(Duration{420});
@@ -213,10 +163,10 @@
           "[gateway][delay]") {
   RawListener upstream;
   Fixture fixture;
-  fixture.add_upstream("u1", upstream);
+  fixture.add_upstream("u1", upstream.port());
   RawSocket connection = fixture.open_upstream_connection(upstream);
   RawSocket caller = fixture.connect();
-  fixture.block([&] {
+  fixture.run_on_loop([&] {
     caller.send(request("order", "waits"));
     sleep_for(kTimeout + Duration{200});
   });
@@ -233,14 +183,14 @@
   RawListener upstream;
   Fixture fixture;
   fixture.set_config(make_config(2, Duration{5000}));
-  fixture.add_upstream("u1", upstream);
+  fixture.add_upstream("u1", upstream.port());
   RawSocket connection = fixture.open_upstream_connection(upstream);
   std::optional<RawSocket> caller;
   if (accepted_before) {
     caller.emplace(fixture.connect());
     sleep_for(Duration{100});
   }
-  fixture.block([&] {
+  fixture.run_on_loop([&] {
     if (!accepted_before) {
       caller.emplace(fixture.connect());
     }
@@ -260,12 +210,12 @@
           "[gateway][delay]") {
   RawListener upstream;
   Fixture fixture;
-  fixture.add_upstream("u1", upstream);
+  fixture.add_upstream("u1", upstream.port());
   RawSocket caller = fixture.connect();
   caller.send(request("order", "answered"));
   RawSocket connection = upstream.accept();
   connection.receive_until("\r\n\r\n");
-  fixture.block([&] {
+  fixture.run_on_loop([&] {
     connection.send(response("answered"));
     sleep_for(kTimeout + Duration{200});
   });
@@ -277,7 +227,7 @@
   RawListener upstream;
   Fixture fixture;
   fixture.set_config(make_config(2, Duration{5000}));
-  fixture.add_upstream("u1", upstream);
+  fixture.add_upstream("u1", upstream.port());
   RawSocket caller = fixture.connect();
   caller.send(request("order", "waits"));
   RawSocket connection = upstream.accept();
--- a/src/gateway/request_quota_test.cc
+++ b/src/gateway/request_quota_test.cc
@@ -2,7 +2,6 @@
 
 #include "gateway/request_quota.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <set>
@@ -12,6 +11,7 @@
 #include "base/hash.h"
 #include "gateway/upstream_pool.h"
 #include "tests/support/event_queue.h"
+#include "tests/support/sliding_window.h"
 
 namespace bluebellstep {
 namespace {
@@ -52,15 +52,7 @@
     }
     change_membership();
     events_.run_until(kStart + duration);
-    std::size_t most = 0;
-    std::sort(sent_at_.begin(), sent_at_.end());
-    for (std::size_t first = 0, last = 0; last < sent_at_.size(); ++last) {
-      while (sent_at_[last] - sent_at_[first] >= 1000_ms) {
-        ++first;
-      }
-      most = std::max(most, last - first + 1);
-    }
-    return most;
+    return most_within(sent_at_, 1000_ms);
   }
 
   double limit() const {
--- a/src/gateway/returning_zone_test.cc
+++ b/src/gateway/returning_zone_test.cc
@@ -9,12 +9,14 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/hash.h"
 #include "gateway/request_quota.h"
 #include "gateway/upstream_pool.h"
 #include "tests/support/event_queue.h"
+#include "tests/support/sliding_window.h"
 
 namespace bluebellstep {
 namespace {
@@ -69,13 +71,7 @@
       std::copy_if(sent_at.begin(), sent_at.end(), std::back_inserter(times), [this](Instant at) {
         return at >= returned_at_ && at < returned_at_ + service_.cold_time;
       });
-      std::sort(times.begin(), times.end());
-      for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
-        while (times[last] - times[first] >= 1000_ms) {
-          ++first;
-        }
-        most = std::max(most, last - first + 1);
-      }
+      most = std::max(most, most_within(std::move(times), 1000_ms));
     }
     return most;
   }
