review: Case 3, a cut watch keeps a removed server in use

Tried: the store closes the connections of the waiting watches once; 0.3 s later the entry of an order server is removed, which exits drain_ms + 0.5 s later. Seen: orders reach that server up to 2.5 s after the removal, and those in its hand at the exit are lost.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,73 @@
+"""The store cuts the waiting watches off once; then a server's entry is removed, without `draining`. See claim.txt."""
+
+import asyncio
+import os
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
+from standin import DRAIN_S, Gateway, Server, Store, config, main, send  # noqa: E402
+
+CUT_BEFORE_S = 0.3
+EXIT_AFTER_S = DRAIN_S + 0.5  # "a little longer"
+
+
+async def case(record, scratch, trouble, gateways):
+    store = Store(record)
+    await store.start()
+    servers = [Server(record, f"desk-{i}", "desk", work_s=0.3) for i in range(3)]
+    engine = Server(record, "llm-0", "llm", engine=True)
+    for server in [*servers, engine]:
+        await server.start()
+        await store.put("servers", server.id, server.entry())
+    await store.put("config", "main", config())
+    for name, zone in (("front-klang-1", "klang"), ("front-subang-1", "subang")):
+        gateways.append(Gateway(record, scratch, name, zone, store.port))
+        gateways[-1].start()
+    for gateway in gateways:
+        if not await gateway.wait_ready(10):
+            return None
+    await asyncio.sleep(8)  # Longer than contact_ms since the last change.
+
+    answers = {}
+    stop = asyncio.Event()
+
+    async def order(number):
+        request_id = f"order-{number}"
+        answers[request_id] = await send(gateways[number % 2], "/orders/x", request_id, record,
+                                         headers={"Deadline-Ms": "3000"})
+
+    async def orders():
+        tasks = []
+        while not stop.is_set():
+            tasks.append(asyncio.create_task(order(len(tasks))))
+            await asyncio.sleep(1 / 30)
+        await asyncio.gather(*tasks)
+
+    traffic = asyncio.create_task(orders())
+    await asyncio.sleep(4)
+    if trouble:
+        record.line(f"store: cuts the waiting watches off: {store.cut_waiting_watches()}")
+    await asyncio.sleep(CUT_BEFORE_S)
+    leaving = servers[0]
+    revision = await store.remove("servers", leaving.id)
+    acknowledged = record.now()
+    record.line(f"store: entry of {leaving.id} is removed, revision {revision}")
+    await asyncio.sleep(EXIT_AFTER_S)
+    record.line(f"server {leaving.id} exits")
+    leaving.exit()
+    await asyncio.sleep(2)
+    stop.set()
+    await traffic
+
+    late = [item for item in leaving.arrivals if item[0] > acknowledged + DRAIN_S]
+    lost = [name for name, answer in answers.items() if leaving.runs.get(name) and answer[0] != 200]
+    last = max((item[0] for item in leaving.arrivals), default=0) - acknowledged
+    record.line(f"orders that reached {leaving.id} later than {DRAIN_S} s after the removal: {len(late)}, the last after {last:.2f} s")
+    record.line(f"orders that {leaving.id} began and that weren't answered with success: {len(lost)}")
+    served = sum(1 for answer in answers.values() if answer[0] == 200)
+    record.line(f"orders sent: {len(answers)}, served: {served}")
+    return [f"DRAIN: {len(late)} orders reached {leaving.id} after drain_ms, {len(lost)} of its orders were lost"] if late else []
+
+
+main(FOLDER, case)
