--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""The store cuts the waiting watches off once; then a server's entry is removed, without `draining`. See claim.txt."""
+"""One gateway is cut off from the store; afterwards a server's entry is removed, without `draining`. See claim.txt."""
 
 import asyncio
 import os
@@ -6,35 +6,40 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
-from standin import DRAIN_S, Gateway, Server, Store, config, main, send  # noqa: E402
+from standin import DRAIN_S, Gateway, Proxy, Server, Store, config, main, send  # noqa: E402
 
-CUT_BEFORE_S = 0.3
+CUT_S = 5.5
+REMOVED_AFTER_S = 1.5  # After the end of the cut.
 EXIT_AFTER_S = DRAIN_S + 0.5  # "a little longer"
 
 
 async def case(record, scratch, trouble, gateways):
     store = Store(record)
     await store.start()
+    proxy = Proxy(store.port)
+    await proxy.start()
     servers = [Server(record, f"desk-{i}", "desk", work_s=0.3) for i in range(3)]
     engine = Server(record, "llm-0", "llm", engine=True)
     for server in [*servers, engine]:
         await server.start()
         await store.put("servers", server.id, server.entry())
     await store.put("config", "main", config())
-    for name, zone in (("front-klang-1", "klang"), ("front-subang-1", "subang")):
-        gateways.append(Gateway(record, scratch, name, zone, store.port))
+    # The first one reaches the store through the proxy. Nothing ever happens to the others.
+    for name, zone, port in (("front-klang-1", "klang", proxy.port), ("front-putrajaya-1", "putrajaya", store.port),
+                             ("front-subang-1", "subang", store.port)):
+        gateways.append(Gateway(record, scratch, name, zone, port))
         gateways[-1].start()
     for gateway in gateways:
         if not await gateway.wait_ready(10):
             return None
-    await asyncio.sleep(8)  # Longer than contact_ms since the last change.
+    await asyncio.sleep(6)
 
     answers = {}
     stop = asyncio.Event()
 
     async def order(number):
         request_id = f"order-{number}"
-        answers[request_id] = await send(gateways[number % 2], "/orders/x", request_id, record,
+        answers[request_id] = await send(gateways[1 + number % 2], "/orders/x", request_id, record,
                                          headers={"Deadline-Ms": "3000"})
 
     async def orders():
@@ -45,10 +50,15 @@
         await asyncio.gather(*tasks)
 
     traffic = asyncio.create_task(orders())
-    await asyncio.sleep(4)
+    await asyncio.sleep(2)
+    if trouble:
+        record.line(f"link between {gateways[0].name} and the store: cut")
+        proxy.cut()
+    await asyncio.sleep(CUT_S)
     if trouble:
-        record.line(f"store: cuts the waiting watches off: {store.cut_waiting_watches()}")
-    await asyncio.sleep(CUT_BEFORE_S)
+        record.line(f"link between {gateways[0].name} and the store: healed")
+        proxy.heal()
+    await asyncio.sleep(REMOVED_AFTER_S)
     leaving = servers[0]
     revision = await store.remove("servers", leaving.id)
     acknowledged = record.now()
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -230,6 +230,46 @@
         return 200, f'{{"events":[{events}],"current_rev":{self.revision}}}'
 
 
+class Proxy:
+    """A link to `port` that can be cut: while it is, bytes are held up, as in a partition."""
+
+    def __init__(self, port):
+        self.target = port
+        self.port = None
+        self.up = asyncio.Event()
+        self.up.set()
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def cut(self):
+        self.up.clear()
+
+    def heal(self):
+        self.up.set()
+
+    async def _serve(self, reader, writer):
+        await self.up.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            reset(writer)
+            return
+        await asyncio.gather(self._copy(reader, far_writer), self._copy(far_reader, writer))
+
+    async def _copy(self, reader, writer):
+        try:
+            while piece := await reader.read(65536):
+                await self.up.wait()
+                writer.write(piece)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            pass
+        await self.up.wait()
+        writer.close()
+
+
 def route(name, kind, service, **more):
     return {"name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind, "timeout_ms": 8000, "goal_ms": 600,
             "priority": 1, "service": service, "max_attempts": 2 if kind == "safe" else 1, "public": False,
