--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,7 @@
         await server.start()
         await store.put("servers", server.id, server.entry())
     await store.put("config", "main", config())
-    for name, zone in (("front-klang-1", "klang"), ("front-subang-1", "subang")):
+    for name, zone in (("front-kr-central-a-1", "kr-central-a"), ("front-kr-central-c-1", "kr-central-c")):
         gateways.append(Gateway(record, scratch, name, zone, store.port))
         gateways[-1].start()
     for gateway in gateways:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,8 +25,8 @@
         await store.put("servers", server.id, server.entry())
     await store.put("config", "main", config())
     # The first one reaches the store through the proxy. Nothing ever happens to the others.
-    for name, zone, port in (("front-klang-1", "klang", proxy.port), ("front-putrajaya-1", "putrajaya", store.port),
-                             ("front-subang-1", "subang", store.port)):
+    for name, zone, port in (("front-kr-central-a-1", "kr-central-a", proxy.port), ("front-kr-central-b-1", "kr-central-b", store.port),
+                             ("front-kr-central-c-1", "kr-central-c", store.port)):
         gateways.append(Gateway(record, scratch, name, zone, port))
         gateways[-1].start()
     for gateway in gateways:
@@ -40,7 +40,7 @@
     async def order(number):
         request_id = f"order-{number}"
         answers[request_id] = await send(gateways[1 + number % 2], "/orders/x", request_id, record,
-                                         headers={"Deadline-Ms": "3000"})
+                                         headers={"Deadline-Ms": "1500"})
 
     async def orders():
         tasks = []
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+import random
 import shutil
 import socket
 import struct
@@ -24,14 +25,14 @@
 KEY = "key-1"
 TENANT = "acme"
 MODEL = "clerk"
-# Bounds of the deployment sapujaya-orders, as the settings of a gateway state them.
+# Bounds of the deployment namsan-hq, as the settings of a gateway state them.
 BOUNDS = """bounds:
   stop_limit: 8s
   lease_term: 3000ms
   engines_check_fences: true
   version_limit: 10000ms
   repeat_ratio: 0.2
-  repeat_extra: 56
+  repeat_extra: 58
   repeat_window: 10s
   cold_overage: 1.5
   cold_slack: 5
@@ -54,10 +55,17 @@
         self.file.flush()
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port():
+    """Returns a port that is free for TCP and UDP, below those that the kernel gives to connections."""
+    while True:
+        port = random.randint(20000, 30000)
+        try:
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            continue
 
 
 async def read_message(reader):
@@ -277,7 +285,7 @@
 
 
 def config(version=1, **limits):
-    engine = {"slots": 64, "kv_capacity": 74208, "kv_token_bytes": 18432, "link_mbps": 180000.0, "managed": True,
+    engine = {"slots": 64, "kv_capacity": 70494, "kv_token_bytes": 18432, "link_mbps": 180000.0, "managed": True,
               "max_inflight": 12, "models": [{"name": MODEL}]}
     return {"version": version,
             "routes": [route("orders", "unsafe", "desk", timeout_ms=1500, goal_ms=300),
@@ -295,7 +303,7 @@
 class Server:
     """An application server, or a model server if `engine`. Work takes `work_s`; a stream has `events` events."""
 
-    def __init__(self, record, server_id, service, engine=False, work_s=0.05, events=4, zone="klang"):
+    def __init__(self, record, server_id, service, engine=False, work_s=0.05, events=4, zone="kr-central-a"):
         self.record = record
         self.id = server_id
         self.service = service
@@ -347,7 +355,7 @@
         target = start.split(" ")[1]
         if target.startswith("/report"):
             report = {"stage": "both", "models": [{"name": MODEL, "version": 1, "adapters": []}], "busy": False, "seq": 0,
-                      "queued": 0, "running": 0, "kv_used": 0, "kv_total": 74208, "handles": 0, "born": 1780000000000}
+                      "queued": 0, "running": 0, "kv_used": 0, "kv_total": 70494, "handles": 0, "born": 1780000000000}
             writer.write(encode_response(200, {"Content-Type": "application/json"}, json.dumps(report).encode()))
             return
         if target.startswith("/kv-events"):
@@ -387,20 +395,25 @@
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
-    def __init__(self, record, folder, name, zone, store_port, first_peers=()):
+    def __init__(self, record, folder, name, zone, store_port):
         self.record = record
         self.name = name
-        self.ports = {key: free_port() for key in ("callers", "ready", "peers", "metrics")}
+        self.zone = zone
+        self.store_port = store_port
         self.settings = os.path.join(folder, f"{name}.yaml")
         self.log = os.path.join(folder, f"{name}.log")
         self.process = None
+        self.ports = {}
+        self.choose_ports()
+
+    def choose_ports(self):
+        self.ports = {key: free_port() for key in ("callers", "ready", "peers", "metrics")}
         with open(self.settings, "w", encoding="utf-8") as file:
-            file.write(f"name: {name}\nzone: {zone}\n")
+            file.write(f"name: {self.name}\nzone: {self.zone}\n")
             for key, port in self.ports.items():
                 file.write(f"{key}: 127.0.0.1:{port}\n")
-            file.write(f"store: 127.0.0.1:{store_port}\n")
-            peers = ",".join(f"127.0.0.1:{port}" for port in first_peers or [self.ports["peers"]])
-            file.write(f"first_peers: [{peers}]\nlink_mbps: 1000.0\n" + BOUNDS)
+            file.write(f"store: 127.0.0.1:{self.store_port}\n")
+            file.write(f"first_peers: [127.0.0.1:{self.ports['peers']}]\nlink_mbps: 1000.0\n" + BOUNDS)
 
     def start(self):
         with open(self.log, "a", encoding="utf-8") as log:
@@ -426,13 +439,23 @@
             return False
 
     async def wait_ready(self, limit_s):
+        """Waits until the gateway is ready. Starts it once more on other ports if it ended, as when a port was taken."""
         end = time.monotonic() + limit_s
         while time.monotonic() < end:
             if await self.ready():
                 return True
+            if self.ended() is not None:
+                self.record.line(f"gateway {self.name} ended at its start, status {self.ended()}: {self.last_log_line()}")
+                self.choose_ports()
+                self.start()
             await asyncio.sleep(0.1)
+        self.record.line(f"gateway {self.name} isn't ready: {self.last_log_line()}")
         return False
 
+    def last_log_line(self):
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            return (log.read().strip().splitlines() or ["no log"])[-1][:200]
+
     def stop(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
@@ -478,7 +501,7 @@
 
     async def request(self, path, request_id, headers=None, body=b"x", method="POST", limit_s=10):
         """Returns the status; 0 if the connection ended before a whole answer."""
-        fields = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "3000", "Credential": KEY, **(headers or {})}
+        fields = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "1500", "Credential": KEY, **(headers or {})}
         head = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items())
         self.record.line(f"client sends {request_id} on a kept connection to {self.gateway.name}")
         try:
