--- a/src/cli/bundle_platform_commands.cc
+++ b/src/cli/bundle_platform_commands.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "base/ed25519.h"
+#include "base/json_text.h"
 #include "base/overloaded.h"
 #include "bundle/bundle_parser.h"
 #include "bundle/bundle_signer.h"
@@ -45,7 +46,7 @@
 };
 
 std::optional<ProcessStatus> parse_status(const PlatformObject& object) {
-  const auto json = nlohmann::json::parse(object.value, nullptr, false);
+  const auto json = parse_json(object.value);
   if (!json.is_object() || !json.contains("generation") || !json.contains("at_ms") ||
       !json["generation"].is_number_unsigned() || !json["at_ms"].is_number_integer()) {
     return std::nullopt;
--- a/src/commands/fenced_lease.cc
+++ b/src/commands/fenced_lease.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json_text.h"
 #include "base/overloaded.h"
 
 namespace bluebellstep {
@@ -161,7 +162,7 @@
 }
 
 std::optional<FencedLease::Record> FencedLease::parse(const std::string& value) {
-  const auto json = nlohmann::json::parse(value, nullptr, false);
+  const auto json = parse_json(value);
   try {
     return Record{json.at("holder").get<std::string>(),
                   json.at("sequence").get<std::uint64_t>(),
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace bluebellstep {
 namespace {
 
@@ -74,7 +76,7 @@
 }  // namespace
 
 std::variant<CompletionRequest, Verdict> parse_completion_request(std::string_view body) {
-  const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json document = parse_json(body);
   if (!document.is_object()) {
     return Verdict::not_run(Reason::kBadRequest, "the body must be a JSON object");
   }
--- a/src/gateway/object_changes.cc
+++ b/src/gateway/object_changes.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json_text.h"
 #include "http1/message_parser.h"
 
 namespace bluebellstep {
@@ -113,11 +114,12 @@
   if (!answer.returned_zones.empty()) {
     json["returned_zones"] = encode_returned_zones(answer.returned_zones);
   }
-  return json.dump();
+  // Names may come from other writers; a message must not be lost because of one.
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<ChangesAnswer> decode_changes_answer(std::string_view text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = parse_json(text);
   if (!json.is_object()) {
     return std::nullopt;
   }
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/json_text.h"
 #include "base/log_event.h"
 #include "base/overloaded.h"
 #include "http/socket_address.h"
@@ -34,7 +35,7 @@
 
 // Decodes a registration. Those of earlier versions have no zone.
 std::optional<StoreSource::Gateway> decode_registration(const platform::StoredObject& object) {
-  const auto json = nlohmann::json::parse(object.content, nullptr, false);
+  const auto json = parse_json(object.content);
   if (!json.is_object()) {
     return std::nullopt;
   }
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json_text.h"
 #include "base/log_event.h"
 #include "gateway/state_synchronizer.h"
 #include "http/socket_address.h"
@@ -272,12 +273,11 @@
   if (const auto age = view_age()) {
     answer["view_age_ms"] = age->ms;
   }
-  return answer.dump();
+  return answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 void StateSynchronizer::apply_peer_answer(const HttpClient::Response& response) {
-  const auto json = response.status == 200 ? nlohmann::json::parse(response.body, nullptr, false)
-                                           : nlohmann::json();
+  const auto json = response.status == 200 ? parse_json(response.body) : nlohmann::json();
   if (!json.is_object()) {
     return;  // The peer is down or starting; the next query chooses a peer again.
   }
--- a/src/orders/opaque_claim.cc
+++ b/src/orders/opaque_claim.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/json_text.h"
 #include "base/overloaded.h"
 
 namespace bluebellstep {
@@ -189,7 +190,7 @@
     }
     return;
   }
-  const json value = json::parse(object.value, nullptr, false);
+  const json value = parse_json(object.value);
   if (value.is_object() && value.contains("state") && value["state"] == kFree) {
     version_ = object.version;
     prepare_write();
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -7,6 +7,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "base/json_text.h"
+
 namespace bluebellstep {
 namespace {
 
@@ -55,7 +57,7 @@
   if (!std::holds_alternative<HttpClient::Complete>(response.outcome)) {
     return std::nullopt;
   }
-  Json body = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  Json body = parse_json(response.body);
   return body.is_object() ? std::optional(std::move(body)) : std::nullopt;
 }
 
--- a/src/sidecar/engine_protocol.cc
+++ b/src/sidecar/engine_protocol.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace bluebellstep {
 namespace {
 
@@ -98,7 +100,7 @@
   if (data == "[DONE]") {
     return EngineStreamEnd{};
   }
-  Json document = Json::parse(data, nullptr, /*allow_exceptions=*/false);
+  Json document = parse_json(data);
   if (!document.is_object()) {
     return EngineParseError{"event is not a JSON object"};
   }
@@ -119,7 +121,7 @@
 }
 
 std::optional<EngineLoad> parse_engine_load(std::string_view body) {
-  const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json document = parse_json(body);
   if (!document.is_object()) {
     return std::nullopt;
   }
@@ -142,7 +144,7 @@
 }
 
 std::optional<CacheEventBatch> parse_engine_cache_events(std::string_view body) {
-  const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json document = parse_json(body);
   if (!document.is_object()) {
     return std::nullopt;
   }
@@ -162,7 +164,7 @@
 }
 
 std::optional<CacheBlockList> parse_engine_block_list(std::string_view body) {
-  const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json document = parse_json(body);
   if (!document.is_object()) {
     return std::nullopt;
   }
--- a/src/zones/zone_notice.cc
+++ b/src/zones/zone_notice.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/ed25519.h"
+#include "base/json_text.h"
 
 namespace bluebellstep {
 namespace {
@@ -46,7 +47,7 @@
   if (text.size() > kMaxJsonBytes) {
     return std::nullopt;
   }
-  const auto json = nlohmann::json::parse(text, nullptr, false);
+  const auto json = parse_json(text);
   const auto has_text = [&json](const char* key) {
     return json.contains(key) && json[key].is_string();
   };
