gateway: Keep removed upstreams only after an outage of the store itself

Cause: a removed registration is kept for 2.5 s after an outage, since it may have expired unrenewed. Followers took each answer of a reader that had regained the store lately for an outage of their own, and one lost call counted as one. Neither keeps a server from renewing its entry: that takes two heartbeats. Ruled out: late news (in the test the follower has the removal before it is checked).

The pool gets the time of each answer of the store, own or passed on. Two heartbeats without any are an outage. Kept upstreams get nothing after the end of their time (before, up to 0.5 s more) and stay while the store is silent again; an entry overwritten by one that cannot be read is dropped at once. The heartbeat comes from the platform's settings.

Tests of `set_store_reachable` are replaced by ones of `record_store_answer` with the same bounds, and by five more. The field `store_regained_ago` that a test of the messages between gateways checked is gone.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -42,7 +42,8 @@
 PoolLimits pool_limits(const GatewayBounds& bounds) {
   return {.cold_overage = bounds.cold_overage,
           .cold_slack = bounds.cold_slack,
-          .version_limit = bounds.version_limit};
+          .version_limit = bounds.version_limit,
+          .registration_interval = bounds.registration_interval};
 }
 
 RetryLimits retry_limits(const GatewayBounds& bounds) {
--- a/src/gateway/object_changes.cc
+++ b/src/gateway/object_changes.cc
@@ -105,9 +105,6 @@
     kinds.push_back(encode_kind(kind));
   }
   Json json = {{"current", answer.current}, {"age_ms", answer.age.ms}, {"kinds", std::move(kinds)}};
-  if (answer.store_regained_ago) {
-    json["store_regained_ago_ms"] = answer.store_regained_ago->ms;
-  }
   if (answer.view_age) {
     json["view_age_ms"] = answer.view_age->ms;
   }
@@ -126,9 +123,6 @@
   try {
     ChangesAnswer answer{.current = json.at("current").get<bool>(),
                          .age = Duration{json.at("age_ms").get<std::int64_t>()}};
-    if (const auto ago = json.find("store_regained_ago_ms"); ago != json.end()) {
-      answer.store_regained_ago = Duration{ago->get<std::int64_t>()};
-    }
     if (const auto age = json.find("view_age_ms"); age != json.end()) {
       answer.view_age = Duration{age->get<std::int64_t>()};
     }
--- a/src/gateway/object_changes.h
+++ b/src/gateway/object_changes.h
@@ -48,8 +48,7 @@
   // Since the zones out of service were last known. Unset by earlier versions, and before they are
   // known.
   std::optional<Duration> view_age;
-  std::optional<Duration> store_regained_ago;  // Unset if the store was never lost.
-  std::vector<KindChanges> kinds;              // Only those with a newer revision.
+  std::vector<KindChanges> kinds;  // Only those with a newer revision.
   std::vector<ReturnedZone> returned_zones;
 };
 
--- a/src/gateway/object_changes_test.cc
+++ b/src/gateway/object_changes_test.cc
@@ -22,10 +22,7 @@
   CHECK(query.known == KnownRevisions{7, 0, 12});
   CHECK(query.wait == Duration{1000});
 
-  ChangesAnswer answer{.current = true,
-                       .age = Duration{40},
-                       .view_age = Duration{60},
-                       .store_regained_ago = Duration{90}};
+  ChangesAnswer answer{.current = true, .age = Duration{40}, .view_age = Duration{60}};
   answer.returned_zones.push_back({"a", Duration{700}});
   answer.kinds.push_back(
       {.kind = platform::ObjectKind::kUpstreams,
@@ -42,7 +39,6 @@
   REQUIRE(decoded->returned_zones.size() == 1);
   CHECK(decoded->returned_zones[0].zone == "a");
   CHECK(decoded->returned_zones[0].ago == Duration{700});
-  CHECK(decoded->store_regained_ago == Duration{90});
   REQUIRE(decoded->kinds.size() == 2);
   const auto& changes = decoded->kinds[0].changes;
   REQUIRE(changes.size() == 2);
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -163,13 +163,10 @@
   const Instant now = clock_.now();
   if (reachable) {
     store_answered_at_ = now;
-    if (!store_reachable_) {
-      store_regained_at_ = now;
-    }
+    pool_.record_store_answer(now, now);
   }
   const bool lost = store_reachable_ && !reachable;
   store_reachable_ = reachable;
-  pool_.set_store_reachable(reachable, now);
   if (lost) {
     follower_polls_.answer_all();
   }
@@ -257,7 +254,7 @@
     LogEvent("upstream_not_understood", LogEvent::Severity::kWarning)
         .field("upstream", change.object.name)
         .field("why", fault->reason);
-    pool_.remove(change.object.name, now);
+    pool_.discard(change.object.name);
     return;
   }
   pool_.put(std::move(std::get<UpstreamRegistration>(decoded)), now);
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -189,7 +189,6 @@
   // A call to the store was answered, by this gateway or the one that it follows.
   Instant store_answered_at_;
   std::optional<Instant> polled_at_;  // By a follower.
-  std::optional<Instant> store_regained_at_;
   Instant membership_checked_at_;
   bool store_reachable_ = true;
   bool peer_query_in_flight_ = false;
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -80,9 +80,6 @@
                        .age = now - store_answered_at_,
                        .view_age = view_age(),
                        .returned_zones = pool_.returned_zones(now)};
-  if (store_regained_at_) {
-    answer.store_regained_ago = now - *store_regained_at_;
-  }
   for (std::size_t i = 0; i < watchers_.size(); ++i) {
     const ObjectReplica& replica = watchers_[i]->replica();
     const std::uint64_t known_revision = i < known.size() ? known[i] : 0;
@@ -199,12 +196,7 @@
 
 void StateSynchronizer::apply_changes(ChangesAnswer answer) {
   const Instant now = clock_.now();
-  if (following_ && answer.store_regained_ago &&
-      *answer.store_regained_ago < UpstreamPool::kOutageNoticeTime) {
-    // This gateway did not notice the outage, in which registrations of upstreams may have expired.
-    pool_.set_store_reachable(false, now);
-  }
-  pool_.set_store_reachable(true, now);
+  pool_.record_store_answer(now - answer.age, now);
   store_answered_at_ = std::max(store_answered_at_, now - answer.age);
   if (!store_reachable_) {
     LogEvent("store_regained", LogEvent::Severity::kWarning).field("kind", "reader");
--- /dev/null
+++ b/src/gateway/state_synchronizer_test.cc
@@ -0,0 +1,151 @@
+// Tests of a gateway that follows another one, against stand-ins of the platform's store and of the
+// other gateway on sockets.
+
+#include "gateway/state_synchronizer.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "http/http_server.h"
+#include "http/socket_address.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr Duration kPatience{5000};
+
+bool wait_until(const std::function<bool()>& condition) {
+  const Clock clock;
+  const Instant deadline = clock.now() + kPatience;
+  while (!condition()) {
+    if (clock.now() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return true;
+}
+
+/** A store with one gateway, one upstream and no configuration. Watches are not answered. */
+class StoreStandin {
+ public:
+  explicit StoreStandin(HttpLoop& loop)
+      : server_(loop,
+                {.listen = {"127.0.0.1", 0}},
+                {.on_request = [this](ExchangeId exchange, const HttpRequest& request) {
+                  on_request(exchange, request);
+                }}) {}
+
+  Endpoint endpoint() const { return {"127.0.0.1", server_.port()}; }
+  void set_reader(const Endpoint& reader) { reader_ = to_string(reader); }
+
+ private:
+  void on_request(ExchangeId exchange, const HttpRequest& request) {
+    if (request.path.find("watch=") != std::string::npos) {
+      return;
+    }
+    std::string items;
+    if (request.method == "POST") {
+      server_.respond(exchange, 201, {}, R"({"metadata":{"name":"g2","revision":1},"spec":null})");
+      return;
+    }
+    if (request.path.find("/servers") != std::string::npos) {
+      items = R"({"metadata":{"name":"o1","revision":1},"spec":{"service":"s","zone":"a",)"
+              R"("address":"127.0.0.1:9","slots":4,"state":"ready"}})";
+    } else if (request.path.find("gateways") != std::string::npos) {
+      items = R"({"metadata":{"name":"g1","revision":1},"spec":{"zone":"a","peers":")" + reader_ +
+              R"("}})";
+    }
+    server_.respond(exchange, 200, {},
+                    R"({"items":[)" + items + R"(],"has_more":false,"current_rev":1})");
+  }
+
+  std::string reader_;
+  HttpServer server_;
+};
+
+/** The gateway to follow. It always says that it regained the store a moment ago. */
+class ReaderStandin {
+ public:
+  explicit ReaderStandin(HttpLoop& loop)
+      : server_(loop,
+                {.listen = {"127.0.0.1", 0}},
+                {.on_request = [this](ExchangeId exchange, const HttpRequest&) {
+                  const std::lock_guard lock(mutex_);
+                  ++polls_;
+                  server_.respond(exchange, 200, {},
+                                  R"({"current":true,"age_ms":0,"store_regained_ago_ms":200,)"
+                                  R"("kinds":[)" +
+                                      kinds_ + "]}");
+                }}) {}
+
+  Endpoint endpoint() const { return {"127.0.0.1", server_.port()}; }
+
+  void set_kinds(std::string kinds) {
+    const std::lock_guard lock(mutex_);
+    kinds_ = std::move(kinds);
+  }
+
+  int polls() const {
+    const std::lock_guard lock(mutex_);
+    return polls_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::string kinds_;  // Guarded by `mutex_`.
+  int polls_ = 0;      // Guarded by `mutex_`.
+  HttpServer server_;
+};
+
+}  // namespace
+
+// Guards against a server that has left and stays in use because the gateway that reads the store
+// was cut off from it a moment ago: that expires no registration.
+TEST_CASE("a follower drops a removed upstream at once after an outage that only its reader had",
+          "[gateway]") {
+  HttpLoop stand_in_loop;
+  ReaderStandin reader(stand_in_loop);
+  StoreStandin store(stand_in_loop);
+  store.set_reader(reader.endpoint());
+  HttpLoop loop;
+  HttpClient client(loop);
+  GatewaySettings settings{.name = "g2", .zone = "a", .store = store.endpoint()};
+  Metrics metrics;
+  LoadAggregator load_aggregator;
+  CacheDirectory cache(load_aggregator);
+  RequestQuota quota("g2", Clock().now());
+  UpstreamPool pool(PoolLimits{}, cache, load_aggregator, quota);
+  std::unique_ptr<Forwarder> forwarder;
+  std::unique_ptr<StateSynchronizer> synchronizer;
+  loop.run_and_wait([&] {
+    forwarder = std::make_unique<Forwarder>(loop, pool, metrics, "a", RetryLimits{});
+    synchronizer =
+        std::make_unique<StateSynchronizer>(loop, client, settings, pool, quota, cache, *forwarder);
+    synchronizer->start();
+  });
+  const auto on_loop = [&](const std::function<bool()>& query) {
+    bool result = false;
+    loop.run_and_wait([&] { result = query(); });
+    return result;
+  };
+  CHECK(wait_until([&] { return on_loop([&] { return synchronizer->following(); }); }));
+  CHECK(on_loop([&] { return pool.contains("o1"); }));
+  const int polls_before = reader.polls();
+  reader.set_kinds(R"({"kind":)" +
+                   std::to_string(static_cast<int>(platform::ObjectKind::kUpstreams)) +
+                   R"(,"revision":2,"objects":[],"removed":[["o1",2,"null"]]})");
+  CHECK(wait_until([&] { return reader.polls() >= polls_before + 3; }));
+  CHECK_FALSE(on_loop([&] { return pool.contains("o1"); }));
+  loop.run_and_wait([&] {
+    synchronizer.reset();
+    forwarder.reset();
+  });
+}
+
+}  // namespace bluebellstep
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -93,15 +93,28 @@
   if (found == upstreams_.end()) {
     return;
   }
-  const bool around_outage =
-      store_unreachable_since_ ||
-      (store_reachable_since_ && now < *store_reachable_since_ + limits_.reregistration_grace);
-  if (around_outage && !found->second.registration.leaving) {
-    found->second.kept_until =
-        (store_reachable_since_ ? *store_reachable_since_ : now) + limits_.reregistration_grace;
+  Upstream& upstream = found->second;
+  const bool in_outage = store_heard_at_ && now >= *store_heard_at_ + min_outage();
+  const bool after_outage =
+      outage_ended_at_ && now < *outage_ended_at_ + limits_.reregistration_grace;
+  if (upstream.registration.leaving || (!in_outage && !after_outage)) {
+    upstreams_.erase(found);
     return;
   }
-  upstreams_.erase(found);
+  if (!upstream.kept_until) {
+    upstream.kept_until = (in_outage ? now : *outage_ended_at_) + limits_.reregistration_grace;
+    LogEvent("removed_upstream_kept", LogEvent::Severity::kWarning)
+        .field("upstream", id)
+        .field("in_outage", in_outage)
+        .field("store_heard_ms_ago", (now - *store_heard_at_).ms)
+        .field("kept_ms", (*upstream.kept_until - now).ms);
+  }
+}
+
+void UpstreamPool::discard(std::string_view id) {
+  if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+    upstreams_.erase(found);
+  }
 }
 
 void UpstreamPool::replace_all(std::vector<UpstreamRegistration> registrations, Instant now) {
@@ -121,24 +134,31 @@
   }
 }
 
-void UpstreamPool::set_store_reachable(bool reachable, Instant now) {
-  if (!reachable) {
-    store_unreachable_since_ = store_unreachable_since_.value_or(now);
-    store_reachable_since_.reset();
-  } else if (store_unreachable_since_) {
-    store_unreachable_since_.reset();
-    store_reachable_since_ = now;
+void UpstreamPool::record_store_answer(Instant answered_at, Instant now) {
+  if (store_answered_at_ && answered_at >= *store_answered_at_ + min_outage()) {
+    outage_ended_at_ = now;
+    LogEvent("store_outage_ended", LogEvent::Severity::kWarning)
+        .field("silent_ms", (answered_at - *store_answered_at_).ms);
   }
+  if (store_heard_at_ && now >= *store_heard_at_ + limits_.max_answer_gap) {
+    for (auto& [id, upstream] : upstreams_) {
+      if (upstream.kept_until) {
+        upstream.kept_until = now + limits_.reregistration_grace;
+      }
+    }
+  }
+  store_answered_at_ = std::max(answered_at, store_answered_at_.value_or(answered_at));
+  store_heard_at_ = now;
+}
+
+bool UpstreamPool::is_removed(const Upstream& upstream, Instant now) const {
+  // While the store does not answer, upstreams cannot register again.
+  return upstream.kept_until && now >= *upstream.kept_until &&
+         now < *store_heard_at_ + limits_.max_answer_gap;
 }
 
 void UpstreamPool::remove_expired_registrations(Instant now) {
-  if (store_unreachable_since_) {
-    return;
-  }
-  std::erase_if(upstreams_, [&](const auto& item) {
-    const auto& until = item.second.kept_until;
-    return until && now >= std::max(*until, *store_reachable_since_ + limits_.reregistration_grace);
-  });
+  std::erase_if(upstreams_, [&](const auto& item) { return is_removed(item.second, now); });
 }
 
 void UpstreamPool::set_zones_out_of_service(std::set<std::string, std::less<>> zones, Instant now) {
@@ -275,7 +295,8 @@
                                const PickQuery& query,
                                Instant now) const {
   const UpstreamRegistration& registration = upstream.registration;
-  if (registration.leaving || registration.service != query.service->name ||
+  if (is_removed(upstream, now) || registration.leaving ||
+      registration.service != query.service->name ||
       zones_out_of_service_.contains(registration.zone) ||
       std::find(query.excluded_ids.begin(), query.excluded_ids.end(), registration.id) !=
           query.excluded_ids.end()) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -47,9 +47,14 @@
   // does not know when that target was set, and requests may wait for seconds in an engine's queue
   // before they start.
   Duration startup_grace{500};
+  // Upstreams renew their registrations at this interval; a registration expires after three
+  // intervals without a renewal.
+  Duration registration_interval{1200};
   // Upstreams whose registrations expired during an outage of the platform's store register again
   // within this time after the outage.
   Duration reregistration_grace{2500};
+  // Longest time between two answers of a store that works.
+  Duration max_answer_gap{1300};
 };
 
 /** The properties of a request that determine the choice of its upstream. */
@@ -121,8 +126,10 @@
    * restarted, and its health and reported load are reset. */
   void put(UpstreamRegistration registration, Instant now);
   /** Removes an upstream whose registration was removed from the platform's store; see
-   * `set_store_reachable` for the exception around an outage. */
+   * `record_store_answer` for the exception around an outage. */
   void remove(std::string_view id, Instant now);
+  /** Removes an upstream whose registration names no usable upstream any more. */
+  void discard(std::string_view id);
   /** Replaces all registrations by those of a complete list. Missing ones are treated as in
    * `remove`. */
   void replace_all(std::vector<UpstreamRegistration> registrations, Instant now);
@@ -149,12 +156,16 @@
    * @param set_before_start  The target was set at an unknown time before this gateway started.
    */
   void set_target_weights(const TargetWeights& target, bool set_before_start, Instant now);
-  /** Sets whether the platform's store answers. Registrations that are removed during an outage or
-   * shortly after it are kept for `PoolLimits::reregistration_grace`: they expire because upstreams
-   * cannot renew them, and upstreams that still run register again. */
-  void set_store_reachable(bool reachable, Instant now);
-  /** An outage that ended this long ago may still remove registrations. */
-  static constexpr Duration kOutageNoticeTime{2500};
+  /** Records an answer of the platform's store, to this gateway or to one that passes on what it
+   * reads there. A time without answers in which a registration can expire is an outage. An
+   * upstream whose registration was removed in an outage or shortly after it is kept for
+   * `PoolLimits::reregistration_grace`: the registration may have expired because it could not be
+   * renewed, and an upstream that still runs registers again. A lost connection, or an outage that
+   * only another gateway had, is no reason to keep an upstream.
+   *
+   * @param answered_at  When the store answered; earlier than `now` if the answer was passed on.
+   */
+  void record_store_answer(Instant answered_at, Instant now);
   /** Removes the upstreams that were kept because of an outage and did not register again. */
   void remove_expired_registrations(Instant now);
   std::size_t gateway_count() const { return quota_.gateway_count(); }
@@ -282,6 +293,10 @@
   // the time at which it was set.
   using TargetVersions = std::vector<TargetVersion>;
 
+  // Time without answers of the store after which registrations may have expired.
+  Duration min_outage() const { return limits_.registration_interval * 2; }
+  // Whether the upstream's registration was removed and the time for which it is kept has passed.
+  bool is_removed(const Upstream& upstream, Instant now) const;
   // Takes in that other gateways cannot reach the upstream.
   void apply_peer_reports(Upstream& upstream, Instant now) const;
   bool is_cold(const Upstream& upstream, const ServiceInfo& service, Instant now) const;
@@ -362,8 +377,10 @@
   std::map<std::string, FirstEventPredictor, std::less<>> predictors_;  // By service.
   // Times of requests to all upstreams within the last second.
   std::deque<Instant> recent_request_times_;
-  std::optional<Instant> store_unreachable_since_;
-  std::optional<Instant> store_reachable_since_;
+  // Latest `answered_at` and `now` of `record_store_answer`.
+  std::optional<Instant> store_answered_at_;
+  std::optional<Instant> store_heard_at_;
+  std::optional<Instant> outage_ended_at_;  // The last outage of the store.
 };
 
 }  // namespace bluebellstep
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -72,6 +72,15 @@
     return query;
   }
 
+  // The platform's store answers at intervals from `first` to `last`.
+  void store_answers(Instant first, Instant last) {
+    constexpr Duration kInterval{900};
+    for (Instant at = first; at < last; at = at + kInterval) {
+      pool.record_store_answer(at, at);
+    }
+    pool.record_store_answer(last, last);
+  }
+
   // Sends requests until the pool finds no upstream, and returns their number.
   int send_all(const PickQuery& query, Instant now) {
     int sent_count = 0;
@@ -230,26 +239,76 @@
 TEST_CASE("registrations removed around an outage of the store are kept for a while", "[gateway]") {
   Fixture f;
   f.add_plain("o1");
-  f.pool.set_store_reachable(false, kStart);
-  f.pool.set_store_reachable(true, kStart + 5000_ms);
+  f.store_answers(kStart, kStart);
+  f.store_answers(kStart + 5000_ms, kStart + 7600_ms);
   f.pool.remove("o1", kStart + 5100_ms);
   f.pool.remove_expired_registrations(kStart + 7400_ms);
   CHECK(f.pick(f.plain_query(), kStart + 7400_ms) == "o1");
-  f.pool.remove_expired_registrations(kStart + 7500_ms);
   CHECK(f.pick(f.plain_query(), kStart + 7500_ms).empty());
+  f.pool.remove_expired_registrations(kStart + 7500_ms);
+  CHECK_FALSE(f.pool.contains("o1"));
 }
 
 TEST_CASE("an upstream that registers again in time stays", "[gateway]") {
   Fixture f;
   f.add_plain("o1");
-  f.pool.set_store_reachable(false, kStart);
-  f.pool.remove("o1", kStart + 1000_ms);
-  f.pool.set_store_reachable(true, kStart + 5000_ms);
+  f.store_answers(kStart, kStart);
+  f.pool.remove("o1", kStart + 3000_ms);
+  f.store_answers(kStart + 5000_ms, kStart + 9000_ms);
   f.add_plain("o1");
   f.pool.remove_expired_registrations(kStart + 9000_ms);
   CHECK(f.pick(f.plain_query(), kStart + 9000_ms) == "o1");
 }
 
+// Guards against the loss of all upstreams when the store answers once between two outages.
+TEST_CASE("a removed upstream is kept while the store is down again", "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  f.store_answers(kStart, kStart);
+  f.store_answers(kStart + 5000_ms, kStart + 5000_ms);
+  f.pool.remove("o1", kStart + 5000_ms);
+  f.pool.remove_expired_registrations(kStart + 8000_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 8000_ms) == "o1");
+  f.store_answers(kStart + 10'000_ms, kStart + 13'000_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 12'400_ms) == "o1");
+  CHECK(f.pick(f.plain_query(), kStart + 12'500_ms).empty());
+}
+
+// Guards against a server that leaves and stays in use because one connection to the store was lost
+// or the gateway had just started: too short a time for a registration to expire.
+TEST_CASE("a removed upstream is not kept after a short silence of the store", "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  const bool silent_before = GENERATE(false, true);
+  if (silent_before) {
+    f.store_answers(kStart, kStart + 900_ms);
+  }
+  f.pool.record_store_answer(kStart + 3200_ms, kStart + 3200_ms);
+  f.pool.remove("o1", kStart + 3300_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 3300_ms).empty());
+}
+
+// Guards against a server that leaves and stays in use after an outage that ended long ago.
+TEST_CASE("a removed upstream is not kept when the grace after an outage has passed", "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  f.store_answers(kStart, kStart);
+  f.store_answers(kStart + 5000_ms, kStart + 7500_ms);
+  f.pool.remove("o1", kStart + 7500_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 7500_ms).empty());
+}
+
+// Guards against the use of an upstream that announced that it leaves, because of an outage.
+TEST_CASE("an upstream that is leaving is removed also in an outage", "[gateway]") {
+  Fixture f;
+  f.store_answers(kStart, kStart);
+  f.add_plain("o1");
+  f.pool.put({.id = "o1", .service = "orders", .endpoint = {"10.0.0.9", 80}, .leaving = true},
+             kStart);
+  f.pool.remove("o1", kStart + 5000_ms);
+  CHECK_FALSE(f.pool.contains("o1"));
+}
+
 TEST_CASE("a registration removed without an outage is dropped immediately", "[gateway]") {
   Fixture f;
   f.add_plain("o1");
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -23,12 +23,16 @@
   section.read("repeat_window", bounds.repeat_window, Presence::kOptional);
   section.read("cold_overage", bounds.cold_overage, Presence::kOptional);
   section.read("cold_slack", bounds.cold_slack, Presence::kOptional);
+  section.read("registration_interval", bounds.registration_interval, Presence::kOptional);
   if (bounds.lease_term < kMinLeaseTerm) {
     section.add_error("lease_term", "a duration of at least 1s");
   }
   if (bounds.repeat_window < kMinRepeatWindow) {
     section.add_error("repeat_window", "a duration of at least 100ms");
   }
+  if (bounds.registration_interval <= Duration{0}) {
+    section.add_error("registration_interval", "a duration above 0ms");
+  }
   const auto check_not_negative = [&](std::string_view key, double value) {
     if (value < 0) {
       section.add_error(key, "a number of at least 0");
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -33,6 +33,9 @@
   // plus `cold_slack` requests per second.
   double cold_overage = 1.5;
   double cold_slack = 5;
+  // Upstreams renew their registrations in the store at this interval; a registration expires after
+  // three intervals without a renewal.
+  Duration registration_interval{1200};
 
   bool operator==(const GatewayBounds&) const = default;
 };
@@ -54,8 +57,8 @@
 };
 
 /** Returns whether a restart is needed to apply all differences between `current` and `next`. A
- * running gateway can apply `first_peers`, `version_limit` and the limits on retries and cold
- * upstreams. */
+ * running gateway can apply `first_peers`, `version_limit`, `registration_interval` and the limits
+ * on retries and cold upstreams. */
 bool needs_restart(const GatewaySettings& current, const GatewaySettings& next);
 
 /** Parses and checks settings. `file` is the file name for errors. Fails with `SettingsErrors`. */
