gateway: Learn from peers that the store works

The log shows why: the gateway that others follow noticed the end of its cut 1.3 s late, and kept a server removed 0.2 s later for 2.5 s from there (event=removed_upstream_kept kept_ms=2331).

It had reached its peers all the while, and the store had answered them. Peers now tell the age of the store's last answer when a gateway without the store asks them, so that this is no outage. An old answer ends none.

Two tests of the pool: one for a store that answers others, one for peers that repeat an old answer.

--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -265,6 +265,9 @@
   if (const auto age = view_age()) {
     answer["view_age_ms"] = age->ms;
   }
+  if (store_answered_at_ > Instant{}) {
+    answer["store_age_ms"] = (clock_.now() - store_answered_at_).ms;
+  }
   return answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -274,6 +277,11 @@
     return;  // The peer is down or starting; the next query chooses a peer again.
   }
   try {
+    if (const auto age = json.find("store_age_ms"); age != json.end()) {
+      // The store works if it answers the peer, so that a registration that is gone did not expire.
+      const Instant now = clock_.now();
+      pool_.record_store_answer(now - Duration{age->get<std::int64_t>()}, now);
+    }
     for (const auto& item : json.at("kinds")) {
       const auto kind = static_cast<ObjectKind>(item.at("kind").get<int>());
       std::vector<platform::StoredObject> objects;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -147,8 +147,11 @@
       }
     }
   }
-  store_answered_at_ = std::max(answered_at, store_answered_at_.value_or(answered_at));
-  store_heard_at_ = now;
+  if (!store_answered_at_ || answered_at > *store_answered_at_) {
+    store_answered_at_ = answered_at;
+    const Instant heard_at = std::min(now, answered_at + limits_.max_answer_gap);
+    store_heard_at_ = std::max(heard_at, store_heard_at_.value_or(heard_at));
+  }
 }
 
 bool UpstreamPool::is_removed(const Upstream& upstream, Instant now) const {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -377,8 +377,8 @@
   std::map<std::string, FirstEventPredictor, std::less<>> predictors_;  // By service.
   // Times of requests to all upstreams within the last second.
   std::deque<Instant> recent_request_times_;
-  // Latest `answered_at` and `now` of `record_store_answer`.
-  std::optional<Instant> store_answered_at_;
+  std::optional<Instant> store_answered_at_;  // Latest `answered_at` of `record_store_answer`.
+  // When that answer was recorded, but not much later than the answer itself.
   std::optional<Instant> store_heard_at_;
   std::optional<Instant> outage_ended_at_;  // The last outage of the store.
 };
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -288,6 +288,33 @@
   CHECK(f.pick(f.plain_query(), kStart + 3300_ms).empty());
 }
 
+// Guards against a server that leaves and stays in use because this gateway was cut off from the
+// store while others were not: servers could renew their registrations.
+TEST_CASE("a removed upstream is not kept after a time in which the store answered others",
+          "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  f.store_answers(kStart, kStart);
+  for (Instant at = kStart + 2000_ms; at < kStart + 6000_ms; at = at + 1000_ms) {
+    f.pool.record_store_answer(at - 500_ms, at);
+  }
+  f.store_answers(kStart + 6000_ms, kStart + 6000_ms);
+  f.pool.remove("o1", kStart + 6000_ms);
+  CHECK_FALSE(f.pool.contains("o1"));
+}
+
+// Guards against the loss of all upstreams in an outage in which peers repeat how long the store
+// has been silent.
+TEST_CASE("an old answer of the store does not end an outage", "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  f.store_answers(kStart, kStart);
+  f.pool.record_store_answer(kStart + 900_ms, kStart + 4000_ms);
+  f.pool.record_store_answer(kStart + 900_ms, kStart + 5000_ms);
+  f.pool.remove("o1", kStart + 5000_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 5000_ms) == "o1");
+}
+
 // Guards against a server that leaves and stays in use after an outage that ended long ago.
 TEST_CASE("a removed upstream is not kept when the grace after an outage has passed", "[gateway]") {
   Fixture f;
