gateway: Refuse requests that the shutdown would cut off

Cause: requests were taken on without a look at the end of the process, which comes 1.2 s before grace_s, and nothing answered the open ones. A second SIGTERM ended the process at once. Ruled out as the cause: the reserve of 1.2 s. With any end there are requests that outlast it.

From 2.9 s after SIGTERM on, requests whose deadline is after the end are refused as not run. At the end each request without an answer gets one: 503 if it did not run, 502 if it may have. A further SIGTERM has no effect in a gateway.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -34,6 +34,8 @@
 constexpr std::size_t kMaxTotalBufferedBytes = 24u << 20;
 // A caller with more unread bytes of a stream is disconnected.
 constexpr std::size_t kMaxUnsentBytes = 1u << 20;
+// Minimum retry delay in a shutdown. The load balancer sends new connections to other gateways.
+constexpr Duration kStoppingRetryDelay{50};
 // Minimum retry delay while the configuration, or a service that it refers to, is missing.
 constexpr Duration kNoConfigRetryDelay{500};
 
@@ -187,6 +189,11 @@
     fail_request(request, request.possible_runs > 0, "deadline");
     return;
   }
+  if (request.possible_runs == 0 && !request.response_started &&
+      may_outlast_shutdown(request, now)) {
+    refuse_request(request, "gateway_stopping", kStoppingRetryDelay);
+    return;
+  }
   if (quarantine_.contains(request.caller.prompt, now)) {
     fail_request(request, request.possible_runs > 0, "prompt_quarantined");
     return;
@@ -368,7 +375,7 @@
     out = platform::encode_caller_response_head(
         *request.attempt->head, {.length = std::nullopt,
                                  .has_body = request.chunked,
-                                 .close = !request.chunked || stopping_ || request.caller.close,
+                                 .close = !request.chunked || stop_times_ || request.caller.close,
                                  .keep_alive = request.config->limits.idle_timeout});
   }
   out += request.chunked ? encode_chunk(complete_events) : complete_events;
@@ -463,7 +470,7 @@
     on_attempt_failed(request, AttemptOutcome::kFailed, true, "upstream_refused_unclearly");
     return;
   }
-  const bool close = stopping_ || request.caller.close;
+  const bool close = stop_times_ || request.caller.close;
   std::string out = platform::encode_caller_response_head(
       *attempt.head, {.length = attempt.body.size(),
                       .has_body = request.caller.method != "HEAD" && status != 204 && status != 304,
@@ -484,7 +491,7 @@
     return;
   }
   end_attempt(request, AttemptOutcome::kAnswered, true);
-  const bool close = !request.chunked || stopping_ || request.caller.close;
+  const bool close = !request.chunked || stop_times_ || request.caller.close;
   if (request.chunked) {
     request.response_writer.write(kLastChunk);
   }
@@ -563,6 +570,35 @@
                        now);
 }
 
+void Forwarder::give_up_attempt(Request& request, AttemptOutcome outcome_if_sent) {
+  if (!request.attempt) {
+    return;
+  }
+  const bool sent = request.attempt->connection->established();
+  if (!sent) {
+    --request.possible_runs;
+    --request.attempts_sent;
+  }
+  end_attempt(request, sent ? outcome_if_sent : AttemptOutcome::kNotReached, false);
+}
+
+bool Forwarder::may_outlast_shutdown(const Request& request, Instant now) const {
+  return stop_times_ && now > stop_times_->last_arrival && request.deadline > stop_times_->end;
+}
+
+void Forwarder::end_requests() {
+  std::vector<RequestId> open;
+  for (const auto& [id, request] : requests_) {
+    open.push_back(id);
+  }
+  for (const RequestId id : open) {
+    if (Request* request = find(id); request != nullptr) {
+      give_up_attempt(*request, AttemptOutcome::kCallerDisconnected);
+      fail_request(*request, request->possible_runs > 0, "gateway_stopping");
+    }
+  }
+}
+
 void Forwarder::on_caller_disconnected(RequestId id) {
   Request* request = find(id);
   if (request == nullptr) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -54,6 +54,14 @@
   std::function<bool()> caller_left;
 };
 
+/** Times of a shutdown of the gateway. */
+struct StopTimes {
+  // Requests that arrive later are refused unless their deadline is before `end`: the caller may
+  // ask another gateway, while a response that is cut off may be lost for good.
+  Instant last_arrival;
+  Instant end;  // The process ends, and with it all connections.
+};
+
 /** Forwards requests until they are answered, fail, or their caller disconnects. Runs on the HTTP
  * thread. */
 class Forwarder {
@@ -75,8 +83,12 @@
 
   void set_retry_limits(const RetryLimits& limits) { retry_limits_ = limits; }
 
-  /** Makes each further response close its connection, since the gateway is shutting down. */
-  void set_stopping() { stopping_ = true; }
+  /** The gateway is shutting down: each further response closes its connection, and requests that
+   * might not end in time are refused. */
+  void set_stopping(const StopTimes& times) { stop_times_ = times; }
+
+  /** Ends all requests. Those whose response has not started are told whether they may have run. */
+  void end_requests();
 
   /** Starts to forward a request. It may have ended by the time this returns, see `contains`. */
   RequestId start(CallerRequest caller_request, CallerResponseWriter response_writer);
@@ -203,6 +215,11 @@
   // Notifies the pool, once per attempt, that the prefill has finished. An engine that continues
   // the stream of another one prefills the prompt again.
   void report_prefill_finished(Attempt& attempt);
+  // Ends the current attempt, if any, whose response is not awaited any longer. An attempt that has
+  // not connected does not count as sent.
+  void give_up_attempt(Request& request, AttemptOutcome outcome_if_sent);
+  // Whether the gateway may end before the request, which arrived too late to be cut off.
+  bool may_outlast_shutdown(const Request& request, Instant now) const;
   // Reports the end of the current attempt to the pool and releases its connection.
   void end_attempt(Request& request, AttemptOutcome outcome, bool keep_connection);
   // Fails or retries a request whose timeout has passed, else schedules the next check.
@@ -230,7 +247,7 @@
   RetryLimits retry_limits_;
   Clock clock_;
   std::shared_ptr<const ServingConfig> config_;
-  bool stopping_ = false;
+  std::optional<StopTimes> stop_times_;  // Set in a shutdown.
   std::uint64_t next_id_ = 1;
   std::map<RequestId, std::unique_ptr<Request>> requests_;
   ConnectionPool connections_;
--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -124,6 +124,14 @@
     return upstream;
   }
 
+  void set_stopping(const StopTimes& times) {
+    loop_.run_and_wait([&] { forwarder_->set_stopping(times); });
+  }
+
+  void end_requests() {
+    loop_.run_and_wait([this] { forwarder_->end_requests(); });
+  }
+
   RawListener& listener() { return listener_; }
 
  private:
@@ -286,4 +294,63 @@
   CHECK(caller.text().find("id: 3") != std::string::npos);
 }
 
+// Guards against requests that are passed on late in a shutdown and cut off at its end.
+TEST_CASE("a request that may outlast the shutdown is refused before it is passed on",
+          "[gateway][shutdown]") {
+  struct Row {
+    Duration last_arrival;  // From now on, like the next member.
+    Duration end;
+    bool passed_on;
+  };
+  // The request has 1200 ms.
+  const auto row = GENERATE(values<Row>({{Duration{-1}, Duration{1000}, false},
+                                         {Duration{-1}, Duration{5000}, true},
+                                         {Duration{500}, Duration{1000}, true}}));
+  CAPTURE(row.last_arrival.ms, row.end.ms);
+  Fixture fixture;
+  const Instant now = Clock().now();
+  fixture.set_stopping({.last_arrival = now + row.last_arrival, .end = now + row.end});
+  const std::string route = GENERATE("order", "lookup", "stream");
+  CallerView caller;
+  fixture.start(caller, route, "r1");
+  CHECK(fixture.listener().has_connection(200) == row.passed_on);
+  if (!row.passed_on) {
+    REQUIRE(caller.wait());
+    CHECK(caller.complete());
+    CHECK(caller.text().starts_with("HTTP/1.1 503"));
+    CHECK(caller.text().find("Connection: close") != std::string::npos);
+    CHECK(caller.text().find("Retry-After: ") != std::string::npos);
+  }
+}
+
+// Guards against connections that end without an answer when the gateway ends, and against an
+// answer that says of a request that may have run that it did not.
+TEST_CASE("all requests are answered when the gateway ends", "[gateway][shutdown]") {
+  struct Row {
+    std::string route;
+    std::string sent;    // By the upstream.
+    std::string status;  // Of the response to the caller.
+    bool complete;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"order", "", "HTTP/1.1 502", true},
+      {"lookup", "", "HTTP/1.1 502", true},
+      {"stream", "", "HTTP/1.1 502", true},
+      {"order", response_head("r1", "Content-Length: 100") + "part", "HTTP/1.1 502", true},
+      {"stream", response_head("r1", "X: y") + "id: 1\n", "HTTP/1.1 502", true},
+      {"stream", response_head("r1", "X: y") + "id: 1\ndata: a\n\n", "HTTP/1.1 200", false},
+  }));
+  CAPTURE(row.route, row.sent);
+  Fixture fixture;
+  CallerView caller;
+  fixture.start(caller, row.route, "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(row.sent);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  fixture.end_requests();
+  REQUIRE(caller.wait(100));
+  CHECK(caller.complete() == row.complete);
+  CHECK(caller.text().starts_with(row.status));
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -78,7 +78,7 @@
                                     int status,
                                     std::string_view reason,
                                     std::optional<Duration> retry_after) {
-  const bool close = stopping_ || request.caller.close;
+  const bool close = stop_times_ || request.caller.close;
   request.response_writer.write(
       platform::encode_gateway_response({.status = status,
                                          .request_id = request.caller.request_id,
--- a/src/gateway/forwarder_timeouts.cc
+++ b/src/gateway/forwarder_timeouts.cc
@@ -56,17 +56,7 @@
 void Forwarder::check_timeouts(Request& request) {
   const Instant now = clock_.now();
   if (now >= request.deadline) {
-    if (!request.attempt) {
-      fail_request(request, request.possible_runs > 0, "timeout");
-      return;
-    }
-    const bool established = request.attempt->connection->established();
-    if (!established) {
-      --request.possible_runs;
-      --request.attempts_sent;
-    }
-    end_attempt(request, established ? AttemptOutcome::kFailed : AttemptOutcome::kNotReached,
-                false);
+    give_up_attempt(request, AttemptOutcome::kFailed);
     fail_request(request, request.possible_runs > 0, "timeout");
     return;
   }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -32,6 +32,9 @@
 // Time reserved for the exit of the process before the stop limit, at which it is killed. 700 ms
 // was too short on a tenth of a CPU core.
 constexpr Duration kExitReserve{1200};
+// The platform allows that requests sent within 3 s of SIGTERM are cut off in the last sixth of the
+// stop limit.
+constexpr Duration kLastArrival{2900};
 // Interval at which buffered log lines are written and delays of the event loop are recorded.
 constexpr Duration kLogFlushInterval{250};
 // Shorter delays of the event loop are not logged.
@@ -151,14 +154,23 @@
 };
 
 DrainTimes drain_times(const GatewaySettings& settings) {
+  const Duration stop_limit = settings.bounds.stop_limit;
   DrainTimes times;
   times.balancer_delay = kBalancerDelay;
   times.abort_timeout = Duration{100};
-  times.stop_limit =
-      std::max(settings.bounds.stop_limit - kExitReserve, kBalancerDelay + Duration{100});
+  // At most 15% are reserved, so that requests are not cut off before the last sixth.
+  const Duration reserve = std::min(kExitReserve, stop_limit * 3 / 20);
+  times.stop_limit = std::max(stop_limit - reserve, kBalancerDelay + Duration{100});
+  // The platform kills the process after the stop limit, and may repeat SIGTERM until then.
+  times.second_stop_is_forced = false;
   return times;
 }
 
+StopTimes stop_times(const GatewaySettings& settings, Instant now) {
+  const Duration end = drain_times(settings).stop_limit;
+  return {.last_arrival = now + std::min(kLastArrival, end), .end = now + end};
+}
+
 // Reads the settings file if it has changed, and applies it. Invalid settings are logged and
 // ignored.
 void check_settings(SettingsFileWatch& settings_file,
@@ -250,7 +262,7 @@
              LogEvent("gateway_stopping").field("name", settings.name);
              loop.run_and_wait([&] {
                components->stopping = true;
-               components->forwarder.set_stopping();
+               components->forwarder.set_stopping(stop_times(settings, Clock().now()));
              });
            },
        .count_open_requests =
@@ -261,7 +273,8 @@
            },
        .close_listener =
            [&] { loop.run_and_wait([&] { components->caller_listener.stop_accepting(); }); },
-       .abort_requests = [] {}});
+       .abort_requests =
+           [&] { loop.run_and_wait([&] { components->forwarder.end_requests(); }); }});
   loop.run_and_wait([&] { components.reset(); });
   ready_server.reset();
   peers_server.reset();
--- a/src/shutdown/drain_controller.cc
+++ b/src/shutdown/drain_controller.cc
@@ -15,7 +15,9 @@
 
 void DrainController::handle_sigterm(Instant now) {
   if (!ready()) {
-    phase_ = Exiting{kExitForced};
+    if (times_.second_stop_is_forced) {
+      phase_ = Exiting{kExitForced};
+    }
     return;
   }
   const Duration announcement_time =
--- a/src/shutdown/drain_controller.h
+++ b/src/shutdown/drain_controller.h
@@ -23,7 +23,8 @@
   kResume,      // A request for further events of an open stream.
 };
 
-/** Times of a shutdown. All except `abort_timeout` are measured from the first SIGTERM. */
+/** Times and options of a shutdown. All times except `abort_timeout` are measured from the first
+ * SIGTERM. */
 struct DrainTimes {
   // Time for which an entry instance continues to accept requests, until the load balancer has
   // removed it from its targets.
@@ -35,6 +36,8 @@
   Duration stop_limit{120'000};
   // Maximum time for sending the error events of aborted streams, measured from the abort.
   Duration abort_timeout{1000};
+  // Whether a second SIGTERM ends the process at once. Otherwise it has no effect.
+  bool second_stop_is_forced = true;
 };
 
 /** Nothing to do now. Call `step` again at `at`, if set, and when the number of open requests
@@ -68,7 +71,8 @@
   /** `times.stop_limit` must be above `times.balancer_delay` and `times.leave_notice_time`. */
   DrainController(DrainRole role, const DrainTimes& times);
 
-  /** Reports a SIGTERM. After the second one, the next step is `ExitProcess`. */
+  /** Reports a SIGTERM. After the second one, the next step is `ExitProcess`, unless
+   * `DrainTimes::second_stop_is_forced` is false. */
   void handle_sigterm(Instant now);
 
   /** Returns the next step. `open_requests` is the number of requests without a complete answer. */
--- a/src/shutdown/drain_controller_test.cc
+++ b/src/shutdown/drain_controller_test.cc
@@ -105,6 +105,20 @@
   }
 }
 
+// Guards against requests that are cut off because the platform repeats SIGTERM.
+TEST_CASE("a second SIGTERM has no effect unless it is set to force the exit", "[shutdown]") {
+  DrainTimes times = kTimes;
+  times.second_stop_is_forced = false;
+  DrainController controller(DrainRole::kEntry, times);
+  controller.handle_sigterm(Instant{0});
+  controller.handle_sigterm(Instant{10});
+  CHECK(describe(controller.step(1, Instant{10})) == "until 50");
+  CHECK(describe(controller.step(1, Instant{50})) == "close");
+  controller.handle_sigterm(Instant{60});
+  CHECK(describe(controller.step(1, Instant{60})) == "until 1000");
+  CHECK(describe(controller.step(0, Instant{70})) == "exit 0");
+}
+
 // Guards against a leaving sidecar that accepts new requests or refuses retries of its orders, and
 // against an entry instance that refuses requests which the load balancer still sends to it.
 TEST_CASE("each phase accepts its kinds of work", "[shutdown]") {
--- a/tests/process/gateway_process_test.cc
+++ b/tests/process/gateway_process_test.cc
@@ -130,6 +130,47 @@
   CHECK(wait_until(Duration{1000}, [&] { return answered == 20; }));
 }
 
+// Guards against requests that are cut off because SIGTERM is sent again.
+TEST_CASE("process: a repeated SIGTERM cuts no request off") {
+  GatewayFleet fleet(1);
+  fleet.set_faults({{"delay_ms", 1500}});
+  std::atomic<int> answered{0};
+  for (int i = 0; i < 5; ++i) {
+    fleet.send("g1", "orders", "o" + std::to_string(i),
+               [&](const GatewayFleet::Response& response) {
+                 answered += response.status == 200 ? 1 : 0;
+               });
+  }
+  CHECK(wait_until(Duration{3000}, [&] { return fleet.run_counts().size() == 5; }));
+  for (int i = 0; i < 3; ++i) {
+    fleet.process("g1").send_signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  CHECK(fleet.process("g1").wait_for_exit(Duration{8000}) == 0);
+  CHECK(wait_until(Duration{1000}, [&] { return answered == 5; }));
+}
+
+// Guards against orders that are passed on late in a shutdown and cut off at its end: they may have
+// run, so nobody may send them again.
+TEST_CASE("process: an upload that ends late in a shutdown is refused and not run") {
+  constexpr int kPieces = 20;
+  GatewayFleet fleet(1);
+  fleet.set_faults({{"delay_ms", 3800}});
+  fleet.process("g1").send_signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  auto caller = RawSocket::connect(fleet.caller_port("g1"));
+  caller.send(
+      "POST /orders/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: u1\r\nCredential: key-1\r\n"
+      "Deadline-Ms: 8000\r\nContent-Length: " +
+      std::to_string(kPieces * 100) + "\r\n\r\n");
+  for (int i = 0; i < kPieces; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    caller.send(std::string(100, 'x'));
+  }
+  CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+  CHECK(fleet.run_counts().empty());
+}
+
 // Guards against request smuggling: contradictory framing that hides a second request in the body
 // of the first.
 TEST_CASE("process: a request with contradictory framing is refused and its connection closed") {
