gateway, http: Bound what a faulty server can make a gateway keep

What callers saw, as reported by another operator: a server that sent bytes without end ended the gateway that called it, and with it the requests of others.

Reproduced on a real gateway with three upstreams that flood at the speed of the loopback address and 240 requests, peak memory: head of a report or cache event answer 192 MB; bodies of answers to callers 94 to 111 MB; bodies of reports and events 70 to 77 MB.

Cause: h2o's client keeps a head until it is complete, without a limit. Bodies were limited to 4 MB each and 24 MB in all, but what had arrived was copied four times before the limit was checked, and buffers double as they grow. When the sum was reached, whichever request got bytes next failed, not the faulty one. Ruled out: heads of answers to callers (limited, 13 MB) and bytes after an answer (14 MB).

Heads of all calls are limited to 64 KB, checked after each wait for events.

`a response head without end fails` fails before (64 MB are taken) and passes.

--- a/src/gateway/decoded_headers.h
+++ b/src/gateway/decoded_headers.h
@@ -73,6 +73,7 @@
   std::optional<std::uint64_t> weight_version;
   bool close = false;                  // The upstream closes the connection after the response.
   std::optional<Duration> keep_alive;  // Time for which the upstream keeps an idle connection open.
+  std::optional<std::uint64_t> body_length;  // Unset if it is not known in advance.
 };
 
 }  // namespace bluebellstep
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -31,7 +31,7 @@
 // A response that is not streamed is buffered completely; one with a larger body fails.
 constexpr std::size_t kMaxBufferedBodyBytes = 4u << 20;
 // Limit on the sum of these buffers; some gateways have 110 MB of memory.
-constexpr std::size_t kMaxTotalBufferedBytes = 24u << 20;
+constexpr std::size_t kMaxTotalBufferedBytes = 12u << 20;
 // A caller with more unread bytes of a stream is disconnected.
 constexpr std::size_t kMaxUnsentBytes = 1u << 20;
 // Minimum retry delay in a shutdown. The load balancer sends new connections to other gateways.
@@ -319,6 +319,14 @@
     return;
   }
   attempt.streaming = success && request->route->kind == RequestKind::kStream;
+  if (attempt.streaming || !attempt.response.body_length || request->caller.method == "HEAD") {
+    return;
+  }
+  if (*attempt.response.body_length > kMaxBufferedBodyBytes) {
+    on_attempt_failed(*request, AttemptOutcome::kFailed, true, "answer_too_large");
+    return;
+  }
+  attempt.body.reserve(*attempt.response.body_length);
 }
 
 void Forwarder::on_content(RequestId id, std::string_view content) {
@@ -333,12 +341,23 @@
   request->last_progress_at = clock_.now();
   request->attempt->body += content;
   buffered_body_bytes_ += content.size();
-  if (request->attempt->body.size() > kMaxBufferedBodyBytes ||
-      buffered_body_bytes_ > kMaxTotalBufferedBytes) {
+  if (request->attempt->body.size() > kMaxBufferedBodyBytes) {
     on_attempt_failed(*request, AttemptOutcome::kFailed, true, "answer_too_large");
+  } else if (buffered_body_bytes_ > kMaxTotalBufferedBytes) {
+    // The largest one, so that a faulty upstream does not end the requests to others.
+    on_attempt_failed(largest_buffered(), AttemptOutcome::kFailed, true, "answer_too_large");
   }
 }
 
+Forwarder::Request& Forwarder::largest_buffered() {
+  const auto size = [](const auto& entry) {
+    return entry.second->attempt ? entry.second->attempt->body.size() : 0;
+  };
+  return *std::max_element(requests_.begin(), requests_.end(), [&](const auto& a, const auto& b) {
+            return size(a) < size(b);
+          })->second;
+}
+
 void Forwarder::forward_events(Request& request, std::string_view content) {
   const std::size_t events_before = request.event_buffer.event_count();
   const std::string complete_events = request.event_buffer.feed(content);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -185,6 +185,8 @@
   void on_head(RequestId id, const MessageHead& head);
   void on_content(RequestId id, std::string_view content);
   void on_end(RequestId id, ExchangeOutcome outcome, std::string_view reason);
+  // Returns the request for whose response most is buffered. There must be one.
+  Request& largest_buffered();
   // The connection of the current attempt ended before the response was complete.
   void on_upstream_lost(Request& request, std::string_view reason);
   // Finds out whether the upstream of the current attempt has crashed, and counts that against the
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -82,7 +82,8 @@
 
   RequestIdReader read_request_id_;
   Listener listener_;
-  std::string input_;  // Received and not yet parsed.
+  std::string input_;               // Received and not yet parsed.
+  bool has_further_input_ = false;  // More was received than `input_` contains.
   std::string request_method_;
   std::string request_id_;
   std::optional<BodyDecoder> body_decoder_;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -83,6 +83,8 @@
   /** Starts a call. Its listener is never called within `send`. */
   HttpCallId send(HttpCall call, Listener listener);
 
+  /** A response whose head is larger than this fails. */
+  static constexpr std::size_t kMaxHeadBytes = 64u << 10;
   /** A buffered response that is larger than this fails. */
   static constexpr std::size_t kMaxBufferedResponseBytes = 16u << 20;
   /** A buffered response must be complete within this multiple of the call's `idle_timeout`, unless
--- a/src/http/http_client_impl.cc
+++ b/src/http/http_client_impl.cc
@@ -164,6 +164,7 @@
   Call& call = *static_cast<Call*>(client->data);
   const auto self = call.owner->shared_from_this();
   const bool is_end = error == h2o_http1client_error_is_eos;
+  call.head_received = true;
   if (error != nullptr && !is_end) {
     self->finish(call, Failed{.may_have_been_sent = true,
                               .detail = to_string(call.request.endpoint) + ": " + error});
@@ -313,6 +314,35 @@
                                 std::to_string(limit.ms) + " ms"});
 }
 
+void HttpClient::Impl::start_head_checks() {
+  loop_.check_after_polls([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self != nullptr) {
+      self->check_heads();
+    }
+    return self != nullptr;
+  });
+}
+
+void HttpClient::Impl::check_heads() {
+  std::vector<HttpCallId> too_large;
+  for (const auto& [id, call] : calls_) {
+    if (call->request_sent && !call->head_received && call->client != nullptr &&
+        call->client->sock->input->size > kMaxHeadBytes) {
+      too_large.push_back(id);
+    }
+  }
+  for (const HttpCallId id : too_large) {
+    if (Call* call = find(id)) {
+      cancel_request(*call);
+      finish(*call,
+             Failed{.may_have_been_sent = true,
+                    .detail = to_string(call->request.endpoint) + ": response head larger than " +
+                              std::to_string(kMaxHeadBytes) + " bytes"});
+    }
+  }
+}
+
 void HttpClient::Impl::set_deadline(Call& call, Duration timeout) {
   deadlines_.erase({call.queued_deadline, call.id});
   call.deadline = loop_.now() + timeout;
--- a/src/http/http_client_impl.h
+++ b/src/http/http_client_impl.h
@@ -30,6 +30,9 @@
  public:
   explicit Impl(HttpLoop::Impl& loop) : loop_(loop) {}
 
+  /** Starts to limit the size of response heads. Call once, on the HTTP thread. */
+  void start_head_checks();
+
   /** Returns the id for a new call. May be called from any thread. */
   HttpCallId next_id() { return {next_id_.fetch_add(1)}; }
 
@@ -67,7 +70,8 @@
     std::string head;  // Request line and headers; `buffers` points into it.
     std::array<h2o_iovec_t, 2> buffers{};
     bool request_sent = false;  // The request was passed to h2o, which may have sent a part of it.
-    bool in_callback = false;   // A listener runs in a callback of h2o, which needs the call.
+    bool head_received = false;
+    bool in_callback = false;  // A listener runs in a callback of h2o, which needs the call.
     bool cancelled = false;
     bool has_length = false;  // The response has a length or is chunked.
     bool has_empty_body = false;
@@ -86,6 +90,8 @@
   void release(Call& call);
   void cancel_request(Call& call);
   void fail_timed_out(Call& call);
+  // Fails the calls whose response head is too large. h2o keeps a head until it is complete.
+  void check_heads();
   void set_deadline(Call& call, Duration timeout);
   // Data was received: extends the deadline by the idle timeout, up to the response deadline.
   void extend_deadline(Call& call);
--- a/src/http/http_client_test.cc
+++ b/src/http/http_client_test.cc
@@ -3,6 +3,7 @@
 #include "http/http_client.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <future>
 #include <thread>
 
@@ -206,6 +207,28 @@
   CHECK(may_have_been_sent(response.get()));
 }
 
+// Guards against memory that grows with the response head of a faulty server.
+TEST_CASE("a response head without end fails", "[http][client]") {
+  constexpr std::size_t kLimit = 64u << 20;
+  Fixture f;
+  HttpCall call = call_to(f.listener.port());
+  call.idle_timeout = Duration{60'000};
+  auto response = send_async(f.client, std::move(call));
+  RawSocket server = f.listener.accept();
+  server.receive_until("\r\n\r\n");
+  server.send("HTTP/1.1 200 OK\r\nX: ");
+  const std::string block(32u << 10, 'x');
+  std::size_t sent = 0;
+  while (sent < kLimit && server.send(block)) {
+    sent += block.size();
+  }
+  CHECK(sent < kLimit);
+  REQUIRE(response.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  const HttpClient::Response result = response.get();
+  CHECK_FALSE(is_complete(result));
+  CHECK(may_have_been_sent(result));
+}
+
 // Guards against a new connection for each call, and against the reuse of a connection on which
 // unexpected bytes or a close were received.
 TEST_CASE("a connection is reused unless it was closed or unexpected bytes arrived",
--- a/src/http/http_loop.cc
+++ b/src/http/http_loop.cc
@@ -120,6 +120,7 @@
   poll_wait_ = Duration{wait_ms};
   ++poll_count_;
   h2o_evloop_run(loop_, wait_ms);
+  std::erase_if(poll_checks_, [](const std::function<bool()>& check) { return !check(); });
 }
 
 Duration HttpLoop::Impl::overrun(Instant now) const {
--- a/src/http/http_loop_impl.h
+++ b/src/http/http_loop_impl.h
@@ -61,6 +61,9 @@
    */
   void adjust_closing_count(int change) { closing_count_ += change; }
 
+  /** Runs `check` after each wait for events, until it returns false. Only on the HTTP thread. */
+  void check_after_polls(std::function<bool()> check) { poll_checks_.push_back(std::move(check)); }
+
   /** A timeout of one day, for h2o objects whose timeouts are implemented in this module. */
   h2o_timeout_t* long_timeout() { return &long_timeout_; }
 
@@ -116,6 +119,7 @@
   std::vector<std::function<void()>> running_;
   std::vector<std::function<void()>> deferred_;
   std::multimap<Instant, std::function<void()>> timers_;
+  std::vector<std::function<bool()>> poll_checks_;
   int closing_count_ = 0;
   Instant poll_started_at_;  // Of the current iteration.
   Duration poll_wait_{0};    // The wait that the current iteration was allowed.
