gateway: Close the connection of a crash check when it ends

What callers saw: a gateway ended with SIGSEGV and all its connections broke. A candidate for the users' report of processes that end by themselves.

Cause: a check that had connected was removed, and its connection closed by a deferred task. A loop that is late by over 20 ms reads sockets first; if the server has reset the connection, the check ended again, on an empty node. Ruled out elsewhere: other owners of connections close or mark them before they defer.

Before | after: `a check whose connection is reset has one result` SIGSEGV in 3 of 3 runs | passes.

--- a/src/gateway/crash_check.cc
+++ b/src/gateway/crash_check.cc
@@ -45,6 +45,8 @@
 void CrashCheck::finish(const std::string& upstream_id, bool crashed) {
   const auto node = checks_.extract(upstream_id);
   const std::shared_ptr<Check> check = node.mapped();
+  // No callback may follow, since it would end another check of this upstream or none.
+  check->stream->close();
   // The stream may be running the callback that called this function.
   loop_.impl().defer([closing = std::shared_ptr<ByteStream>(std::move(check->stream))]() mutable {
     closing.reset();
