gateway: Send no content in own answers to HEAD

Cause: `encode_gateway_response` wrote the reason whatever the method was. Answers of upstreams were right.

--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -84,7 +84,8 @@
                                          .request_id = request.caller.request_id,
                                          .retry_after = retry_after,
                                          .reason = reason,
-                                         .close = close}));
+                                         .close = close,
+                                         .to_head_request = request.caller.method == "HEAD"}));
   request.response_writer.complete(close);
   request.last_failure_reason = reason;
   if (status == 503) {
