gateway: Limit the memory for bodies of requests and copy them less

What callers saw: 12 uploads of 4 MB took a gateway to 159 MB, 30 to 360 MB, on machines of 88 to 512 MB. A gateway over its memory is killed with all requests.

Cause: each body was kept by the request, by the message to the upstream and by the output of its connection, in buffers that double as they grow, and nothing limited the sum. Requests sent ahead were kept up to the size of a body for each connection; beyond, the connection was closed with a request in hand.

A quarter of the memory that the platform's settings name is for the bodies of requests that have not ended. An upload without room is refused as not run, before it is read, and its connection stays open for 2 s: a reset would destroy the answer. A body is sent from where it is kept.

Tests: uploads without room, with a length and in chunks, are refused and their room is released; pipelined requests of any size are answered.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -12,6 +12,11 @@
 // callers are served, and those that send a byte now and then are not.
 constexpr std::size_t kMinUploadBytesPerMs = 1;
 
+// Bytes of further requests that are read before the current response is complete.
+constexpr std::size_t kMaxPipelinedBytes = 16u << 10;
+// A caller may send the rest of a request that was answered early for this long.
+constexpr Duration kLingerTime{2000};
+
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -19,9 +24,11 @@
 CallerConnection::CallerConnection(const HttpLoop& loop,
                                    h2o_socket_t* socket,
                                    CallerLimits limits,
+                                   std::shared_ptr<BufferBudget> buffer_budget,
                                    Listener listener)
     : loop_(loop),
       limits_(limits),
+      buffer_budget_(std::move(buffer_budget)),
       listener_(std::move(listener)),
       ready_since_(clock_.now() - loop.delay()),
       accepted_in_poll_(loop.poll_count()),
@@ -32,20 +39,18 @@
                .on_end = [this](StreamEnd) { listener_.on_closed(); }}) {}
 
 void CallerConnection::on_bytes(std::string_view bytes) {
-  if (state_ == State::kClosing) {
+  if (state_ == State::kClosing || state_ == State::kLingering || request_incomplete_) {
     return;
   }
   if (state_ == State::kReadingHead && !head_started_) {
     head_started_ = true;
     timeout_started_at_ = clock_.now();
   }
-  if (state_ == State::kResponding &&
-      input_.size() + bytes.size() > limits_.max_header_bytes + limits_.max_body_bytes) {
-    // Pipelined requests are buffered only up to the maximum size of one request.
-    listener_.on_closed();
-    return;
-  }
   input_ += bytes;
+  if (state_ == State::kResponding && input_.size() > kMaxPipelinedBytes) {
+    // The rest of the pipelined requests stays in the socket until the response is complete.
+    stream_.pause_reading();
+  }
   read_requests();
 }
 
@@ -88,6 +93,11 @@
     report_error(CallerRequestError::kBodyTooLarge);
     return false;
   }
+  BufferBudget::Reservation reservation(buffer_budget_);
+  if (length_body != nullptr && !reservation.grow_to(length_body->length)) {
+    report_error(CallerRequestError::kNoBuffer);
+    return false;
+  }
   input_.erase(0, consumed);
   body_decoder_.emplace(*framing);
   received_body_bytes_ = 0;
@@ -95,7 +105,10 @@
       list_contains(head->find("expect").value_or(""), "100-continue")) {
     stream_.write(kContinueResponse);
   }
-  request_ = {.head = std::move(head)};
+  request_ = {.head = std::move(head), .reservation = std::move(reservation)};
+  if (length_body != nullptr) {
+    request_.body.reserve(length_body->length);
+  }
   state_ = State::kReadingBody;
   return true;
 }
@@ -112,6 +125,10 @@
     report_error(CallerRequestError::kBodyTooLarge);
     return false;
   }
+  if (!request_.reservation.grow_to(request_.body.size())) {
+    report_error(CallerRequestError::kNoBuffer);
+    return false;
+  }
   if (result.status == BodyDecoder::Status::kNeedMoreBytes) {
     return false;
   }
@@ -131,6 +148,8 @@
 void CallerConnection::report_error(CallerRequestError error) {
   state_ = State::kResponding;
   input_.clear();
+  request_ = {};
+  request_incomplete_ = true;
   listener_.on_request_error(error);
 }
 
@@ -138,12 +157,17 @@
   ready_since_ = now;
   timeout_started_at_ = now;
   head_started_ = !input_.empty();
+  if (close && request_incomplete_) {
+    state_ = State::kLingering;
+    return;
+  }
   if (close) {
     state_ = State::kClosing;
     stream_.close_after_writes();
     return;
   }
   state_ = State::kReadingHead;
+  stream_.resume_reading();
   read_requests();
 }
 
@@ -152,6 +176,8 @@
   switch (state_) {
     case State::kResponding:
       return true;
+    case State::kLingering:
+      return now < timeout_started_at_ + kLingerTime;
     case State::kClosing:
       // Limits the wait for a caller that does not read the rest of its response.
       return !stream_.ended() && now < timeout_started_at_ + limits_.idle_timeout;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "base/id.h"
+#include "gateway/buffer_budget.h"
 #include "gateway/serving_config.h"
 #include "http/http_loop.h"
 #include "http1/byte_stream.h"
@@ -29,6 +30,7 @@
 struct CallerRequest {
   std::unique_ptr<MessageHead> head;
   std::string body;
+  BufferBudget::Reservation reservation;  // For `body`.
   /** The earliest time at which the request may have been complete in the socket. */
   Instant arrived_at;
 };
@@ -38,7 +40,8 @@
   kMalformed,
   kHeadTooLarge,
   kBodyTooLarge,
-  kTimeout,  // The head or the body did not arrive in time.
+  kTimeout,   // The head or the body did not arrive in time.
+  kNoBuffer,  // There is no room for the body at present.
 };
 
 /** Reads requests from an accepted socket and writes the responses. Pipelined requests wait until
@@ -50,8 +53,7 @@
     std::function<void(CallerRequest)> on_request;
     /** No further request is read. The owner sends an error response and closes the connection. */
     std::function<void(CallerRequestError)> on_request_error;
-    /** The connection ended, or the caller pipelined too many bytes. The owner must destroy this
-     * object. */
+    /** The connection ended. The owner must destroy this object. */
     std::function<void()> on_closed;
   };
 
@@ -59,6 +61,7 @@
   CallerConnection(const HttpLoop& loop,
                    h2o_socket_t* socket,
                    CallerLimits limits,
+                   std::shared_ptr<BufferBudget> buffer_budget,
                    Listener listener);
 
   /** Sends bytes of the response to the current request. */
@@ -88,7 +91,9 @@
   std::uint64_t request_count() const { return request_count_; }
 
  private:
-  enum class State { kReadingHead, kReadingBody, kResponding, kClosing };
+  // In `kLingering` the last response was sent while its caller may still send the request: closing
+  // the connection with unread bytes would reset it and may destroy the response.
+  enum class State { kReadingHead, kReadingBody, kResponding, kLingering, kClosing };
 
   void on_bytes(std::string_view bytes);
   void read_requests();
@@ -102,6 +107,7 @@
   const HttpLoop& loop_;
   Clock clock_;
   CallerLimits limits_;
+  std::shared_ptr<BufferBudget> buffer_budget_;
   Listener listener_;
   State state_ = State::kReadingHead;
   // When the connection was accepted or the last response ended. No request that is read later
@@ -117,6 +123,7 @@
   std::optional<BodyDecoder> body_decoder_;
   std::size_t received_body_bytes_ = 0;  // Of the current request, with the chunked encoding.
   std::uint64_t request_count_ = 0;
+  bool request_incomplete_ = false;  // The current response is to a request that was not read.
   // Expires with this object, so that a callback that destroys it is noticed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   ByteStream stream_;  // Last, since its callbacks use the other members.
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -19,8 +19,13 @@
 
 }  // namespace
 
-CallerListener::CallerListener(HttpLoop& loop, const Endpoint& listen, Forwarder& forwarder)
-    : loop_(loop), forwarder_(forwarder) {
+CallerListener::CallerListener(HttpLoop& loop,
+                               const Endpoint& listen,
+                               Forwarder& forwarder,
+                               std::size_t max_buffered_bytes)
+    : loop_(loop),
+      forwarder_(forwarder),
+      buffer_budget_(std::make_shared<BufferBudget>(max_buffered_bytes)) {
   const ListeningSocket socket = open_listening_socket(listen);
   listener_ = h2o_evloop_socket_create(loop_.impl().loop(), socket.fd, H2O_SOCKET_FLAG_DONT_READ);
   listener_->data = this;
@@ -56,7 +61,7 @@
   const CallerLimits limits = forwarder_.config() ? forwarder_.config()->limits : CallerLimits{};
   Connection& entry = connections_[id];
   entry.connection = std::make_unique<CallerConnection>(
-      loop_, socket, limits,
+      loop_, socket, limits, buffer_budget_,
       CallerConnection::Listener{
           .on_request = [this, id](CallerRequest request) { on_request(id, std::move(request)); },
           .on_request_error =
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -24,8 +24,14 @@
   /** Interval between checks of the connections' timeouts. */
   static constexpr Duration kCheckInterval{500};
 
-  /** Binds to `listen` and starts to accept. Throws `std::system_error` if that fails. */
-  CallerListener(HttpLoop& loop, const Endpoint& listen, Forwarder& forwarder);
+  /** Binds to `listen` and starts to accept. Throws `std::system_error` if that fails.
+   *
+   * @param max_buffered_bytes  Limit on the bodies of all requests that have not ended.
+   */
+  CallerListener(HttpLoop& loop,
+                 const Endpoint& listen,
+                 Forwarder& forwarder,
+                 std::size_t max_buffered_bytes = BufferBudget::kDefaultLimit);
   CallerListener(const CallerListener&) = delete;
   CallerListener& operator=(const CallerListener&) = delete;
   ~CallerListener();
@@ -63,6 +69,7 @@
 
   HttpLoop& loop_;
   Forwarder& forwarder_;
+  std::shared_ptr<BufferBudget> buffer_budget_;
   Clock clock_;
   h2o_socket_t* listener_ = nullptr;  // Null after `stop_accepting`.
   std::uint64_t next_id_ = 1;
--- a/src/gateway/caller_listener_test.cc
+++ b/src/gateway/caller_listener_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstddef>
+#include <string>
 #include <string_view>
 #include <thread>
 #include <vector>
@@ -16,7 +18,8 @@
 /** A gateway whose requests are refused, since there is no configuration. */
 class Fixture : public SocketGateway {
  public:
-  Fixture() : SocketGateway(RetryLimits{}) {}
+  explicit Fixture(std::size_t max_buffered_bytes = BufferBudget::kDefaultLimit)
+      : SocketGateway(RetryLimits{}, max_buffered_bytes) {}
 
   /** Runs `while_blocked` while the loop handles nothing else, then stops the listener. */
   template <typename Function>
@@ -90,4 +93,65 @@
   CHECK(caller.receive_until("\r\n\r\n").starts_with(kRefused));
 }
 
+// Guards against uploads that exhaust the memory of the gateway, against a refusal that its caller
+// cannot read because the connection is reset, and against room that is never released.
+TEST_CASE("uploads for which there is no room are refused before they are read", "[gateway]") {
+  constexpr std::size_t kBodyBytes = 800;
+  const auto head = [&](std::string_view length) {
+    return "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n" + std::string(length) + "\r\n\r\n";
+  };
+  const std::string sized = head("Content-Length: " + std::to_string(kBodyBytes));
+  const std::string body(kBodyBytes, 'x');
+  Fixture fixture(kBodyBytes + 100);
+  RawSocket first = fixture.connect();
+  first.send(sized);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+
+  const bool chunked = GENERATE(false, true);
+  CAPTURE(chunked);
+  RawSocket second = fixture.connect();
+  second.send(chunked ? head("Transfer-Encoding: chunked") + "320\r\n" + body + "\r\n" : sized);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(second.send(body));  // The connection is not reset.
+  const std::string refusal = second.receive_until("large requests");
+  CHECK(refusal.starts_with("HTTP/1.1 503"));
+  CHECK(refusal.find("Retry-After: ") != std::string::npos);
+  CHECK(refusal.find("Connection: close") != std::string::npos);
+  CHECK(refusal.ends_with("too many large requests"));
+
+  first.send(body);
+  CHECK(first.receive_until("no_configuration").ends_with("no_configuration"));
+  RawSocket third = fixture.connect();
+  third.send(sized + body);
+  CHECK(third.receive_until("no_configuration").ends_with("no_configuration"));
+}
+
+// Guards against the loss of a response because its caller has sent many further requests.
+TEST_CASE("pipelined requests of any size are answered one after another", "[gateway]") {
+  constexpr int kRequests = 3000;
+  Fixture fixture;
+  RawSocket caller = fixture.connect();
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += kRequest;
+  }
+  std::thread sender([&] { caller.send(requests); });
+  int answered = 0;
+  std::string received;
+  while (answered < kRequests) {
+    const std::string more = caller.receive_some();
+    if (more.empty()) {
+      break;
+    }
+    received += more;
+    std::size_t at = 0;
+    while ((at = received.find(kRefused)) != std::string::npos) {
+      ++answered;
+      received.erase(0, at + kRefused.size());
+    }
+  }
+  sender.join();
+  CHECK(answered == kRequests);
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -113,7 +113,8 @@
   request.id = id;
   request.response_writer = std::move(response_writer);
   request.head = std::move(caller_request.head);
-  request.body = std::move(caller_request.body);
+  request.body = std::make_shared<const std::string>(std::move(caller_request.body));
+  request.reservation = std::move(caller_request.reservation);
   request.caller = platform::decode_caller_request_head(*request.head);
   request.config = config_;
   request.arrived_at = caller_request.arrived_at;
@@ -169,7 +170,7 @@
       .account = request.account,
       .prompt = request.caller.prompt,
       .prompt_tokens = request.caller.prompt_tokens,
-      .body_bytes = request.body.size(),
+      .body_bytes = request.body->size(),
       .may_retry = request.route->may_retry(),
       .priority = request.route->priority,
       // A request that may have run is not refused any more.
@@ -259,8 +260,8 @@
       .cache_fetch_endpoints = attempt.picked.cache_plan.fetch_endpoints,
       .cache_save_endpoints = attempt.picked.cache_plan.save_endpoints,
       .cache_fetch_deadline_ms = attempt.picked.cache_plan.fetch_deadline_ms};
-  const std::string head =
-      platform::encode_upstream_request_head(*request.head, fields, request.body.size());
+  std::string head =
+      platform::encode_upstream_request_head(*request.head, fields, request.body->size());
   ++request.possible_runs;
   ++request.attempts_sent;
   request.last_upstream_id = attempt.picked.upstream_id;
@@ -272,7 +273,7 @@
   pool_.record_sent(attempt.picked, make_pick_query(request), now);
   const RequestId id = request.id;
   attempt.connection->send_request(
-      head, request.body, request.caller.method, request.caller.request_id,
+      std::move(head), request.body, request.caller.method, request.caller.request_id,
       {.on_connected = [this, id] { on_connected(id); },
        .on_head = [this, id](const MessageHead& response) { on_head(id, response); },
        .on_content = [this, id](std::string_view content) { on_content(id, content); },
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -24,6 +24,7 @@
 #include "base/clock.h"
 #include "base/id.h"
 #include "base/verdict.h"
+#include "gateway/buffer_budget.h"
 #include "gateway/caller_connection.h"
 #include "gateway/connection_pool.h"
 #include "gateway/crash_check.h"
@@ -143,7 +144,8 @@
     CallerResponseWriter response_writer;
     std::unique_ptr<MessageHead> head;
     CallerRequestHead caller;  // Views point into `head`.
-    std::string body;
+    std::shared_ptr<const std::string> body;
+    BufferBudget::Reservation reservation;  // For `body`.
     // The configuration when the request arrived. Owns the objects of the next three members.
     std::shared_ptr<const ServingConfig> config;
     const RouteRule* route = nullptr;
--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -20,6 +20,9 @@
 // Minimum retry delay of requests that did not run.
 constexpr Duration kNotRunRetryDelay{300};
 
+// Retry delay of requests for whose body there is no room. Other gateways may have some.
+constexpr Duration kNoBufferRetryDelay{500};
+
 // Formats a segment id as callers write it in the request header.
 std::string hex_text(std::uint64_t value) {
   std::array<char, 16> digits;
@@ -111,6 +114,11 @@
       response.status = 408;
       response.reason = "request took too long to arrive";
       break;
+    case CallerRequestError::kNoBuffer:
+      response.status = 503;
+      response.reason = "too many large requests";
+      response.retry_after = kNoBufferRetryDelay;
+      break;
   }
   return platform::encode_gateway_response(response);
 }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -55,6 +55,13 @@
           .window = bounds.repeat_window};
 }
 
+// A quarter of the memory is for the bodies of callers' requests.
+std::size_t max_buffered_bytes(const GatewaySettings& settings) {
+  constexpr std::size_t kBytesPerMb = 1'000'000;
+  return settings.memory_mb == 0 ? BufferBudget::kDefaultLimit
+                                 : settings.memory_mb * kBytesPerMb / 4;
+}
+
 // Everything that runs on the HTTP thread.
 struct GatewayComponents {
   GatewayComponents(HttpLoop& loop, HttpClient& client, const GatewaySettings& settings)
@@ -69,7 +76,7 @@
             settings.name,
             [this] { return own_load_report(); },
             [this](LoadReport report) { on_load_report(std::move(report)); }),
-        caller_listener(loop, settings.callers, forwarder) {
+        caller_listener(loop, settings.callers, forwarder, max_buffered_bytes(settings)) {
     synchronizer.on_weights_changed([this] { rollout_driver.refresh(); });
     synchronizer.on_peers_changed([this](std::vector<Endpoint> peers) {
       load_report_exchange.set_peers(std::move(peers));
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -27,8 +27,8 @@
                .on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
                .on_end = [this](StreamEnd stream_end) { on_stream_end(stream_end); }}) {}
 
-void UpstreamConnection::send_request(std::string_view head,
-                                      std::string_view body,
+void UpstreamConnection::send_request(std::string head,
+                                      std::shared_ptr<const std::string> body,
                                       std::string_view method,
                                       std::string_view request_id,
                                       Listener listener) {
@@ -41,9 +41,7 @@
   interim_responses_ = 0;
   body_decoder_.reset();
   ++request_count_;
-  std::string message(head);
-  message += body;
-  stream_.write(message);
+  stream_.write(std::move(head), std::move(body));
 }
 
 void UpstreamConnection::close() {
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -49,10 +49,10 @@
 
   UpstreamConnection(h2o_loop_t* loop, const Endpoint& endpoint, RequestIdReader read_request_id);
 
-  /** Sends a request, given its encoded head and body. Only to be called while `idle`. The
-   * listener's callbacks may destroy this object. */
-  void send_request(std::string_view head,
-                    std::string_view body,
+  /** Sends a request, given its encoded head and its body, which may be null. Only to be called
+   * while `idle`. The listener's callbacks may destroy this object. */
+  void send_request(std::string head,
+                    std::shared_ptr<const std::string> body,
                     std::string_view method,
                     std::string_view request_id,
                     Listener listener);
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 
+#include <array>
 #include <utility>
 
 #include "http/socket_address.h"
@@ -44,10 +45,35 @@
   if (socket_ == nullptr || bytes.empty()) {
     return;
   }
-  pending_ += bytes;
+  if (pending_.body != nullptr) {
+    pending_.head += *std::exchange(pending_.body, nullptr);
+  }
+  pending_.head += bytes;
   flush();
 }
 
+void ByteStream::write(std::string head, std::shared_ptr<const std::string> body) {
+  if (pending_.size() > 0) {
+    write(head);
+    write(body == nullptr ? std::string_view() : *body);
+  } else if (socket_ != nullptr) {
+    pending_ = {.head = std::move(head), .body = std::move(body)};
+    flush();
+  }
+}
+
+void ByteStream::pause_reading() {
+  if (socket_ != nullptr) {
+    h2o_socket_read_stop(socket_);
+  }
+}
+
+void ByteStream::resume_reading() {
+  if (socket_ != nullptr && !h2o_socket_is_reading(socket_)) {
+    start_reading();
+  }
+}
+
 void ByteStream::close_after_writes() {
   closing_ = true;
   if (socket_ == nullptr) {
@@ -81,12 +107,16 @@
 }
 
 void ByteStream::flush() {
-  if (!connected_ || !sending_.empty() || pending_.empty()) {
+  if (!connected_ || sending_.size() > 0 || pending_.size() == 0) {
     return;
   }
-  sending_.swap(pending_);
-  h2o_iovec_t buffer = h2o_iovec_init(sending_.data(), sending_.size());
-  h2o_socket_write(socket_, &buffer, 1, on_write);
+  std::swap(sending_, pending_);
+  const bool has_body = sending_.body != nullptr && !sending_.body->empty();
+  std::array<h2o_iovec_t, 2> buffers = {
+      h2o_iovec_init(sending_.head.data(), sending_.head.size()),
+      has_body ? h2o_iovec_init(sending_.body->data(), sending_.body->size())
+               : h2o_iovec_init(nullptr, 0)};
+  h2o_socket_write(socket_, buffers.data(), has_body ? 2 : 1, on_write);
 }
 
 void ByteStream::start_reading() {
@@ -154,7 +184,7 @@
     self->end(StreamEnd::kBroken);
     return;
   }
-  if (!self->pending_.empty()) {
+  if (self->pending_.size() > 0) {
     self->flush();
   } else if (self->closing_) {
     h2o_socket_close(std::exchange(self->socket_, nullptr));
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,13 @@
 
   /** Sends `bytes` after those of earlier calls. Does nothing once the connection has ended. */
   void write(std::string_view bytes);
+  /** The same for `head` followed by `body`, which is not copied. `body` may be null. */
+  void write(std::string head, std::shared_ptr<const std::string> body);
+
+  /** Stops and continues to read. While reading is stopped, the end of the connection is not
+   * noticed. */
+  void pause_reading();
+  void resume_reading();
 
   /** Closes the connection once all bytes passed to `write` are sent. Received bytes are discarded.
    */
@@ -83,8 +91,20 @@
 
   h2o_socket_t* socket_ = nullptr;  // Null once the connection has ended.
   Listener listener_;
-  std::string pending_;  // Bytes to send after `sending_`.
-  std::string sending_;  // Bytes of the write in progress; not changed until `on_write`.
+  /** Bytes to send: `head`, then `body`. */
+  struct Output {
+    std::string head;
+    std::shared_ptr<const std::string> body;  // May be null.
+
+    std::size_t size() const { return head.size() + (body == nullptr ? 0 : body->size()); }
+    void clear() {
+      head.clear();
+      body.reset();
+    }
+  };
+
+  Output pending_;  // Sent after `sending_`.
+  Output sending_;  // The write in progress; not changed until `on_write`.
   bool connected_ = false;
   bool closing_ = false;
   bool* destroyed_ = nullptr;  // Set while a callback runs, to detect that it destroyed this.
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -60,6 +60,7 @@
   root.read("store", settings.store);
   root.read("first_peers", settings.first_peers, Presence::kOptional);
   root.read("link_mbps", settings.link_mbps, Presence::kOptional);
+  root.read("memory_mb", settings.memory_mb, Presence::kOptional);
   if (auto bounds = root.section("bounds", Presence::kOptional)) {
     read_bounds(*bounds, settings.bounds);
   }
@@ -74,8 +75,8 @@
   const auto settings_needing_restart = [](const GatewaySettings& settings) {
     const GatewayBounds& bounds = settings.bounds;
     return std::tie(settings.name, settings.zone, settings.callers, settings.ready, settings.peers,
-                    settings.metrics, settings.store, settings.link_mbps, bounds.stop_limit,
-                    bounds.lease_term, bounds.engines_check_fences);
+                    settings.metrics, settings.store, settings.link_mbps, settings.memory_mb,
+                    bounds.stop_limit, bounds.lease_term, bounds.engines_check_fences);
   };
   return settings_needing_restart(current) != settings_needing_restart(next);
 }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -52,7 +52,8 @@
   // `peers` endpoints of some gateways, polled until the registrations of all gateways have been
   // received. They may be down.
   std::vector<Endpoint> first_peers;
-  double link_mbps = 0;  // Speed of the instance's network link in Mbit/s; 0 if unknown.
+  std::uint32_t memory_mb = 0;  // Memory of the instance in MB; 0 if unknown.
+  double link_mbps = 0;         // Speed of the instance's network link in Mbit/s; 0 if unknown.
   GatewayBounds bounds;
 };
 
--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -56,6 +56,9 @@
   CHECK_THAT(errors_of(with_bound("cold_slack: -1")), Catch::Contains("at least 0"));
   CHECK_THAT(errors_of(with_bound("repeat_extra: -0.5")), Catch::Contains("at least 0"));
   CHECK_THAT(errors_of(with_bound("repeat_window: 0s")), Catch::Contains("at least 100ms"));
+  CHECK_THAT(errors_of(with_bound("registration_interval: 0s")), Catch::Contains("above 0ms"));
+  CHECK_THAT(errors_of("memory_mb: -1\n" + std::string(kCompleteSettings)),
+             Catch::Contains("memory_mb"));
   std::string short_lease(kCompleteSettings);
   short_lease.replace(short_lease.find("3000ms"), 6, "300ms");
   CHECK_THAT(errors_of(short_lease), Catch::Contains("bounds.lease_term"));
--- a/tests/support/socket_gateway.h
+++ b/tests/support/socket_gateway.h
@@ -19,12 +19,13 @@
  * a configuration all requests are refused. */
 class SocketGateway {
  public:
-  explicit SocketGateway(RetryLimits retry_limits) {
+  explicit SocketGateway(RetryLimits retry_limits,
+                         std::size_t max_buffered_bytes = BufferBudget::kDefaultLimit) {
     loop_.run_and_wait([&] {
       pool_ = std::make_unique<UpstreamPool>(PoolLimits{}, cache_, load_aggregator_, quota_);
       forwarder_ = std::make_unique<Forwarder>(loop_, *pool_, metrics_, "a", retry_limits);
-      listener_ =
-          std::make_unique<CallerListener>(loop_, Endpoint{"127.0.0.1", port_}, *forwarder_);
+      listener_ = std::make_unique<CallerListener>(loop_, Endpoint{"127.0.0.1", port_}, *forwarder_,
+                                                   max_buffered_bytes);
     });
   }
   SocketGateway(const SocketGateway&) = delete;
