tests: Reset the crash check's connection only after it has connected

The test failed once in a run of all tests of gateways: a connection that is reset before the loop has seen it established counts as a crash, by design. The test now waits for the result first.

--- a/src/gateway/crash_check_test.cc
+++ b/src/gateway/crash_check_test.cc
@@ -34,6 +34,11 @@
   });
   {
     const RawSocket connection = listener.accept();
+    const Clock clock;
+    const Instant deadline = clock.now() + Duration{5000};
+    while (results == 0 && clock.now() < deadline) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     const linger reset{.l_onoff = 1, .l_linger = 0};
     ::setsockopt(connection.fd(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
   }
