gateway: Close a connection after a stream only if its head announced it

What callers saw: within 0.3 s after a SIGTERM, connections were reset on which a stream had just ended and the next request, or half of an upload, had been sent.

Cause: a stream that began before the shutdown told its caller to keep the connection, and its end closed it since the gateway was stopping by then. Ruled out: the closing of idle connections (2.6 s after SIGTERM at the earliest) and lost answers (no request had been read).

The end of a stream closes the connection only if its head said so; the next answer on it announces the close.

`a stream that began before a shutdown does not close its connection unannounced` fails before (no answer) and passes.

--- a/src/gateway/caller_listener_test.cc
+++ b/src/gateway/caller_listener_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -154,4 +155,42 @@
   CHECK(answered == kRequests);
 }
 
+// Guards against requests that are reset because the connection was closed after a response whose
+// head, sent before the shutdown, had not announced it.
+TEST_CASE("a stream that began before a shutdown does not close its connection unannounced",
+          "[gateway][shutdown]") {
+  RawListener upstream_listener;
+  Fixture fixture;
+  auto config = std::make_shared<ServingConfig>();
+  config->routes.push_back({.name = "stream", .host = "h", .path_prefix = "/stream/"});
+  config->routes.back().kind = RequestKind::kStream;
+  config->routes.back().timeout = Duration{5000};
+  config->routes.back().stream_patience = Duration{5000};
+  config->routes.back().targets = {{.service = "s"}};
+  config->services.emplace("s", ServiceInfo{.name = "s", .max_connections = 100});
+  fixture.set_config(config);
+  fixture.add_upstream("u1", upstream_listener.port());
+  RawSocket caller = fixture.connect();
+  caller.send("GET /stream/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n\r\n");
+  RawSocket upstream = upstream_listener.accept();
+  upstream.receive_until("\r\n\r\n");
+  const std::string event = "id: 1\ndata: a\n\n";
+  upstream.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\nContent-Length: " +
+                std::to_string(2 * event.size()) + "\r\n\r\n" + event);
+  const std::string begin = caller.receive_until("data: a");
+  REQUIRE(begin.starts_with("HTTP/1.1 200"));
+  REQUIRE(begin.find("Connection: close") == std::string::npos);
+  fixture.run_on_loop([&] {
+    const Instant now = Clock().now();
+    fixture.forwarder().set_stopping(
+        {.last_arrival = now + Duration{2000}, .end = now + Duration{5000}});
+  });
+  upstream.send(event);
+  REQUIRE(caller.receive_until("0\r\n\r\n").ends_with("0\r\n\r\n"));
+  caller.send("GET /none HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\n\r\n");
+  const std::string next = caller.receive_until("no_route");
+  CHECK(next.starts_with("HTTP/1.1 404"));
+  CHECK(next.find("Connection: close") != std::string::npos);
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -392,10 +392,11 @@
   if (!request.response_started) {
     request.response_started = true;
     request.chunked = request.head->minor_version > 0;
+    request.closes = !request.chunked || stop_times_ || request.caller.close;
     out = platform::encode_caller_response_head(
         *request.attempt->head, {.length = std::nullopt,
                                  .has_body = request.chunked,
-                                 .close = !request.chunked || stop_times_ || request.caller.close,
+                                 .close = request.closes,
                                  .keep_alive = request.config->limits.idle_timeout});
   }
   out += request.chunked ? encode_chunk(complete_events) : complete_events;
@@ -511,11 +512,11 @@
     return;
   }
   end_attempt(request, AttemptOutcome::kAnswered, true);
-  const bool close = !request.chunked || stop_times_ || request.caller.close;
   if (request.chunked) {
     request.response_writer.write(kLastChunk);
   }
-  request.response_writer.complete(close);
+  // A close that was not announced would reset the caller's next request.
+  request.response_writer.complete(request.closes);
   finish_request(request, "answered", 200);
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -162,6 +162,7 @@
     bool waits_for_crash_check = false;
     bool response_started = false;  // The head of a streamed response was sent to the caller.
     bool chunked = false;           // The response to the caller uses chunked transfer encoding.
+    bool closes = false;            // The head of the started response announced a close.
     SseEventBuffer event_buffer;
     // When the upstream last sent an event of a stream, or anything else, the attempt started, or
     // the wait was extended.
--- a/tests/support/socket_gateway.h
+++ b/tests/support/socket_gateway.h
@@ -60,6 +60,9 @@
   /** Runs `task` on the loop, which handles nothing else meanwhile. */
   void run_on_loop(const std::function<void()>& task) { loop_.run_and_wait(task); }
 
+  /** Only on the loop. */
+  Forwarder& forwarder() { return *forwarder_; }
+
   /** Only on the loop. */
   CallerListener& listener() { return *listener_; }
 
