gateway: Keep descriptors for connections to upstreams

What callers saw: with the limit of descriptors reached by idle connections, prompts on kept connections were answered 503, since no connection to an upstream could be opened, and the gateway used 0.68 of a core in accept.

Cause: connections of callers were accepted up to the limit of the process.

Callers' connections take at most three quarters of the descriptors. Further ones wait in the queue of the listening socket, which is not polled meanwhile (event=accepting_changed).

--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -2,6 +2,9 @@
 
 #include "gateway/caller_listener.h"
 
+#include <sys/resource.h>
+
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -22,10 +25,12 @@
 CallerListener::CallerListener(HttpLoop& loop,
                                const Endpoint& listen,
                                Forwarder& forwarder,
-                               std::size_t max_buffered_bytes)
+                               std::size_t max_buffered_bytes,
+                               std::size_t max_connections)
     : loop_(loop),
       forwarder_(forwarder),
-      buffer_budget_(std::make_shared<BufferBudget>(max_buffered_bytes)) {
+      buffer_budget_(std::make_shared<BufferBudget>(max_buffered_bytes)),
+      max_connections_(max_connections) {
   const ListeningSocket socket = open_listening_socket(listen);
   listener_ = h2o_evloop_socket_create(loop_.impl().loop(), socket.fd, H2O_SOCKET_FLAG_DONT_READ);
   listener_->data = this;
@@ -46,14 +51,42 @@
   static_cast<CallerListener*>(listener->data)->accept_waiting(kMaxAcceptsPerStep);
 }
 
-void CallerListener::accept_waiting(int max_connections) {
-  for (int i = 0; i < max_connections; ++i) {
+std::size_t CallerListener::default_max_connections() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  return static_cast<std::size_t>(limit.rlim_cur) / 4 * 3;
+}
+
+void CallerListener::accept_waiting(int max_accepts) {
+  for (int i = 0; i < max_accepts && connections_.size() < max_connections_; ++i) {
     h2o_socket_t* socket = h2o_evloop_socket_accept(listener_);
     if (socket == nullptr) {
       return;
     }
     add(socket);
   }
+  update_accepting();
+}
+
+void CallerListener::update_accepting() {
+  if (listener_ == nullptr) {
+    return;
+  }
+  const bool accepting = h2o_socket_is_reading(listener_) != 0;
+  const bool allowed = connections_.size() < max_connections_;
+  if (accepting == allowed) {
+    return;
+  }
+  LogEvent("accepting_changed", LogEvent::Severity::kWarning)
+      .field("accepting", allowed)
+      .field("connections", static_cast<std::uint64_t>(connections_.size()));
+  if (allowed) {
+    h2o_socket_read_start(listener_, on_accept);
+  } else {
+    h2o_socket_read_stop(listener_);
+  }
 }
 
 void CallerListener::add(h2o_socket_t* socket) {
@@ -141,6 +174,7 @@
   loop_.impl().defer([this, id, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) {
       connections_.erase(id);
+      update_accepting();
     }
   });
 }
@@ -170,6 +204,7 @@
     return;
   }
   // Closing the listening socket resets the connections that wait, whose requests may have arrived.
+  max_connections_ = std::numeric_limits<std::size_t>::max();
   accept_waiting(kMaxWaitingConnections);
   h2o_socket_close(std::exchange(listener_, nullptr));
   close_quiet_connections();
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -27,11 +27,17 @@
   /** Binds to `listen` and starts to accept. Throws `std::system_error` if that fails.
    *
    * @param max_buffered_bytes  Limit on the bodies of all requests that have not ended.
+   * @param max_connections     Further connections wait until one has ended.
    */
   CallerListener(HttpLoop& loop,
                  const Endpoint& listen,
                  Forwarder& forwarder,
-                 std::size_t max_buffered_bytes = BufferBudget::kDefaultLimit);
+                 std::size_t max_buffered_bytes = BufferBudget::kDefaultLimit,
+                 std::size_t max_connections = default_max_connections());
+  /** Returns three quarters of the descriptors that the process may open. The rest is for
+   * connections to upstreams, the store and other gateways. */
+  static std::size_t default_max_connections();
+
   CallerListener(const CallerListener&) = delete;
   CallerListener& operator=(const CallerListener&) = delete;
   ~CallerListener();
@@ -57,7 +63,9 @@
     bool removal_pending = false;         // Ignored; erased at the end of this loop step.
   };
 
-  void accept_waiting(int max_connections);
+  void accept_waiting(int max_accepts);
+  // Accepts connections while there are fewer than allowed.
+  void update_accepting();
   void close_quiet_connections();
   static void on_accept(h2o_socket_t* listener, const char* error);
   void add(h2o_socket_t* socket);
@@ -70,6 +78,7 @@
   HttpLoop& loop_;
   Forwarder& forwarder_;
   std::shared_ptr<BufferBudget> buffer_budget_;
+  std::size_t max_connections_;
   Clock clock_;
   h2o_socket_t* listener_ = nullptr;  // Null after `stop_accepting`.
   std::uint64_t next_id_ = 1;
--- a/src/gateway/caller_listener_test.cc
+++ b/src/gateway/caller_listener_test.cc
@@ -19,8 +19,9 @@
 /** A gateway whose requests are refused, since there is no configuration. */
 class Fixture : public SocketGateway {
  public:
-  explicit Fixture(std::size_t max_buffered_bytes = BufferBudget::kDefaultLimit)
-      : SocketGateway(RetryLimits{}, max_buffered_bytes) {}
+  explicit Fixture(std::size_t max_buffered_bytes = BufferBudget::kDefaultLimit,
+                   std::size_t max_connections = CallerListener::default_max_connections())
+      : SocketGateway(RetryLimits{}, max_buffered_bytes, max_connections) {}
 
   /** Runs `while_blocked` while the loop handles nothing else, then stops the listener. */
   template <typename Function>
@@ -193,4 +194,23 @@
   CHECK(next.find("Connection: close") != std::string::npos);
 }
 
+// Guards against idle connections that take all descriptors, so that nothing can be sent to
+// upstreams, and against a loop that spins on the connections that wait.
+TEST_CASE("connections beyond the limit wait until others end", "[gateway]") {
+  Fixture fixture(BufferBudget::kDefaultLimit, 2);
+  RawSocket first = fixture.connect();
+  first.send(kRequest);
+  REQUIRE(first.receive_until("no_configuration").starts_with(kRefused));
+  RawSocket second = fixture.connect();
+  second.send(kRequest);
+  REQUIRE(second.receive_until("no_configuration").starts_with(kRefused));
+  RawSocket third = fixture.connect();
+  third.send(kRequest);
+  CHECK(third.receive_some(300).empty());
+  first.send(kRequest);
+  CHECK(first.receive_until("no_configuration").starts_with(kRefused));
+  second.close();
+  CHECK(third.receive_until("no_configuration").starts_with(kRefused));
+}
+
 }  // namespace bluebellstep
