gateway: Honour what a server says of its leaving and of its capacity

A leaving counts from the head of an answer of any status, but 421, until the server has started again; a late answer of an earlier start is ignored. A hold lasts until the latest of its times; a later success does not lift it, and no request is sent as the last resort. If only such servers are left, requests are refused at once with the first time at which one can be served.

--- a/src/gateway/decoded_headers.h
+++ b/src/gateway/decoded_headers.h
@@ -73,6 +73,9 @@
   std::optional<std::uint64_t> weight_version;
   bool close = false;                  // The upstream closes the connection after the response.
   std::optional<Duration> keep_alive;  // Time for which the upstream keeps an idle connection open.
+  bool leaving = false;                // The upstream states that it is about to leave.
+  // The upstream, which has no capacity, wants no request from this gateway for this time.
+  std::optional<Duration> hold_off;
   std::optional<std::uint64_t> body_length;  // Unset if it is not known in advance.
 };
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -302,6 +302,15 @@
   attempt.response = platform::decode_upstream_response_head(*attempt.head);
   attempt.head_received = true;
   request->last_progress_at = now;
+  // Status 421 is the answer of another upstream at the address.
+  const bool is_from_picked = attempt.response.status != 421;
+  if (is_from_picked && attempt.response.leaving) {
+    pool_.record_leaving(attempt.picked.upstream_id, attempt.started_at);
+  }
+  if (is_from_picked && attempt.response.hold_off) {
+    pool_.record_hold_off(attempt.picked.upstream_id, attempt.started_at,
+                          now + *attempt.response.hold_off);
+  }
   if (attempt.response.load) {
     pool_.record_load(attempt.picked.upstream_id, *attempt.response.load, now);
   }
--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -353,4 +353,66 @@
   CHECK(caller.text().starts_with(row.status));
 }
 
+// Guards against requests to a server that has said that it leaves: in a whole answer, in the head
+// of a stream that goes on, and in a refusal.
+TEST_CASE("a server that says in an answer that it leaves gets no further request",
+          "[gateway][faults]") {
+  struct Row {
+    std::string route;
+    std::string answer;
+    std::string status;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"order", response_head("r1", "Content-Length: 2\r\nServer-Leaving: 1") + "ok", "200"},
+      {"stream", response_head("r1", "X: y\r\nServer-Leaving: 1") + "id: 1\ndata: a\n\n", "200"},
+      {"order",
+       "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nServer-Leaving: 1\r\n"
+       "Content-Length: 0\r\n\r\n",
+       "503"},
+  }));
+  CAPTURE(row.answer);
+  Fixture fixture;
+  CallerView first;
+  fixture.start(first, row.route, "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(row.answer);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CallerView second;
+  fixture.start(second, "order", "r2");
+  REQUIRE(second.wait(200));
+  CHECK(second.text().starts_with("HTTP/1.1 503"));
+  CHECK_FALSE(fixture.listener().has_connection(100));
+  upstream.close();  // Ends the stream as it should.
+  REQUIRE(first.wait());
+  CHECK(first.complete());
+  CHECK(first.text().starts_with("HTTP/1.1 " + row.status));
+}
+
+// Guards against requests to a server that has asked for none for some time, and against a server
+// that gets none afterwards.
+TEST_CASE("a server that holds off gets no request before the end of its time",
+          "[gateway][faults]") {
+  Fixture fixture;
+  CallerView first;
+  fixture.start(first, "order", "r1");
+  RawSocket upstream = fixture.accept_request();
+  upstream.send(
+      "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nRetry-After: 0.6\r\n"
+      "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(first.wait());
+  CHECK(first.text().starts_with("HTTP/1.1 503"));
+  for (int i = 0; i < 3; ++i) {
+    CallerView refused;
+    fixture.start(refused, "order", "r" + std::to_string(i + 2));
+    REQUIRE(refused.wait(100));
+    CHECK(refused.text().starts_with("HTTP/1.1 503"));
+    CHECK(refused.text().find("Retry-After: ") != std::string::npos);
+  }
+  CHECK_FALSE(fixture.listener().has_connection(200));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  CallerView later;
+  fixture.start(later, "order", "r9");
+  CHECK(fixture.listener().has_connection(500));
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -196,12 +196,20 @@
   const auto shared = first_shared_segment(query);
   const double own_share = traffic_share(now);
   bool request_limited = false;
+  std::optional<Instant> first_hold_end;
   for (int pass = 0; pass < 2 && candidates.empty(); ++pass) {
     // Ejected upstreams are used only if there is no other.
     const bool include_ejected = pass == 1;
     for (auto& [id, upstream] : upstreams_) {
-      if (!may_receive(upstream, query, now) ||
-          (!include_ejected && !is_healthy(upstream, query, now))) {
+      if (!may_receive(upstream, query, now)) {
+        continue;
+      }
+      if (now < upstream.held_off_until) {
+        first_hold_end =
+            std::min(first_hold_end.value_or(upstream.held_off_until), upstream.held_off_until);
+        continue;
+      }
+      if (!include_ejected && !is_healthy(upstream, query, now)) {
         continue;
       }
       apply_peer_reports(upstream, now);
@@ -213,6 +221,9 @@
           {&upstream, shared ? rendezvous_score(shared->id, upstream.id_hash) : std::uint64_t{0}});
     }
   }
+  if (candidates.empty() && !request_limited && first_hold_end) {
+    return NoUpstreamAvailable{*first_hold_end - now, "upstreams_hold_off"};
+  }
   if (candidates.empty()) {
     return request_limited ? NoUpstreamAvailable{kRetryAfterCold, "upstreams_cold"}
                            : NoUpstreamAvailable{kRetryAfterNoUpstream, "no_upstream"};
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -70,6 +70,7 @@
       upstream.in_flight = found->second.in_flight;
       upstream.recent_request_times = std::move(found->second.recent_request_times);
     }
+    upstream.known_since = now;
     upstream.cold_until = now + registration.remaining_cold_time;
     std::string id = registration.id;
     upstream.id_hash = hash64(id);
@@ -97,7 +98,7 @@
   const bool in_outage = store_heard_at_ && now >= *store_heard_at_ + min_outage();
   const bool after_outage =
       outage_ended_at_ && now < *outage_ended_at_ + limits_.reregistration_grace;
-  if (upstream.registration.leaving || (!in_outage && !after_outage)) {
+  if (is_leaving(upstream) || (!in_outage && !after_outage)) {
     upstreams_.erase(found);
     return;
   }
@@ -298,7 +299,7 @@
                                const PickQuery& query,
                                Instant now) const {
   const UpstreamRegistration& registration = upstream.registration;
-  if (is_removed(upstream, now) || registration.leaving ||
+  if (is_removed(upstream, now) || is_leaving(upstream) ||
       registration.service != query.service->name ||
       zones_out_of_service_.contains(registration.zone) ||
       std::find(query.excluded_ids.begin(), query.excluded_ids.end(), registration.id) !=
@@ -430,6 +431,35 @@
   }
 }
 
+bool UpstreamPool::is_leaving(const Upstream& upstream) {
+  return upstream.registration.leaving || upstream.says_it_leaves;
+}
+
+UpstreamPool::Upstream* UpstreamPool::find_since(std::string_view id, Instant sent_at) {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() || sent_at < found->second.known_since ? nullptr
+                                                                          : &found->second;
+}
+
+void UpstreamPool::record_leaving(std::string_view id, Instant sent_at) {
+  Upstream* upstream = find_since(id, sent_at);
+  if (upstream == nullptr || std::exchange(upstream->says_it_leaves, true)) {
+    return;
+  }
+  LogEvent("upstream_leaves")
+      .field("upstream", id)
+      .field("registered_as_leaving", upstream->registration.leaving);
+}
+
+void UpstreamPool::record_hold_off(std::string_view id, Instant sent_at, Instant until) {
+  Upstream* upstream = find_since(id, sent_at);
+  if (upstream == nullptr || until <= upstream->held_off_until) {
+    return;
+  }
+  upstream->held_off_until = until;
+  LogEvent("upstream_holds_off").field("upstream", id).field("ms", (until - sent_at).ms);
+}
+
 void UpstreamPool::record_loading(std::string_view id, Instant until) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -197,6 +197,18 @@
                        Instant now);
   /** An upstream reported its load in a response. */
   void record_load(std::string_view id, const ReportedLoad& load, Instant now);
+  /** An upstream stated in a response that it leaves. It receives no further requests, whatever its
+   * registration says, until it has started again.
+   *
+   * @param sent_at  When the request was sent; a response from before the last start is ignored.
+   */
+  void record_leaving(std::string_view id, Instant sent_at);
+  /** An upstream turned a request away and wants no further one from this gateway until `until`.
+   * The latest of several times counts. Ends with a new start of the upstream.
+   *
+   * @param sent_at  See `record_leaving`.
+   */
+  void record_hold_off(std::string_view id, Instant sent_at, Instant until);
   /** An upstream reported its weight version. Versions older than the known one are ignored. */
   void record_weight_version(std::string_view id, std::string_view model, std::uint64_t version);
   /** An engine loads weights and rejects requests until it is done, or until `until` at the latest.
@@ -259,6 +271,9 @@
   struct Upstream {
     UpstreamRegistration registration;
     std::uint64_t id_hash = 0;
+    Instant known_since;          // When the last start of the upstream became known.
+    bool says_it_leaves = false;  // In a response since that start.
+    Instant held_off_until;       // It wants no requests from this gateway before.
     Instant cold_until;
     // When the upstream may last have been restarted: connections to it failed or were lost, here
     // or at other gateways, and its registration has not been renewed since.
@@ -295,6 +310,10 @@
 
   // Time without answers of the store after which registrations may have expired.
   Duration min_outage() const { return limits_.registration_interval * 2; }
+  // Whether the upstream leaves by its registration or by its own word.
+  static bool is_leaving(const Upstream& upstream);
+  // Returns the upstream if it has not started again since `sent_at`, else null.
+  Upstream* find_since(std::string_view id, Instant sent_at);
   // Whether the upstream's registration was removed and the time for which it is kept has passed.
   bool is_removed(const Upstream& upstream, Instant now) const;
   // Takes in that other gateways cannot reach the upstream.
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -564,4 +564,53 @@
   CHECK(f.pool.connection_limit(f.engines) == 2);
 }
 
+// Guards against a server that says that it leaves, and is used again because the store still lists
+// it as ready.
+TEST_CASE("an upstream that says that it leaves gets no requests until it has started again",
+          "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  f.pool.record_leaving("o1", kStart + 10_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 20_ms).empty());
+  f.add_plain("o1");  // Its registration is renewed and still says that it is ready.
+  f.pool.record_finished("o1", 0, AttemptOutcome::kAnswered, kStart + 30_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 60'000_ms).empty());
+  f.pool.put({.id = "o1", .service = "orders", .endpoint = {"10.0.0.2", 80}, .started_ms = 7},
+             kStart + 60'000_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 60'000_ms) == "o1");
+  // A response of the earlier start arrives late.
+  f.pool.record_leaving("o1", kStart + 59'999_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 60'001_ms) == "o1");
+}
+
+// Guards against an engine that leaves and is told to load weights.
+TEST_CASE("an engine that says that it leaves is not updated", "[gateway]") {
+  Fixture f;
+  f.add_engine("e1", 1);
+  f.pool.set_target_weights({.model = "m", .version = 2}, false, kStart);
+  std::size_t engines = 0;
+  CHECK(f.pool.outdated_engines(engines).size() == 1);
+  f.pool.record_leaving("e1", kStart);
+  CHECK(f.pool.outdated_engines(engines).empty());
+}
+
+// Guards against requests to a server that asked for none, also as the last resort, after a success
+// and after a shorter hold.
+TEST_CASE("an upstream that holds off gets no requests for the longest of its times", "[gateway]") {
+  Fixture f;
+  f.add_plain("o1");
+  f.pool.record_hold_off("o1", kStart, kStart + 4000_ms);
+  f.pool.record_hold_off("o1", kStart, kStart + 1000_ms);
+  f.pool.record_finished("o1", 0, AttemptOutcome::kAnswered, kStart + 500_ms);
+  const PickResult held = f.pool.pick(f.plain_query(), kStart + 3000_ms);
+  REQUIRE(std::holds_alternative<NoUpstreamAvailable>(held));
+  CHECK(std::get<NoUpstreamAvailable>(held).retry_after == 1000_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 3999_ms).empty());
+  CHECK(f.pick(f.plain_query(), kStart + 4000_ms) == "o1");
+  // Another upstream is used meanwhile.
+  f.pool.record_hold_off("o1", kStart + 5000_ms, kStart + 9000_ms);
+  f.add_plain("o2");
+  CHECK(f.pick(f.plain_query(), kStart + 6000_ms) == "o2");
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/upstream_weights.cc
+++ b/src/gateway/upstream_weights.cc
@@ -75,7 +75,7 @@
         continue;
       }
       ++engine_count;
-      if (version < target && !upstream.registration.leaving) {
+      if (version < target && !is_leaving(upstream)) {
         result.push_back({.upstream_id = id,
                           .endpoint = upstream.registration.endpoint,
                           .model = model,
