http: Allow a check after a wait for events to add another one

A response to a call that is failed because of its head may create a client, which adds a check while the checks are run. Found by reading; no run showed it.

--- a/src/http/http_loop.cc
+++ b/src/http/http_loop.cc
@@ -6,6 +6,7 @@
 #include <cassert>
 #include <csignal>
 #include <future>
+#include <iterator>
 #include <limits>
 #include <memory>
 
@@ -120,7 +121,13 @@
   poll_wait_ = Duration{wait_ms};
   ++poll_count_;
   h2o_evloop_run(loop_, wait_ms);
-  std::erase_if(poll_checks_, [](const std::function<bool()>& check) { return !check(); });
+  // A check may add another one.
+  std::vector<std::function<bool()>> checks;
+  checks.swap(poll_checks_);
+  std::erase_if(checks, [](const std::function<bool()>& check) { return !check(); });
+  checks.insert(checks.end(), std::make_move_iterator(poll_checks_.begin()),
+                std::make_move_iterator(poll_checks_.end()));
+  poll_checks_.swap(checks);
 }
 
 Duration HttpLoop::Impl::overrun(Instant now) const {
