--- a/review/7/gone_server.cc
+++ b/review/7/gone_server.cc
@@ -29,9 +29,11 @@
 // show.
 constexpr std::int64_t kCutMs = 1900;
 // The server goes on for this time after its entry was removed: `drain_ms` and many seconds.
-constexpr std::int64_t kLingerMs = 12'000;
+constexpr std::int64_t kLingerMs = 10'000;
 constexpr std::int64_t kWorkMs = 60;
 constexpr int kCallers = 6;
+// The cut may end before the gateway has heard of the removal; then it is tried once more.
+constexpr int kMaxRounds = 3;
 
 /** A server of the service `desk`. */
 class Desk {
@@ -122,33 +124,8 @@
   }
 }
 
-int run(const std::string& program, const std::string& folder, const std::string& record_path) {
-  static Record record(record_path);
-  static Store store;
-  static Proxy link(store.port());
-  static Desk stays("desk-1", record);
-  static Desk leaves("desk-2", record);
-  store.put("config", "main", small_config(1));
-  store.put("servers", "desk-1", server_entry("desk", stays.port(), "a", "ready"));
-  auto entry = server_entry("desk", leaves.port(), "a", "ready");
-  entry["cold_left_ms"] = 2900;
-  store.put("servers", "desk-2", entry);
-  Gateways gateways(program, folder);
-  // The gateway with the faster link reads the store for the other one.
-  const Gateway& cut = gateways.start("gateway-1", "a", link.port(), 1000);
-  const Gateway& other = gateways.start("gateway-2", "a", store.port(), 900);
-  if (!Gateways::wait_ready(cut, 10'000) || !Gateways::wait_ready(other, 10'000)) {
-    record.line("a gateway did not get ready");
-    return 2;
-  }
-  static std::atomic<bool> stop = false;
-  std::vector<std::thread> callers;
-  callers.reserve(kCallers);
-  for (int i = 0; i < kCallers; ++i) {
-    callers.emplace_back([&cut, i] { send_orders(cut.callers, i, stop, record); });
-  }
-  // The gateways get to know each other, and the traffic is steady.
-  sleep_ms(9000);
+/** Waits until the cut gateway has sent a watch of the servers; false if it sends none. */
+bool wait_for_watch(Proxy& link) {
   static std::atomic<std::int64_t> watch_sent = 0;
   link.on_request_bytes([](const std::string& bytes) {
     if (bytes.find("/objects/servers?watch=") != std::string::npos) {
@@ -156,9 +133,19 @@
     }
   });
   const std::int64_t last_watch = watch_sent;
-  while (watch_sent == last_watch) {
+  const std::int64_t end = now_ms() + 10'000;
+  while (watch_sent == last_watch && now_ms() < end) {
     sleep_ms(5);
   }
+  return watch_sent != last_watch;
+}
+
+/** The server `leaves` goes while the gateway is cut off. Returns how many orders reach it too
+ * late; -1 if that could not be played. */
+int play_round(Store& store, Proxy& link, const std::string& id, Desk& leaves, Record& record) {
+  if (!wait_for_watch(link)) {
+    return -1;
+  }
   sleep_ms(20);
   const bool trouble = !without_trouble();
   if (trouble) {
@@ -166,38 +153,73 @@
     record.line("gateway-1 is cut off from the store");
   }
   sleep_ms(150);
-  entry["cold_left_ms"] = 0;
-  store.put("servers", "desk-2", entry);
-  record.line("the entry of desk-2 changes: it is no longer cold");
+  auto entry = server_entry("desk", leaves.port(), "a", "ready");
+  entry["cold_left_ms"] = 2900;
+  store.put("servers", id, entry);
+  record.line("the entry of " + id + " changes: it is cold again");
   sleep_ms(350);
-  store.remove("servers", "desk-2");
+  store.remove("servers", id);
   const std::int64_t gone_at = now_ms();
-  record.line("the entry of desk-2 is removed; the store has acknowledged it");
+  record.line("the entry of " + id + " is removed; the store has acknowledged it");
   sleep_ms(kCutMs - 500);
   if (trouble) {
     link.hold(false);
     record.line("the link heals");
   }
-  const std::int64_t healed_at = now_ms();
-  sleep_ms(kContactMs + 500);
-  const std::int64_t judged_from = std::max(healed_at + kContactMs, gone_at + kDrainMs);
+  const std::int64_t judged_from = std::max(now_ms() + kContactMs, gone_at + kDrainMs) + 500;
+  sleep_ms(judged_from - now_ms());
   record.line("gateway-1 is in touch again");
   const int runs_before = leaves.runs();
   sleep_ms(gone_at + kLingerMs - now_ms());
-  record.line("desk-2 ends");
-  leaves.exit();
+  record.line(id + " ends");
   const int late_runs = leaves.runs() - runs_before;
+  leaves.exit();
   sleep_ms(1000);
-  stop = true;
-  for (std::thread& caller : callers) {
-    caller.join();
-  }
-  record.line("desk-2: " + std::to_string(late_runs) + " orders reached it from " +
+  record.line(id + ": " + std::to_string(late_runs) + " orders reached it from " +
               std::to_string(judged_from - gone_at) +
               " ms after its leaving was acknowledged on, the last one " +
               std::to_string(leaves.last_arrival() - gone_at) + " ms after it; " +
               std::to_string(leaves.broken_off()) + " broken off when it ended");
-  return late_runs > 0 ? 1 : 0;
+  return late_runs;
+}
+
+int run(const std::string& program, const std::string& folder, const std::string& record_path) {
+  static Record record(record_path);
+  static Store store;
+  static Proxy link(store.port());
+  static std::vector<std::unique_ptr<Desk>> desks;
+  store.put("config", "main", small_config(1));
+  // The first one stays.
+  for (int i = 1; i <= kMaxRounds + 1; ++i) {
+    const std::string id = "desk-" + std::to_string(i);
+    desks.push_back(std::make_unique<Desk>(id, record));
+    store.put("servers", id, server_entry("desk", desks.back()->port(), "a", "ready"));
+  }
+  Gateways gateways(program, folder);
+  // The gateway with the faster link reads the store for the other one.
+  const Gateway& cut = gateways.start("gateway-1", "a", link.port(), 1000);
+  const Gateway& other = gateways.start("gateway-2", "a", store.port(), 900);
+  if (!Gateways::wait_ready(cut, 10'000) || !Gateways::wait_ready(other, 10'000)) {
+    record.line("a gateway did not get ready");
+    return 2;
+  }
+  static std::atomic<bool> stop = false;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&cut, i] { send_orders(cut.callers, i, stop, record); });
+  }
+  // The gateways get to know each other, and the traffic is steady.
+  sleep_ms(9000);
+  int late_runs = 0;
+  for (int i = 1; i <= kMaxRounds && late_runs == 0; ++i) {
+    late_runs = play_round(store, link, "desk-" + std::to_string(i + 1), *desks[i], record);
+  }
+  stop = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  return late_runs > 0 ? 1 : late_runs == 0 ? 0 : 2;
 }
 
 }  // namespace
--- a/review/common-2/net.cc
+++ b/review/common-2/net.cc
@@ -14,6 +14,7 @@
 #include <cerrno>
 #include <cstdlib>
 #include <fstream>
+#include <random>
 #include <thread>
 
 namespace review {
@@ -270,15 +271,27 @@
 }
 
 std::vector<int> free_ports(std::size_t count) {
-  std::vector<int> fds;
+  // Below the ports that the kernel gives to connections, which could take one of these meanwhile.
+  constexpr int kFirst = 15'000;
+  constexpr int kCount = 15'000;
+  static std::mt19937 random{std::random_device{}()};
   std::vector<int> ports;
-  for (std::size_t i = 0; i < count; ++i) {
-    int port = 0;
-    fds.push_back(listen_on(port));
-    ports.push_back(port);
-  }
-  for (const int fd : fds) {
-    ::close(fd);
+  while (ports.size() < count) {
+    int port = kFirst + static_cast<int>(random() % kCount);
+    const int tcp = listen_on(port);
+    const int udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    const bool is_free =
+        tcp >= 0 &&
+        ::bind(udp, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 &&
+        std::find(ports.begin(), ports.end(), port) == ports.end();
+    ::close(udp);
+    if (tcp >= 0) {
+      ::close(tcp);
+    }
+    if (is_free) {
+      ports.push_back(port);
+    }
   }
   return ports;
 }
