--- a/review/common-2/gateways.cc
+++ b/review/common-2/gateways.cc
@@ -20,6 +20,18 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
+// Whether the gateway has printed that all its servers listen.
+bool listens(const Gateway& gateway) {
+  std::ifstream log(gateway.log);
+  std::string line;
+  while (std::getline(log, line)) {
+    if (line.rfind("listening ", 0) == 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 Gateways::~Gateways() {
@@ -55,7 +67,8 @@
                              "  engines_check_fences: true\n  version_limit: 10000ms\n"
                              "  repeat_ratio: 0.2\n  repeat_extra: 56\n  repeat_window: 10s\n"
                              "  cold_overage: 1.5\n  cold_slack: 5\n";
-  const std::string log = folder_ + "/" + name + ".log";
+  gateway->log = folder_ + "/" + name + ".log";
+  const std::string& log = gateway->log;
   const pid_t pid = ::fork();
   if (pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -73,6 +86,9 @@
 
 bool Gateways::wait_ready(const Gateway& gateway, std::int64_t timeout_ms) {
   const std::int64_t end = now_ms() + timeout_ms;
+  while (now_ms() < end && !listens(gateway)) {
+    sleep_ms(20);
+  }
   while (now_ms() < end) {
     const int fd = connect_to(gateway.ready);
     if (fd >= 0) {
--- a/review/common-2/gateways.h
+++ b/review/common-2/gateways.h
@@ -24,6 +24,7 @@
   int callers = 0;
   int ready = 0;
   int peers = 0;
+  std::string log;
 };
 
 /** Starts `target/bluebellstep gateway --settings FILE` with the settings that the deploy file's
@@ -42,7 +43,8 @@
                        const std::string& zone,
                        int store_port,
                        double link_mbps = 1000);
-  /** Waits until GET /ready is answered with 200. */
+  /** Waits until GET /ready is answered with 200. Asks only once the gateway has said that it
+   * listens, since it may end with SIGSEGV if it is asked while it starts; see REPORT-2.md. */
   static bool wait_ready(const Gateway& gateway, std::int64_t timeout_ms);
   /** Whether the process still runs. */
   static bool runs(const Gateway& gateway);
