gateway: Ignore changes that the replica has already superseded

Cause: during the cut the gateway learns of the removal from a peer. The answer to the watch that was sent before the cut arrives when the link heals, with an older change of the server. `ObjectReplica::apply` compared a change only with the object that it holds, so the change of a removed object created it again. Ruled out by the gateway's log: a removal that is not applied, and a registration that is kept after an outage.

The code relies on a statement that was not written down: the replica is complete up to its own revision. It now stands beside the member, `apply` ignores changes up to that revision and logs those of removed objects, and `replace` keeps objects that are newer than the list. Entry instances and sidecars keep one versioned document and have no such path.

--- a/src/gateway/object_replica.cc
+++ b/src/gateway/object_replica.cc
@@ -6,6 +6,8 @@
 #include <set>
 #include <utility>
 
+#include "base/log_event.h"
+
 namespace bluebellstep {
 
 ObjectReplica::Changes ObjectReplica::replace(std::vector<platform::StoredObject> objects,
@@ -25,7 +27,8 @@
     objects_[object.name] = std::move(object);
   }
   for (auto known = objects_.begin(); known != objects_.end();) {
-    if (present.contains(known->first)) {
+    // An object with a higher revision was created after the list was read.
+    if (present.contains(known->first) || known->second.revision > revision) {
       ++known;
       continue;
     }
@@ -52,7 +55,16 @@
       }
       continue;
     }
-    if (known != objects_.end() && known->second.revision >= change.object.revision) {
+    const bool is_superseded =
+        change.object.revision <= revision_ ||
+        (known != objects_.end() && known->second.revision >= change.object.revision);
+    if (is_superseded) {
+      if (known == objects_.end()) {
+        LogEvent("late_change_ignored")
+            .field("name", change.object.name)
+            .field("revision", change.object.revision)
+            .field("replica_revision", revision_);
+      }
       continue;
     }
     objects_[change.object.name] = change.object;
--- a/src/gateway/object_replica.h
+++ b/src/gateway/object_replica.h
@@ -1,8 +1,11 @@
 // A gateway's local replica of the store's objects of one kind, fed by lists and watches of the
 // store and by snapshots from peers.
 //
-// Updates may arrive late and out of order. An object is never replaced by an earlier revision of
-// itself, and a snapshot older than the replica is ignored.
+// Updates may arrive late and out of order: a peer may tell of a change while the answer to an
+// earlier watch is still on its way. Of two statements about an object, the one with the higher
+// revision of the store holds. That needs no memory of removed objects, since the replica is
+// complete up to its own revision: a change up to that revision which is not in the replica has
+// been superseded. A snapshot older than the replica is ignored.
 
 #ifndef BLUEBELLSTEP_GATEWAY_OBJECT_REPLICA_H_
 #define BLUEBELLSTEP_GATEWAY_OBJECT_REPLICA_H_
@@ -29,7 +32,9 @@
    * none if the replica is newer than the list. */
   Changes replace(std::vector<platform::StoredObject> objects, std::uint64_t revision);
 
-  /** Applies the changes that a watch returned. Returns those that were not known yet. */
+  /** Applies the changes that a watch returned. Returns those that were not known yet. The changes
+   * must be complete from a revision that this replica had to `changes.store_revision`; they may
+   * arrive after later ones. */
   Changes apply(platform::ObjectChanges changes);
 
   /** Whether `changes_since(revision)` would return changes or none for lack of history. */
@@ -49,6 +54,8 @@
 
   void record_removal(std::string name, std::uint64_t revision);
 
+  // All changes up to this revision have been applied. Objects may have higher revisions, since the
+  // pages of a list are read one after the other.
   std::uint64_t revision_ = 0;
   Objects objects_;
   std::deque<platform::StoredObject> removals_;  // Without content, by increasing revision.
