gateway: Require an API key where the list of accounts is empty

Cause: `ServingConfig::has_accounts` took an empty list of accounts for a configuration without the list. The check of a configuration reports a list without keys; the comparison reports a list that appears or goes. Entry instances refuse unknown tokens whatever the list holds, so they need no change.

--- a/src/config_check/config_check.cc
+++ b/src/config_check/config_check.cc
@@ -147,6 +147,9 @@
   }
 
   void check_accounts() {
+    if (config_.lists_accounts && config_.account_index_by_api_key.empty()) {
+      add("the list of accounts", "has no key, so that only anonymous requests can be served");
+    }
     std::vector<std::size_t> keys(config_.accounts.size());
     for (const auto& [key, index] : config_.account_index_by_api_key) {
       ++keys[index];
--- a/src/config_check/config_check_test.cc
+++ b/src/config_check/config_check_test.cc
@@ -109,6 +109,8 @@
             R"({"name":"u","api_keys":["k1"]},{"name":"v","api_keys":["k1"]})",
             "account u has as key 1 a key that account v has"},
            {R"("name":"u")", R"("name":"t")", "account t has the name of another account"},
+           {R"([{"name":"t","api_keys":["k1","k2"]},{"name":"u","api_keys":["k3"]}])", "[]",
+            "the list of accounts has no key"},
            {R"("service":"x")", R"("service":"kv")", "service x has no route"},
            {R"("service":"x")", R"("service":"kv")", "leads to kv, a cache store"},
            {R"("service":"x")", R"("service":"y")", "leads to the unknown service y"},
--- a/src/config_check/config_difference.cc
+++ b/src/config_check/config_difference.cc
@@ -100,6 +100,9 @@
   for (const auto& [name, service] : config.services) {
     add_subject(subjects, "service " + name, properties_of(service));
   }
+  if (config.lists_accounts) {
+    add_subject(subjects, "list of accounts", {});
+  }
   for (const ClientAccount& account : config.accounts) {
     add_subject(subjects, "account " + account.name,
                 {{"priority", account.priority ? std::to_string(*account.priority) : "the route's"},
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -123,7 +123,7 @@
     send_local_response(request, 404, "no_route", std::nullopt);
     return id;
   }
-  if (request.config->has_accounts() && !request.route->allows_anonymous) {
+  if (request.config->requires_api_key(*request.route)) {
     request.account = request.config->find_account(request.caller.api_key);
     if (request.account == nullptr) {
       send_local_response(request, 401, "unknown_key", std::nullopt);
--- a/src/gateway/serving_config.cc
+++ b/src/gateway/serving_config.cc
@@ -21,7 +21,7 @@
 
 std::int64_t ServingConfig::most_urgent_priority(const RouteRule& route,
                                                  const AccountPriorities& priorities) const {
-  if (!has_accounts() || route.allows_anonymous || !priorities.most_urgent) {
+  if (!requires_api_key(route) || !priorities.most_urgent) {
     return route.priority;
   }
   return priorities.some_use_the_routes ? std::min(route.priority, *priorities.most_urgent)
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -111,13 +111,18 @@
   std::uint64_t version = 0;
   std::vector<RouteRule> routes;
   std::unordered_map<std::string, ServiceInfo, StringHash, std::equal_to<>> services;
-  std::vector<ClientAccount> accounts;
+  // Whether the configuration has a list of accounts. With a list, even an empty one, requests to
+  // routes that do not allow anonymous requests need an API key; without one, no request does.
+  bool lists_accounts = false;
+  std::vector<ClientAccount> accounts;  // Empty unless `lists_accounts`.
   std::unordered_map<std::string, std::size_t, StringHash, std::equal_to<>>
       account_index_by_api_key;
   CallerLimits limits;
 
-  /** If false, no request needs an API key. */
-  bool has_accounts() const { return !accounts.empty(); }
+  /** Whether requests to the route need the API key of an account. */
+  bool requires_api_key(const RouteRule& route) const {
+    return lists_accounts && !route.allows_anonymous;
+  }
   /** Derives the goals of the most urgent requests to each service from the priorities that
    * requests of the accounts can have. Call once the routes, services and accounts are complete. */
   void set_urgent_goals();
--- a/src/gateway/serving_config_test.cc
+++ b/src/gateway/serving_config_test.cc
@@ -11,6 +11,7 @@
 ServingConfig two_routes() {
   ServingConfig config;
   config.services["llm"].name = "llm";
+  config.lists_accounts = true;
   config.routes = {{.name = "chat", .latency_goal = 400_ms, .priority = 1, .targets = {{"llm"}}},
                    {.name = "batch", .latency_goal = 3000_ms, .priority = 5, .targets = {{"llm"}}}};
   return config;
