gateway: Test repeated refusals, errors within streams and cut answer heads

Other operators report three faults: a faulty server repeats an earlier refusal on a kept connection and a later request is told "not run"; the error of a second server reaches a stream that has begun; an answer that ends within its head becomes a whole 200.

Answers are matched by request id, and a connection with a foreign answer is not used again; an answer that is no success is kept back until it is complete and is not written into a stream that has begun; a head without its end is a lost answer. The refusals are those of requests with ids of their own: a request goes to each upstream at most once, and callers give each attempt a new id.

--- /dev/null
+++ b/src/gateway/faulty_answers_test.cc
@@ -0,0 +1,176 @@
+// Tests of what callers receive if an upstream repeats an answer, breaks a stream off, or stops in
+// the middle of an answer's head.
+
+#include <catch2/catch.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "tests/support/raw_socket.h"
+#include "tests/support/socket_gateway.h"
+
+namespace bluebellstep {
+namespace {
+
+constexpr std::string_view kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+std::shared_ptr<const ServingConfig> make_config() {
+  const auto route = [](std::string name, RequestKind kind, std::uint32_t max_attempts) {
+    return RouteRule{.name = name,
+                     .host = "h",
+                     .path_prefix = "/" + name + "/",
+                     .kind = kind,
+                     .timeout = Duration{3000},
+                     .latency_goal = Duration{1000},
+                     .targets = {{.service = "s"}},
+                     .max_attempts = max_attempts,
+                     .resumable = kind == RequestKind::kStream && max_attempts > 1};
+  };
+  ServingConfig config{.version = 1};
+  config.routes = {route("order", RequestKind::kNonIdempotent, 1),
+                   route("stream", RequestKind::kStream, 1),
+                   route("resumable", RequestKind::kStream, 2)};
+  config.services.emplace("s", ServiceInfo{.name = "s", .max_connections = 100});
+  return std::make_shared<const ServingConfig>(std::move(config));
+}
+
+std::string request(std::string_view route, std::string_view id, std::string_view version = "1.1") {
+  return "POST /" + std::string(route) + "/1 HTTP/" + std::string(version) +
+         "\r\nHost: h\r\nRequest-Id: " + std::string(id) +
+         "\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string answer(std::string_view id,
+                   std::string_view status,
+                   std::string_view fields,
+                   std::string_view body) {
+  return "HTTP/1.1 " + std::string(status) + "\r\nRequest-Id: " + std::string(id) +
+         "\r\nKeep-Alive: timeout=5\r\n" + std::string(fields) +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+std::string answered(std::string_view id, std::string_view body) {
+  return answer(id, "200 OK", "Server-Seal: s\r\n", body);
+}
+
+std::string refused(std::string_view id) {
+  return answer(id, "503 Service Unavailable", "Not-Executed: 1\r\n", "full");
+}
+
+/** A gateway with upstreams whose connections the test accepts and answers. */
+class Fixture : public SocketGateway {
+ public:
+  explicit Fixture(int upstreams) : SocketGateway({.ratio = 1, .fixed_retries = 10}) {
+    set_config(make_config());
+    for (int i = 1; i <= upstreams; ++i) {
+      add_upstream("u" + std::to_string(i), upstream.port());
+    }
+  }
+
+  RawSocket accept_request() {
+    RawSocket connection = upstream.accept();
+    connection.receive_until("\r\n\r\n");
+    return connection;
+  }
+
+  RawListener upstream;
+};
+
+}  // namespace
+
+// Guards against a caller that is told "not run" while its request runs: a faulty server writes its
+// refusal of an earlier request once more on a kept connection.
+TEST_CASE("a repeated refusal of an earlier request refuses no later one", "[gateway][faults]") {
+  Fixture gateway(1);
+  RawSocket caller = gateway.connect();
+  caller.send(request("order", "r1"));
+  RawSocket upstream = gateway.accept_request();
+  upstream.send(answered("r1", "one"));
+  REQUIRE(caller.receive_until("one").ends_with("one"));
+  caller.send(request("order", "r2"));
+  upstream.receive_until("\r\n\r\n");
+  upstream.send(refused("r2"));
+  REQUIRE(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+  // The gateway sends nothing to an upstream for a moment after a refusal.
+  std::string sent;
+  for (int i = 0; i < 50 && sent.empty(); ++i) {
+    caller.send(request("order", "r3"));
+    sent = upstream.receive_some(100);
+    if (sent.empty()) {
+      caller.receive_until("\r\n\r\n");
+    }
+  }
+  REQUIRE(sent.find("r3") != std::string::npos);
+  upstream.send(refused("r2"));
+
+  SECTION("the answer follows") {
+    upstream.send(answered("r3", "three"));
+    const std::string received = caller.receive_until("three");
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(received.ends_with("three"));
+  }
+  SECTION("the connection ends") {
+    upstream.close();
+    CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+  }
+  SECTION("another refusal without an id follows") {
+    upstream.send(
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    upstream.close();
+    CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+  }
+}
+
+// Guards against an error's text, or its head, within a stream that has begun, and against a stream
+// that ends as if it were complete.
+TEST_CASE("the error of a second upstream is no part of a stream that has begun",
+          "[gateway][faults]") {
+  const std::string error =
+      GENERATE(answer("r1", "500 Internal Server Error", "Server-Seal: s\r\n", "data: broken\n\n"),
+               answer("r1", "503 Service Unavailable", "Not-Executed: 1\r\n", "data: broken\n\n"),
+               answer("r1", "404 Not Found", "Server-Seal: s\r\n", "data: broken\n\n"),
+               answer("r1", "302 Found", "Server-Seal: s\r\n", "data: broken\n\n"),
+               answer("r1", "200 OK", "", "id: 3\ndata: broken\n\n"),  // Not signed.
+               std::string("HTTP/1.1 500 Internal broken"), std::string("data: broken\n\n"));
+  CAPTURE(error);
+  Fixture gateway(2);
+  RawSocket caller = gateway.connect();
+  caller.send(request("resumable", "r1"));
+  {
+    RawSocket first = gateway.accept_request();
+    first.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\n");
+    first.send(kEvents);
+    REQUIRE(caller.receive_until("data: b\n\n").find("data: b") != std::string::npos);
+    first.send("id: 3\ndata: br");
+  }
+  {
+    RawSocket second = gateway.accept_request();
+    second.send(error);
+  }
+  const std::string rest = caller.receive_all();
+  CHECK(rest.find("br") == std::string::npos);
+  CHECK(rest.find("HTTP/") == std::string::npos);
+  CHECK(rest.find("0\r\n\r\n") == std::string::npos);  // The last chunk would end the stream.
+}
+
+// Guards against an empty or short answer that is framed as whole.
+TEST_CASE("an answer that ends within its head is no answer", "[gateway][faults]") {
+  const std::string route = GENERATE("order", "stream");
+  const std::string complete = answered("r1", "id: 1\ndata: a\n\n");
+  const std::size_t head_size = complete.find("\r\n\r\n") + 4;
+  for (std::size_t size = 0; size < head_size; size += 5) {
+    CAPTURE(route, size);
+    Fixture gateway(1);
+    RawSocket caller = gateway.connect();
+    caller.send(request(route, "r1"));
+    {
+      RawSocket upstream = gateway.accept_request();
+      upstream.send(std::string_view(complete).substr(0, size));
+    }
+    CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+  }
+}
+
+}  // namespace bluebellstep
