gateway: Reset broken streams to callers that receive no chunks

A caller of HTTP/1.0 could not tell a broken stream from a complete one: both ended with an orderly end of the connection. `CallerResponseWriter::abort` relied on the missing last chunk. It is now told whether the end of the connection would complete the answer, and resets the connection if so. Answers in chunks end as before, since a reset may destroy unread events.

--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -85,6 +85,8 @@
 
   /** Closes the connection and releases what it holds. No callback follows. */
   void discard();
+  /** Resets the connection; the owner destroys this object. */
+  void reset() { stream_.reset(); }
   /** Stops reading a body, since there is no room, and reports that as a read error. Returns false
    * if no body is being read. */
   bool refuse_body();
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -190,9 +190,12 @@
       }
     });
   };
-  writer.abort = [this, id] {
+  writer.abort = [this, id](bool reset) {
     if (Connection* entry = find(id)) {
       entry->request_id.reset();
+      if (reset) {
+        entry->connection->reset();
+      }
     }
     remove(id);
   };
--- a/src/gateway/faulty_answers_test.cc
+++ b/src/gateway/faulty_answers_test.cc
@@ -1,7 +1,11 @@
 // Tests of what callers receive if an upstream repeats an answer, breaks a stream off, or stops in
 // the middle of an answer's head.
 
+#include <sys/socket.h>
+
+#include <array>
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -173,4 +177,23 @@
   }
 }
 
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0, whose answers end
+// with the connection: only a reset tells the difference.
+TEST_CASE("a broken stream to a caller without chunks is reset", "[gateway][faults]") {
+  Fixture gateway(1);
+  RawSocket caller = gateway.connect();
+  caller.send(request("stream", "r1", "1.0"));
+  {
+    RawSocket upstream = gateway.accept_request();
+    upstream.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\n");
+    upstream.send(kEvents);
+    REQUIRE(caller.receive_until("data: b\n\n").find("data: b") != std::string::npos);
+    upstream.send("id: 3\ndata: br");
+  }
+  std::array<char, 64> buffer;
+  const ssize_t count = ::recv(caller.fd(), buffer.data(), buffer.size(), 0);
+  CHECK(count < 0);
+  CHECK(errno == ECONNRESET);
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -417,7 +417,7 @@
   request.response_writer.write(out);
   if (request.response_writer.unsent() > kMaxUnsentBytes) {
     end_attempt(request, AttemptOutcome::kCallerDisconnected, false);
-    request.response_writer.abort();
+    request.response_writer.abort(!request.chunked);
     finish_request(request, "caller_too_slow", 0);
     return;
   }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -49,9 +49,9 @@
   std::function<void(std::string head, std::shared_ptr<const std::string> body)> write_body;
   /** Ends a complete response. Closes the connection if `close`. */
   std::function<void(bool close)> complete;
-  /** Closes the connection without ending the response, so that the caller can tell that the
-   * response is incomplete. */
-  std::function<void()> abort;
+  /** Closes the connection without ending the response. `reset` tells the caller of a response that
+   * ends with its connection that it is incomplete; a response in chunks shows that by itself. */
+  std::function<void(bool reset)> abort;
   /** Returns the number of bytes that are buffered and not yet accepted by the kernel. */
   std::function<std::size_t()> unsent;
   /** Returns whether the caller has closed the connection, also if that has not been read yet. */
--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -45,7 +45,7 @@
         .write_body = [this](const std::string& head,
                              const std::shared_ptr<const std::string>& body) { add(head + *body); },
         .complete = [this](bool) { end(true); },
-        .abort = [this] { end(false); },
+        .abort = [this](bool) { end(false); },
         .unsent = [] { return std::size_t{0}; },
         .caller_left = [] { return false; }};
   }
--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -57,7 +57,7 @@
 
 void Forwarder::fail_request(Request& request, bool may_have_run, std::string_view reason) {
   if (request.response_started) {
-    request.response_writer.abort();
+    request.response_writer.abort(!request.chunked);
     finish_request(request, "cut_off", 0);
     return;
   }
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "base/log_event.h"
 #include "http/socket_address.h"
 #include "http/socket_options.h"
 
@@ -119,6 +120,17 @@
   sent_of_sending_ = 0;
 }
 
+void ByteStream::reset() {
+  if (socket_ != nullptr) {
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    if (::setsockopt(h2o_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &discard,
+                     sizeof(discard)) != 0) {
+      LogEvent("connection_not_reset", LogEvent::Severity::kWarning).field("errno", errno);
+    }
+  }
+  close();
+}
+
 bool ByteStream::has_unread_bytes() const {
   int unread = 0;
   return socket_ != nullptr && ::ioctl(h2o_socket_get_fd(socket_), FIONREAD, &unread) == 0 &&
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -72,6 +72,10 @@
    * follows. */
   void close();
 
+  /** The same, but the peer sees a reset instead of an orderly end. What it has not received yet may
+   * be lost. */
+  void reset();
+
   /** Number of bytes that were passed to `write` and not yet handed to the kernel. */
   std::size_t unsent() const { return pending_.size() + sending_.size() - sent_of_sending_; }
 
