--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -38,6 +38,10 @@
   // Limits for the complete response, since a faulty server may send bytes without end.
   std::optional<Duration> response_timeout;  // From the end of connecting; unset for none.
   std::size_t max_response_bytes = std::numeric_limits<std::size_t>::max();
+  // Sends the call on a connection of its own. On a kept connection a faulty server may write its
+  // response to an earlier call once more, which HTTP cannot tell from the response to this one.
+  // For calls that have effects and whose responses carry no id of the call.
+  bool own_connection = false;
 };
 
 /**
--- a/src/http/http_client_impl.cc
+++ b/src/http/http_client_impl.cc
@@ -82,7 +82,8 @@
                         .detail = "the method, the path or a header contains invalid characters"});
     return;
   }
-  call.pool = pool_for(call.request.endpoint);
+  call.pool = call.request.own_connection ? make_pool(call.request.endpoint)
+                                          : pool_for(call.request.endpoint);
   if (call.pool == nullptr) {
     finish(call, Failed{.may_have_been_sent = false,
                         .detail = "not an IP address: " + call.request.endpoint.ip});
@@ -95,17 +96,22 @@
                                     on_connect);
 }
 
+std::shared_ptr<HttpClient::Impl::Pool> HttpClient::Impl::make_pool(
+    const Endpoint& endpoint) const {
+  const std::optional<SocketAddress> address = to_socket_address(endpoint);
+  return address ? std::make_shared<Pool>(loop_.loop(), *address) : nullptr;
+}
+
 std::shared_ptr<HttpClient::Impl::Pool> HttpClient::Impl::pool_for(const Endpoint& endpoint) {
   const Instant now = loop_.now();
   remove_unused_pools(now);
   std::shared_ptr<Pool>& pool = pools_[{endpoint.ip, endpoint.port}];
   if (pool == nullptr) {
-    const std::optional<SocketAddress> address = to_socket_address(endpoint);
-    if (!address) {
+    pool = make_pool(endpoint);
+    if (pool == nullptr) {
       pools_.erase({endpoint.ip, endpoint.port});
       return nullptr;
     }
-    pool = std::make_shared<Pool>(loop_.loop(), *address);
   }
   pool->last_used_at = now;
   return pool;
--- a/src/http/http_client_impl.h
+++ b/src/http/http_client_impl.h
@@ -84,7 +84,9 @@
   using DeadlineEntry = std::pair<Instant, HttpCallId>;
 
   Call* find(HttpCallId id);
+  // Both return null if the endpoint has no IP address. `make_pool` makes one that is not shared.
   std::shared_ptr<Pool> pool_for(const Endpoint& endpoint);
+  std::shared_ptr<Pool> make_pool(const Endpoint& endpoint) const;
   void remove_unused_pools(Instant now);
   void finish(Call& call, const Outcome& outcome);
   void release(Call& call);
--- a/src/sidecar/plain_runner.cc
+++ b/src/sidecar/plain_runner.cc
@@ -47,6 +47,7 @@
   }
   call.body = spec.body;
   call.idle_timeout = options.response_timeout;
+  call.own_connection = !spec.idempotency_key.empty();
   return call;
 }
 
