weight_rollout: Free the load slot of an engine whose earlier load has ended

Cause: an engine that was loading when a newer version was named kept its load slot until the load timed out, 6 s after its start. The end of a load was recognized only by the newest version, which that load does not lead to. A report now ends the load if the engine is not busy and has accepted a command since, or has started again. An engine that started again also waited for the timeout.

--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -28,6 +28,8 @@
       // A load of an earlier target version may still be in progress.
       engine.load_may_run = true;
       engine.load_started_at = known->second.load_started_at;
+      engine.reported_sequence = known->second.reported_sequence;
+      engine.reported_start_ms = known->second.reported_start_ms;
       engine.phase = Phase::kLoading;
     }
     next.emplace(std::move(id), std::move(engine));
@@ -110,12 +112,15 @@
     engines_.erase(found);
     return;
   }
-  engine.reported_sequence = report->command_sequence;
-  if (report->busy || (engine.load_may_run && !load_timed_out)) {
+  const bool load_ended = !report->busy && (report->command_sequence > engine.reported_sequence ||
+                                            report->started_ms != engine.reported_start_ms);
+  if (report->busy || (engine.load_may_run && !load_ended && !load_timed_out)) {
     engine.phase = engine.load_may_run ? Phase::kLoading : Phase::kWaiting;
     engine.due_at = now + kReportInterval;
     return;
   }
+  engine.reported_sequence = report->command_sequence;
+  engine.reported_start_ms = report->started_ms;
   engine.phase = Phase::kReadyToLoad;
 }
 
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -110,8 +110,12 @@
     Phase phase = Phase::kWaiting;
     Instant due_at;  // In `kWaiting` and `kLoading`: earliest time of the next report request.
     Instant load_started_at;
+    // As last reported. A load command expects this sequence, so a higher one shows that the engine
+    // accepted the command, whatever version it was for. It also changes with each new start.
     std::uint64_t reported_sequence = 0;
-    // A command was sent that may be in progress; counts towards `max_concurrent_loads`.
+    std::int64_t reported_start_ms = 0;
+    // A command was sent that may be in progress; counts towards `max_concurrent_loads`. Ends when
+    // a report shows that the engine accepted the command, or started again, and is not busy.
     bool load_may_run = false;
   };
 
--- a/src/gateway/weight_rollout_test.cc
+++ b/src/gateway/weight_rollout_test.cc
@@ -2,7 +2,12 @@
 
 #include "gateway/weight_rollout.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace bluebellstep {
 namespace {
@@ -113,4 +118,103 @@
   CHECK_FALSE(rollout.next(kStart + 200_ms));
 }
 
+// Guards against a rollout that is not done in time because versions are named in quick succession:
+// an engine whose load had ended kept its load slot until the load timed out, since it reported
+// another version than the newest.
+TEST_CASE("a newer target version is loaded as soon as the load in progress has ended",
+          "[gateway]") {
+  WeightRollout rollout;
+  rollout.set_pending_updates(updates(1, 2), 1, kStart);
+  REQUIRE(commands(rollout, report(1, 4), kStart).size() == 1);
+  rollout.set_pending_updates(updates(1, 3), 1, kStart + 100_ms);
+  SECTION("the report is from before the command") {
+    CHECK(commands(rollout, report(1, 4), kStart + 100_ms).empty());
+  }
+  SECTION("the load is in progress") {
+    CHECK(commands(rollout, report(1, 5, true), kStart + 100_ms).empty());
+  }
+  SECTION("the load has ended") {
+    const auto next = commands(rollout, report(2, 5), kStart + 3000_ms);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].weight_version == 3);
+    CHECK(next[0].expected_sequence == 5);
+  }
+  SECTION("the engine has started again") {
+    EngineReport restarted = report(1, 0);
+    restarted.started_ms = 7;
+    CHECK(commands(rollout, restarted, kStart + 3000_ms).size() == 1);
+  }
+}
+
+// Guards against load slots that stay unused while engines wait for them, and so against a rollout
+// that takes longer than the 20 s for which requests may start on older weights. The load: 43
+// engines that load for 2.5 s, or longer while more than eight do, and three versions that are
+// named within 8 s.
+TEST_CASE("versions that are named in quick succession are loaded in time", "[gateway]") {
+  struct SimulatedEngine {
+    EngineReport reported = report(1, 0);
+    std::uint64_t loading = 0;
+    double remaining_ms = 0;  // Of the load, if no more than `kFullSpeedLoads` are in progress.
+  };
+  constexpr int kEngines = 43;
+  constexpr double kFullSpeedLoads = 8;
+  constexpr std::ptrdiff_t kSlots = kEngines / 4;
+  constexpr Duration kStep{10};
+  const Instant last_named = kStart + 8000_ms;
+  std::map<std::string, SimulatedEngine> engines;
+  std::uint64_t target = 2;
+  const auto pending = [&] {
+    std::vector<EngineUpdate> result;
+    for (const auto& update : updates(kEngines, target)) {
+      if (*engines[update.upstream_id].reported.weight_version < target) {
+        result.push_back(update);
+      }
+    }
+    return result;
+  };
+  WeightRollout rollout;
+  rollout.set_pending_updates(pending(), kEngines, kStart);
+  Duration unused_slots_for{0};
+  Instant now = kStart;
+  for (; rollout.has_pending_updates() || now <= last_named; now = now + kStep) {
+    CAPTURE((now - last_named).ms);
+    REQUIRE(now < last_named + 20'000_ms);
+    if (now == kStart + 4000_ms || now == last_named) {
+      ++target;
+      rollout.set_pending_updates(pending(), kEngines, now);
+    }
+    const auto loads = std::count_if(engines.begin(), engines.end(),
+                                     [](const auto& entry) { return entry.second.reported.busy; });
+    const auto outdated = std::count_if(engines.begin(), engines.end(), [&](const auto& entry) {
+      return *entry.second.reported.weight_version < target;
+    });
+    unused_slots_for = loads < std::min(kSlots, outdated) ? unused_slots_for + kStep : Duration{0};
+    REQUIRE(unused_slots_for < WeightRollout::kReportInterval * 2);
+    const double speed =
+        std::min(1.0, kFullSpeedLoads / static_cast<double>(std::max<std::ptrdiff_t>(loads, 1)));
+    for (auto& [id, engine] : engines) {
+      engine.remaining_ms -= speed * static_cast<double>(kStep.ms);
+      if (engine.reported.busy && engine.remaining_ms <= 0) {
+        engine.reported.busy = false;
+        engine.reported.weight_version = engine.loading;
+      }
+    }
+    while (auto call = rollout.next(now)) {
+      const std::string& id = call->command.upstream_id;
+      SimulatedEngine& engine = engines[id];
+      if (call->kind == EngineCall::Kind::kRequestReport) {
+        rollout.on_report(id, engine.reported, now);
+        continue;
+      }
+      REQUIRE_FALSE(engine.reported.busy);
+      REQUIRE(call->command.expected_sequence == engine.reported.command_sequence);
+      ++engine.reported.command_sequence;
+      engine.reported.busy = true;
+      engine.loading = call->command.weight_version;
+      engine.remaining_ms = 2500;
+      rollout.on_load_answer(id, WeightLoadAnswer::kAccepted, now);
+    }
+  }
+}
+
 }  // namespace bluebellstep
