weight_rollout: Let engines that do not report yield to others

An engine that goes dark has the fewest requests in flight, so it was asked for its report before engines that could load, again and again: 0.8 s of a load slot in each 1.8 s until its registration expires, or for as long as an outage of the store keeps it. With as many dark engines as load slots, others loaded only in the gaps.

Engines are now asked in the order of failed reports since the last good one, then of requests in flight. The new test fails before (the two dark engines are asked again) and passes after.

--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -24,6 +24,7 @@
     Engine engine;
     engine.update = std::move(update);
     engine.due_at = now;
+    engine.failed_reports = known == engines_.end() ? 0 : known->second.failed_reports;
     if (known != engines_.end() && known->second.load_may_run) {
       // A load of an earlier target version may still be in progress.
       engine.load_may_run = true;
@@ -80,7 +81,8 @@
     }
     if (!engine.load_may_run && engine.phase == Phase::kWaiting && engine.due_at <= now &&
         (least_loaded == nullptr ||
-         engine.update.running_requests < least_loaded->update.running_requests)) {
+         std::pair(engine.failed_reports, engine.update.running_requests) <
+             std::pair(least_loaded->failed_reports, least_loaded->update.running_requests))) {
       least_loaded = &engine;
     }
   }
@@ -100,6 +102,7 @@
   Engine& engine = found->second;
   const bool load_timed_out = engine.load_may_run && now - engine.load_started_at >= kLoadTimeout;
   if (!report) {
+    ++engine.failed_reports;
     // No valid report: retry later. Unless a load may still be in progress, another engine may
     // load.
     engine.load_may_run = engine.load_may_run && !load_timed_out;
@@ -107,6 +110,7 @@
     engine.due_at = now + kRetryDelay;
     return;
   }
+  engine.failed_reports = 0;
   if (report->weight_version && *report->weight_version >= engine.update.target_version &&
       !report->busy) {
     engines_.erase(found);
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -113,6 +113,9 @@
     // As last reported. A load command expects this sequence, so a higher one shows that the engine
     // accepted the command, whatever version it was for. It also changes with each new start.
     std::uint64_t reported_sequence = 0;
+    // Since its last report. Engines that fail to report yield to others, since each request for a
+    // report that is not answered takes up a load slot for as long as the call may take.
+    std::uint32_t failed_reports = 0;
     std::int64_t reported_start_ms = 0;
     // A command was sent that may be in progress; counts towards `max_concurrent_loads`. Ends when
     // a report shows that the engine accepted the command, or started again, and is not busy.
--- a/src/gateway/weight_rollout_test.cc
+++ b/src/gateway/weight_rollout_test.cc
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bluebellstep {
@@ -106,6 +107,29 @@
   CHECK(commands(rollout, report(1, 0), kStart).size() == 2);
 }
 
+// Guards against a rollout that stalls beside engines that went dark: they have the fewest
+// requests, so each time they were asked first, and took up the load slots for the time of a call.
+TEST_CASE("engines that do not report yield to those that may load", "[gateway]") {
+  WeightRollout rollout;
+  std::vector<EngineUpdate> pending = updates(8, 2);
+  for (std::size_t i = 2; i < pending.size(); ++i) {
+    pending[i].running_requests = 5;
+  }
+  rollout.set_pending_updates(std::move(pending), 8, kStart);
+  for (const std::string_view dark : {"e0", "e1"}) {
+    const auto call = rollout.next(kStart);
+    REQUIRE(call);
+    CHECK(call->command.upstream_id == dark);
+  }
+  rollout.on_report("e0", std::nullopt, kStart + 800_ms);
+  rollout.on_report("e1", std::nullopt, kStart + 800_ms);
+  const Instant all_due = kStart + 800_ms + WeightRollout::kRetryDelay;
+  const auto loading = commands(rollout, report(1, 0), all_due);
+  REQUIRE(loading.size() == 2);
+  CHECK(loading[0].upstream_id == "e2");
+  CHECK(loading[1].upstream_id == "e3");
+}
+
 TEST_CASE("a newer target version waits for the load in progress", "[gateway]") {
   WeightRollout rollout;
   rollout.set_pending_updates(updates(1, 2), 1, kStart);
