--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -24,10 +24,13 @@
     Engine engine;
     engine.update = std::move(update);
     engine.due_at = now;
+    engine.failed_reports = known == engines_.end() ? 0 : known->second.failed_reports;
     if (known != engines_.end() && known->second.load_may_run) {
       // A load of an earlier target version may still be in progress.
       engine.load_may_run = true;
       engine.load_started_at = known->second.load_started_at;
+      engine.reported_sequence = known->second.reported_sequence;
+      engine.reported_start_ms = known->second.reported_start_ms;
       engine.phase = Phase::kLoading;
     }
     next.emplace(std::move(id), std::move(engine));
@@ -78,7 +81,8 @@
     }
     if (!engine.load_may_run && engine.phase == Phase::kWaiting && engine.due_at <= now &&
         (least_loaded == nullptr ||
-         engine.update.running_requests < least_loaded->update.running_requests)) {
+         std::pair(engine.failed_reports, engine.update.running_requests) <
+             std::pair(least_loaded->failed_reports, least_loaded->update.running_requests))) {
       least_loaded = &engine;
     }
   }
@@ -98,6 +102,7 @@
   Engine& engine = found->second;
   const bool load_timed_out = engine.load_may_run && now - engine.load_started_at >= kLoadTimeout;
   if (!report) {
+    ++engine.failed_reports;
     // No valid report: retry later. Unless a load may still be in progress, another engine may
     // load.
     engine.load_may_run = engine.load_may_run && !load_timed_out;
@@ -105,17 +110,21 @@
     engine.due_at = now + kRetryDelay;
     return;
   }
+  engine.failed_reports = 0;
   if (report->weight_version && *report->weight_version >= engine.update.target_version &&
       !report->busy) {
     engines_.erase(found);
     return;
   }
-  engine.reported_sequence = report->command_sequence;
-  if (report->busy || (engine.load_may_run && !load_timed_out)) {
+  const bool load_ended = !report->busy && (report->command_sequence > engine.reported_sequence ||
+                                            report->started_ms != engine.reported_start_ms);
+  if (report->busy || (engine.load_may_run && !load_ended && !load_timed_out)) {
     engine.phase = engine.load_may_run ? Phase::kLoading : Phase::kWaiting;
     engine.due_at = now + kReportInterval;
     return;
   }
+  engine.reported_sequence = report->command_sequence;
+  engine.reported_start_ms = report->started_ms;
   engine.phase = Phase::kReadyToLoad;
 }
 
