--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -72,8 +72,8 @@
    * follows. */
   void close();
 
-  /** The same, but the peer sees a reset instead of an orderly end. What it has not received yet may
-   * be lost. */
+  /** The same, but the peer sees a reset instead of an orderly end. What it has not received yet
+   * may be lost. */
   void reset();
 
   /** Number of bytes that were passed to `write` and not yet handed to the kernel. */
