upstream_pool: Notice an engine that goes back to older weights

A gateway took it for granted, without saying so, that the weight version of an engine only increases. An engine that starts again under its former id clears its sequence and fences, so it can carry out a load command from before that arrives seconds late, for an older version than it has. No gateway noticed: the highest version ever stated counted, and the engine was never updated again.

Of two statements of an engine's own, the lower one now counts if it was asked for after the higher one had been received, and after the last start became known; otherwise the answers may have overtaken each other. Registrations still never lower a version, since answers are ahead of them. The rule stands beside `record_weight_version`, the gateway logs `weights_went_back`, and the rollout is told.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -317,7 +317,7 @@
   }
   if (attempt.response.weight_version) {
     pool_.record_weight_version(attempt.picked.upstream_id, request->caller.model,
-                                *attempt.response.weight_version);
+                                *attempt.response.weight_version, attempt.started_at, now);
   }
   if (attempt.response.close) {
     attempt.connection->disable_reuse();
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -111,6 +111,7 @@
             [this](LoadReport report) { on_load_report(std::move(report)); }),
         caller_listener(loop, settings.callers, forwarder, caller_options(settings), &metrics) {
     synchronizer.on_weights_changed([this] { rollout_driver.refresh(); });
+    pool.on_weights_went_back([this] { rollout_driver.refresh(); });
     synchronizer.on_peers_changed([this](std::vector<Endpoint> peers) {
       load_report_exchange.set_peers(std::move(peers));
       rollout_driver.set_lease_rank(synchronizer.lease_rank());
--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -20,6 +20,8 @@
 // An engine that was told to load weights is expected to reject requests for this time, unless it
 // reports the new weights before.
 constexpr Duration kExpectedLoadTime{1500};
+// Reports of engines tell their state of some hundred ms ago.
+constexpr Duration kReportAge{1000};
 
 LeaseSettings lease_settings(const GatewaySettings& settings) {
   LeaseSettings lease;
@@ -154,11 +156,11 @@
     return;
   }
   send(platform::report_call(engine->endpoint, kCallTimeout),
-       [this, id = engine->upstream_id,
-        model = engine->model](const HttpClient::Response& response) {
+       [this, id = engine->upstream_id, model = engine->model,
+        as_of = clock_.now() - kReportAge](const HttpClient::Response& response) {
          const auto report = platform::decode_report(response, model);
          if (report && report->weight_version) {
-           pool_.record_weight_version(id, model, *report->weight_version);
+           pool_.record_weight_version(id, model, *report->weight_version, as_of, clock_.now());
          }
          rollout_.on_report(id, report, clock_.now());
        });
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -54,6 +54,9 @@
     upstream.known_since = now;
     upstream.limit.cold_until = now + registration.remaining_cold_time;
     upstream.start_tag = start_tag(registration);
+    for (const auto& [model, version] : registration.weight_versions) {
+      upstream.weights_stated_at[model] = now;
+    }
     upstream.registration = std::move(registration);
     upstreams_.insert_or_assign(std::move(id), std::move(upstream));
     return;
@@ -62,8 +65,11 @@
   upstream.limit.cold_until =
       std::max(upstream.limit.cold_until, now + registration.remaining_cold_time);
   for (const auto& [model, version] : upstream.registration.weight_versions) {
-    // Versions only increase, and responses report them before the registration is updated.
+    // Answers state a version before the registration does, so a registration never lowers it.
     std::uint64_t& newest = registration.weight_versions[model];
+    if (newest > version) {
+      upstream.weights_stated_at[model] = now;
+    }
     newest = std::max(newest, version);
   }
   upstream.registration = std::move(registration);
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -231,8 +231,22 @@
    * @param sent_at  See `record_leaving`.
    */
   void record_hold_off(std::string_view id, Instant sent_at, Instant until);
-  /** An upstream reported its weight version. Versions older than the known one are ignored. */
-  void record_weight_version(std::string_view id, std::string_view model, std::uint64_t version);
+  /** An upstream stated its weight version in an answer. Answers overtake each other, so an older
+   * version than the known one counts only if the answer is certain to be newer than what the known
+   * version is from: if it was asked for after that had been received. An engine goes back to older
+   * weights if it starts again and then carries out a command from before.
+   *
+   * @param asked_at  When the request was sent; earlier if the statement may be older than that.
+   */
+  void record_weight_version(std::string_view id,
+                             std::string_view model,
+                             std::uint64_t version,
+                             Instant asked_at,
+                             Instant now);
+  /** Sets the function to call when an engine went back to older weights. */
+  void on_weights_went_back(std::function<void()> callback) {
+    on_weights_went_back_ = std::move(callback);
+  }
   /** An engine loads weights and rejects requests until it is done, or until `until` at the latest.
    * The other gateways are told. */
   void record_loading(std::string_view id, Instant until);
@@ -303,7 +317,10 @@
 
  private:
   struct Upstream {
+    // Its weight versions are the newest of the registration and of the upstream's answers.
     UpstreamRegistration registration;
+    // By model: when the statement that the known weight version is from was last received.
+    std::map<std::string, Instant, std::less<>> weights_stated_at;
     std::uint64_t id_hash = 0;
     Instant known_since;          // When the last start of the upstream became known.
     bool says_it_leaves = false;  // In a response since that start.
@@ -425,6 +442,7 @@
   std::map<std::string, Rollout, std::less<>> rollouts_;  // By model.
   std::function<void(std::uint32_t)> on_prompt_sent_;
   std::function<void()> on_loading_;
+  std::function<void()> on_weights_went_back_;
   std::map<std::string, ServiceTimes, std::less<>> times_;  // By service.
   OverloadPolicy overload_policy_;
   std::optional<Instant> store_answered_at_;  // Latest `answered_at` of `record_store_answer`.
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -45,6 +45,10 @@
     pool.put(registration, kStart);
   }
 
+  void record_weights(std::string_view id, std::uint64_t version) {
+    pool.record_weight_version(id, "m", version, kStart, kStart);
+  }
+
   void add_plain(const std::string& id, const std::string& zone = "a", bool leaving = false) {
     pool.put({.id = id,
               .service = "orders",
@@ -352,7 +356,7 @@
   f.pool.set_target_weights({.model = "m", .version = 3}, false, kStart + 7000_ms);
   CHECK(f.pick(f.engine_query(), kStart + 7000_ms) == "e1");
   CHECK(f.pick(f.engine_query(), kStart + 8000_ms).empty());
-  f.pool.record_weight_version("e1", "m", 2);
+  f.record_weights("e1", 2);
   CHECK(f.pick(f.engine_query(), kStart + 8000_ms) == "e1");
   CHECK(f.pick(f.engine_query(), kStart + 15'000_ms).empty());
 }
@@ -376,7 +380,7 @@
   f.pool.set_target_weights({.model = "m", .version = 2}, false, kStart);
   f.pool.update_rollouts(kStart);
   CHECK(f.pool.settled_versions(kStart + 60_s).empty());
-  f.pool.record_weight_version("e1", "m", 2);
+  f.record_weights("e1", 2);
   f.pool.update_rollouts(kStart + 1000_ms);
   CHECK(f.pool.settled_versions(kStart + 4999_ms).empty());
   CHECK(f.pool.settled_versions(kStart + 5000_ms).at("m") == 2);
@@ -393,13 +397,13 @@
   f.add_engine("e2", 1);
   f.pool.set_target_weights({.model = "m", .version = 3}, false, kStart);
   f.pool.update_rollouts(kStart);
-  f.pool.record_weight_version("e2", "m", 2);
+  f.record_weights("e2", 2);
   f.pool.update_rollouts(kStart + 1_s);
   const Instant settled = kStart + 1_s + UpstreamPool::kSettleTime;
   CHECK(f.pool.settled_versions(settled - 1_ms)["m"] < 2);
   CHECK(f.pool.settled_versions(settled)["m"] == 2);
   // Not all engines have the newer version yet.
-  f.pool.record_weight_version("e1", "m", 3);
+  f.record_weights("e1", 3);
   f.pool.update_rollouts(settled);
   CHECK(f.pool.settled_versions(settled)["m"] == 2);
 }
@@ -529,7 +533,7 @@
     CHECK(f.pick(query) == "e2");
   }
   // It has the new weights, although the reports of others may still tell otherwise.
-  f.pool.record_weight_version("e1", "m", 2);
+  f.record_weights("e1", 2);
   CHECK(f.pick(f.preferring("e1", f.engine_query())) == "e1");
 }
 
--- a/src/gateway/upstream_weights.cc
+++ b/src/gateway/upstream_weights.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log_event.h"
 #include "gateway/upstream_pool.h"
 
 namespace bluebellstep {
@@ -57,10 +58,34 @@
 
 void UpstreamPool::record_weight_version(std::string_view id,
                                          std::string_view model,
-                                         std::uint64_t version) {
-  if (const auto found = upstreams_.find(id); found != upstreams_.end() && !model.empty()) {
-    std::uint64_t& known = found->second.registration.weight_versions[std::string(model)];
-    known = std::max(known, version);
+                                         std::uint64_t version,
+                                         Instant asked_at,
+                                         Instant now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end() || model.empty()) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  std::uint64_t& known = upstream.registration.weight_versions[std::string(model)];
+  Instant& stated_at = upstream.weights_stated_at[std::string(model)];
+  if (version >= known) {
+    known = version;
+    stated_at = now;
+    return;
+  }
+  if (asked_at < stated_at || asked_at < upstream.known_since) {
+    return;
+  }
+  LogEvent("weights_went_back", LogEvent::Severity::kWarning)
+      .field("upstream", id)
+      .field("model", model)
+      .field("version", version)
+      .field("known_version", known)
+      .field("known_ms_ago", (now - stated_at).ms);
+  known = version;
+  stated_at = now;
+  if (on_weights_went_back_) {
+    on_weights_went_back_();
   }
 }
 
