lease_candidacy: Count only updated engines as the progress of a rollout

Gateways beyond the first three compete for the lease of a rollout once there is no progress for 2.5 s. Any change in the number of outdated engines counted as progress. While engines flap, expire or are replaced more often than that, a rollout whose first three gateways are down or cut off from the store stood still.

Progress is now a new target version, the first outdated engine, or fewer outdated engines than ever since then.

--- a/src/gateway/lease_candidacy.cc
+++ b/src/gateway/lease_candidacy.cc
@@ -4,9 +4,12 @@
 
 namespace bluebellstep {
 
-void LeaseCandidacy::set_pending(std::size_t pending, Instant now) {
-  if (pending != pending_) {
-    pending_ = pending;
+void LeaseCandidacy::set_pending(std::size_t pending, std::uint64_t target_version, Instant now) {
+  const bool is_new_rollout = pending_ == 0 || target_version > target_version_;
+  pending_ = pending;
+  if (is_new_rollout || pending < fewest_pending_) {
+    fewest_pending_ = pending;
+    target_version_ = target_version;
     progressed_at_ = now;
   }
 }
--- a/src/gateway/lease_candidacy.h
+++ b/src/gateway/lease_candidacy.h
@@ -9,6 +9,7 @@
 #define BLUEBELLSTEP_GATEWAY_LEASE_CANDIDACY_H_
 
 #include <cstddef>
+#include <cstdint>
 
 #include "base/clock.h"
 
@@ -26,8 +27,11 @@
   /** Sets the rank of this gateway among all gateways, from 0. */
   void set_rank(std::size_t rank) { rank_ = rank; }
 
-  /** Sets the number of engines that are not up to date. A change counts as progress. */
-  void set_pending(std::size_t pending, Instant now);
+  /** Sets the number of engines that are not up to date, and the newest version that one of them
+   * should have. The first engines, a new version, and fewer engines than ever since then count as
+   * progress. Other changes do not: engines that come, go or restart change the number without any
+   * being updated. */
+  void set_pending(std::size_t pending, std::uint64_t target_version, Instant now);
 
   /** Whether this gateway competes for the lease. */
   bool may_compete(Instant now) const { return pending_ > 0 && now >= competes_from(); }
@@ -38,6 +42,8 @@
  private:
   std::size_t rank_ = 0;
   std::size_t pending_ = 0;
+  std::size_t fewest_pending_ = 0;  // Since the target version was set.
+  std::uint64_t target_version_ = 0;
   Instant progressed_at_;
 };
 
--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -73,14 +73,16 @@
   std::size_t engine_count = 0;
   outdated_engines_ = pool_.outdated_engines(engine_count);
   std::vector<EngineUpdate> updates;
+  std::uint64_t newest_target = 0;
   for (const UpstreamPool::OutdatedEngine& item : outdated_engines_) {
     updates.push_back({.upstream_id = item.upstream_id,
                        .model = item.model,
                        .current_version = item.current_version,
                        .target_version = item.target_version,
                        .running_requests = item.running_requests});
+    newest_target = std::max(newest_target, item.target_version);
   }
-  candidacy_.set_pending(updates.size(), clock_.now());
+  candidacy_.set_pending(updates.size(), newest_target, clock_.now());
   rollout_.set_pending_updates(std::move(updates), engine_count, clock_.now());
   advance();
 }
