weight_rollout: Load engines at once that no gateway sends requests to

A quarter of the engines load at the same time, since they are out of service meanwhile. Engines whose weights are older than requests may use are out of service anyway, yet they waited for load slots.

Engines past the limit on older weights now neither wait for slots nor take any up. The limit counts from the time at which the gateway learned of the version; a gateway that has just started assumes an earlier one for its own requests, but others may still use these engines.

--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -79,7 +79,8 @@
                        .model = item.model,
                        .current_version = item.current_version,
                        .target_version = item.target_version,
-                       .running_requests = item.running_requests});
+                       .running_requests = item.running_requests,
+                       .serves_until = item.serves_until});
     newest_target = std::max(newest_target, item.target_version);
   }
   candidacy_.set_pending(updates.size(), newest_target, clock_.now());
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -266,6 +266,7 @@
     std::uint64_t current_version = 0;
     std::uint64_t target_version = 0;
     std::size_t running_requests = 0;  // As last reported.
+    Instant serves_until;              // See `EngineUpdate::serves_until`.
   };
   /** The engines to update. Engines that are leaving are not listed.
    *
@@ -345,7 +346,8 @@
 
   struct TargetVersion {
     std::uint64_t version = 0;
-    Instant set_at;  // When it was set as the target.
+    Instant set_at;      // When it was set as the target; assumed if that was before the start.
+    Instant learned_at;  // By then at the latest it was set.
   };
 
   // The target versions set for a model, oldest first. Each limits the use of older versions from
@@ -420,6 +422,8 @@
   std::optional<std::uint64_t> version_of(const Upstream& upstream, std::string_view model) const;
   bool has_older_weights(const Upstream& upstream) const;
   std::uint64_t newest_target(std::string_view model) const;
+  // When requests end to start on `version`, whatever gateway sends them.
+  Instant serves_until(std::uint64_t version, std::string_view model) const;
   bool is_past_limit(std::uint64_t version, std::string_view model, Instant now) const;
 
   PoolLimits limits_;
--- a/src/gateway/upstream_weights.cc
+++ b/src/gateway/upstream_weights.cc
@@ -24,7 +24,9 @@
     // A target set before the start of this gateway counts as old enough that older versions may be
     // used only for `startup_grace`.
     const Duration assumed_age = limits_.version_limit - kVersionMargin - limits_.startup_grace;
-    known.push_back({target.version, set_before_start ? now - assumed_age : now});
+    known.push_back({.version = target.version,
+                     .set_at = set_before_start ? now - assumed_age : now,
+                     .learned_at = now});
   }
 }
 
@@ -49,6 +51,18 @@
          });
 }
 
+Instant UpstreamPool::serves_until(std::uint64_t version, std::string_view model) const {
+  Instant until{INT64_MAX};
+  if (const auto found = targets_.find(model); found != targets_.end()) {
+    for (const TargetVersion& target : found->second) {
+      if (version < target.version) {
+        until = std::min(until, target.learned_at + limits_.version_limit - kVersionMargin);
+      }
+    }
+  }
+  return until;
+}
+
 std::optional<std::uint64_t> UpstreamPool::version_of(const Upstream& upstream,
                                                       std::string_view model) const {
   const auto found = upstream.registration.weight_versions.find(std::string(model));
@@ -106,7 +120,8 @@
                           .model = model,
                           .current_version = version,
                           .target_version = target,
-                          .running_requests = upstream.load.running});
+                          .running_requests = upstream.load.running,
+                          .serves_until = serves_until(version, model)});
       }
     }
   }
--- a/src/gateway/upstream_weights_test.cc
+++ b/src/gateway/upstream_weights_test.cc
@@ -81,4 +81,17 @@
   CHECK(f.went_back == 0);
 }
 
+// Guards against a rollout that takes all engines out of service at once: a gateway that has just
+// started assumes that a target is old, but other gateways may know that it was just set.
+TEST_CASE("an engine counts as out of service only once every gateway must know it", "[gateway]") {
+  Fixture f;
+  const Instant restarted = kStart + 1_s;
+  f.pool.set_target_weights({.model = "m", .version = 4}, true, restarted);
+  f.pool.record_weight_version("e", "m", 3, restarted, restarted);
+  std::size_t engine_count = 0;
+  const auto engines = f.pool.outdated_engines(engine_count);
+  REQUIRE(engines.size() == 1);
+  CHECK(engines[0].serves_until >= restarted + PoolLimits{}.version_limit - Duration{2500});
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -38,9 +38,11 @@
   engines_ = std::move(next);
 }
 
-std::size_t WeightRollout::concurrent_loads() const {
-  return static_cast<std::size_t>(std::count_if(
-      engines_.begin(), engines_.end(), [](const auto& item) { return item.second.load_may_run; }));
+std::size_t WeightRollout::concurrent_loads(Instant now) const {
+  return static_cast<std::size_t>(
+      std::count_if(engines_.begin(), engines_.end(), [now](const auto& item) {
+        return item.second.load_may_run && now < item.second.update.serves_until;
+      }));
 }
 
 std::size_t WeightRollout::max_concurrent_loads() const {
@@ -76,17 +78,23 @@
     if (engine.load_may_run && engine.phase == Phase::kLoading && engine.due_at <= now) {
       return request_report(engine);
     }
-    if (!engine.load_may_run && engine.phase == Phase::kAwaitingReport) {
+    const bool serves = now < engine.update.serves_until;
+    if (serves && !engine.load_may_run && engine.phase == Phase::kAwaitingReport) {
       ++pending_reports;
     }
-    if (!engine.load_may_run && engine.phase == Phase::kWaiting && engine.due_at <= now &&
-        (least_loaded == nullptr ||
-         std::pair(engine.failed_reports, engine.update.running_requests) <
-             std::pair(least_loaded->failed_reports, least_loaded->update.running_requests))) {
+    if (engine.load_may_run || engine.phase != Phase::kWaiting || engine.due_at > now) {
+      continue;
+    }
+    if (!serves) {
+      return request_report(engine);
+    }
+    if (least_loaded == nullptr ||
+        std::pair(engine.failed_reports, engine.update.running_requests) <
+            std::pair(least_loaded->failed_reports, least_loaded->update.running_requests)) {
       least_loaded = &engine;
     }
   }
-  if (least_loaded != nullptr && concurrent_loads() + pending_reports < max_concurrent_loads()) {
+  if (least_loaded != nullptr && concurrent_loads(now) + pending_reports < max_concurrent_loads()) {
     return request_report(*least_loaded);
   }
   return std::nullopt;
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -1,5 +1,7 @@
 // Decides the order and pace in which model engines load their target weight version. Engines are
-// out of service while they load, so only some of them load at the same time.
+// out of service while they load, so only some of them load at the same time. Engines whose weights
+// are too old for requests are out of service anyway, so they do not wait for each other: each
+// change of the lease's holder costs a term, and loads that were commanded before go on meanwhile.
 //
 // Only the gateway that holds the rollout lease runs it. Each load command carries the lease's
 // fencing number and the engine's command sequence as last reported, so that an engine rejects a
@@ -54,6 +56,8 @@
   std::uint64_t current_version = 0;
   std::uint64_t target_version = 0;
   std::size_t running_requests = 0;  // As last reported. Engines with the fewest load first.
+  // From then on no gateway sends it requests, since its weights are too old.
+  Instant serves_until{INT64_MAX};
 };
 
 /** A call to an engine: a request for its report, or a load command. */
@@ -122,7 +126,8 @@
     bool load_may_run = false;
   };
 
-  std::size_t concurrent_loads() const;
+  // Loads of engines that would receive requests if they did not load.
+  std::size_t concurrent_loads(Instant now) const;
   std::size_t max_concurrent_loads() const;
   EngineCall request_report(Engine& engine);
 
--- a/src/gateway/weight_rollout_test.cc
+++ b/src/gateway/weight_rollout_test.cc
@@ -241,4 +241,21 @@
   }
 }
 
+// Guards against a rollout that is not done in time because its holder changes again and again:
+// engines that no gateway may use any more waited for load slots, and each holder filled them once.
+TEST_CASE("engines that are out of service do not wait for load slots", "[gateway]") {
+  WeightRollout rollout;
+  std::vector<EngineUpdate> pending = updates(43, 2);
+  for (std::size_t i = 20; i < pending.size(); ++i) {
+    pending[i].serves_until = kStart + 1000_ms;
+  }
+  rollout.set_pending_updates(std::move(pending), 43, kStart);
+  const std::size_t before = commands(rollout, report(1, 0), kStart + 999_ms).size();
+  CHECK(before == 10);
+  const std::size_t after = commands(rollout, report(1, 0), kStart + 2500_ms).size();
+  CHECK(before + after >= 23);
+  CHECK(before + after <= 33);  // No more than ten of those that serve.
+  CHECK(commands(rollout, report(1, 0), kStart + 2500_ms).empty());
+}
+
 }  // namespace bluebellstep
