--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -318,7 +318,8 @@
 
  private:
   struct Upstream {
-    // Its weight versions are the newest of the registration and of the upstream's answers.
+    // Its weight versions are those last stated by the registration or by the upstream's answers;
+    // `record_weight_version` tells which statement is newer.
     UpstreamRegistration registration;
     // By model: when the statement that the known weight version is from was last received.
     std::map<std::string, Instant, std::less<>> weights_stated_at;
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -114,8 +114,8 @@
     Phase phase = Phase::kWaiting;
     Instant due_at;  // In `kWaiting` and `kLoading`: earliest time of the next report request.
     Instant load_started_at;
-    // As last reported. A load command expects this sequence, so a higher one shows that the engine
-    // accepted the command, whatever version it was for. It also changes with each new start.
+    // Of the report that the last load command was based on. The command expects this sequence, so
+    // a higher one shows that the engine accepted it, whatever version it was for.
     std::uint64_t reported_sequence = 0;
     // Since its last report. Engines that fail to report yield to others, since each request for a
     // report that is not answered takes up a load slot for as long as the call may take.
