gateway: Test answers with invalid field names

Reported from other systems: an upstream sends a head in which the name of a field holds a blank or a control byte, and the caller gets it as an answer, with that line passed on or with a body that is not the upstream's.

This system already handles it. The parser of libh2o rejects each byte that RFC 9110 does not allow in a token, so the exchange ends as "not_http" and the caller receives 502, or the answer of another upstream if the request may run again. The new tests hold on the code as it is: 7 names for requests of three kinds over sockets, with and without a length (42 assertions), and all 255 other bytes in three places of a name, in requests and in responses (1530 assertions). No product code is changed.

--- a/src/gateway/faulty_answers_test.cc
+++ b/src/gateway/faulty_answers_test.cc
@@ -1,5 +1,5 @@
-// Tests of what callers receive if an upstream repeats an answer, breaks a stream off, or stops in
-// the middle of an answer's head.
+// Tests of what callers receive if an upstream repeats an answer, breaks a stream off, stops in the
+// middle of an answer's head, or sends a head that HTTP does not allow.
 
 #include <sys/socket.h>
 
@@ -33,9 +33,9 @@
                      .resumable = kind == RequestKind::kStream && max_attempts > 1};
   };
   ServingConfig config{.version = 1};
-  config.routes = {route("order", RequestKind::kNonIdempotent, 1),
-                   route("stream", RequestKind::kStream, 1),
-                   route("resumable", RequestKind::kStream, 2)};
+  config.routes = {
+      route("order", RequestKind::kNonIdempotent, 1), route("lookup", RequestKind::kIdempotent, 2),
+      route("stream", RequestKind::kStream, 1), route("resumable", RequestKind::kStream, 2)};
   config.services.emplace("s", ServiceInfo{.name = "s", .max_connections = 100});
   return std::make_shared<const ServingConfig>(std::move(config));
 }
@@ -196,4 +196,25 @@
   CHECK(errno == ECONNRESET);
 }
 
+// Guards against a line that is passed on although another HTTP implementation may read it as
+// another field, and against a body that ends elsewhere than the upstream ended it.
+TEST_CASE("an answer with an invalid field name is no answer", "[gateway][faults]") {
+  const std::string route = GENERATE("order", "lookup", "stream");
+  const std::string field = GENERATE("X Y: 1", "X : 1", "X\t: 1", "X\x01Y: 1", "X\x7fY: 1",
+                                     "Content-Length : 4", "Transfer-Encoding : chunked");
+  const bool has_length = GENERATE(true, false);
+  CAPTURE(route, field, has_length);
+  const std::string fields = "Server-Seal: s\r\n" + field + "\r\n";
+  Fixture gateway(1);
+  RawSocket caller = gateway.connect();
+  caller.send(request(route, "r1"));
+  {
+    RawSocket upstream = gateway.accept_request();
+    upstream.send(has_length ? answer("r1", "200 OK", fields, "id: 1\ndata: a\n\n")
+                             : "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + fields +
+                                   "\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+  }
+  CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+}
+
 }  // namespace bluebellstep
--- a/src/http1/message_parser_test.cc
+++ b/src/http1/message_parser_test.cc
@@ -3,6 +3,8 @@
 #include "http1/message_parser.h"
 
 #include <catch2/catch.hpp>
+#include <string>
+#include <string_view>
 
 namespace bluebellstep {
 namespace {
@@ -14,6 +16,24 @@
   return request_framing(head);
 }
 
+HeadStatus parse_request(std::string_view text) {
+  MessageHead head;
+  std::size_t consumed = 0;
+  return parse_request_head(text, head, consumed);
+}
+
+HeadStatus parse_response(std::string_view text) {
+  MessageHead head;
+  std::size_t consumed = 0;
+  return parse_response_head(text, head, consumed);
+}
+
+// Whether RFC 9110 allows `c` in a token.
+bool is_token_character(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c != '\0' && std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos);
+}
+
 }  // namespace
 
 TEST_CASE("a request head is parsed with its fields as received", "[http1]") {
@@ -63,6 +83,26 @@
   CHECK(parse_response_head("HTT", head, consumed) == HeadStatus::kIncomplete);
 }
 
+// Guards against a field whose name another HTTP implementation reads as another name, which may
+// move the end of the message.
+TEST_CASE("a head with a field name that is no token is malformed", "[http1]") {
+  for (int byte = 0; byte < 256; ++byte) {
+    const char c = static_cast<char>(byte);
+    if (c == ':') {
+      continue;  // Ends the name.
+    }
+    CAPTURE(byte);
+    const HeadStatus expected =
+        is_token_character(c) ? HeadStatus::kComplete : HeadStatus::kMalformed;
+    for (const std::string& name :
+         {std::string{'X', c, 'Y'}, std::string{c, 'Y'}, std::string{'X', c}}) {
+      const std::string field = name + ": 1\r\n\r\n";
+      CHECK(parse_request("GET / HTTP/1.1\r\n" + field) == expected);
+      CHECK(parse_response("HTTP/1.1 200 OK\r\n" + field) == expected);
+    }
+  }
+}
+
 TEST_CASE("a body of known length does not consume the bytes after it", "[http1]") {
   BodyDecoder body(LengthBody{3});
   std::string content;
