http1: Reject response heads with an undefined status

What callers saw: an upstream in trouble sends an answer with the status 000 (also 099, 600 to 999), and the caller gets it as an answer.

Cause: libh2o's parser accepts any three digits as a status, and the gateway decides by ranges: 2xx needs a seal, 5xx is an error. A status outside all of them was taken for the upstream's own answer. The code relied on a status between 100 and 599, which nobody had written down.

Change: parse_response_head checks the status, so that a complete head has a valid one; the statement stands at MessageHead::status and is_valid_status. A response with another status is no HTTP response: the exchange ends as "not_http" and may have run, so that the caller receives 502, or the answer of another upstream if the request may run again. RFC 9110, section 15, asks for the same: a client treats such a response as 5xx. 101 is excluded as well, since the gateway never asks for another protocol; the bytes after it are not HTTP.

--- a/src/gateway/faulty_answers_test.cc
+++ b/src/gateway/faulty_answers_test.cc
@@ -196,6 +196,21 @@
   CHECK(errno == ECONNRESET);
 }
 
+// Guards against a status that callers cannot interpret.
+TEST_CASE("an answer with an undefined status is no answer", "[gateway][faults]") {
+  const std::string route = GENERATE("order", "lookup", "stream");
+  const std::string status = GENERATE("000 X", "099 X", "101 X", "600 X", "999 X");
+  CAPTURE(route, status);
+  Fixture gateway(1);
+  RawSocket caller = gateway.connect();
+  caller.send(request(route, "r1"));
+  {
+    RawSocket upstream = gateway.accept_request();
+    upstream.send(answer("r1", status, "Server-Seal: s\r\n", "id: 1\ndata: a\n\n"));
+  }
+  CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+}
+
 // Guards against a line that is passed on although another HTTP implementation may read it as
 // another field, and against a body that ends elsewhere than the upstream ended it.
 TEST_CASE("an answer with an invalid field name is no answer", "[gateway][faults]") {
@@ -217,4 +232,21 @@
   CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
 }
 
+// Guards against a request that fails although another upstream answers it.
+TEST_CASE("a lookup is retried after an invalid head", "[gateway][faults]") {
+  const std::string broken = GENERATE(answer("r1", "000 X", "Server-Seal: s\r\n", "broken"),
+                                      answered("r1", "broken").insert(17, "X Y: 1\r\n"));
+  CAPTURE(broken);
+  Fixture gateway(2);
+  RawSocket caller = gateway.connect();
+  caller.send(request("lookup", "r1"));
+  RawSocket first = gateway.accept_request();
+  first.send(broken);
+  RawSocket second = gateway.accept_request();
+  second.send(answered("r1", "whole"));
+  const std::string received = caller.receive_until("whole");
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  CHECK(received.ends_with("whole"));
+}
+
 }  // namespace bluebellstep
--- a/src/http1/message_parser.cc
+++ b/src/http1/message_parser.cc
@@ -187,7 +187,9 @@
   const int parsed =
       phr_parse_response(head.text.data(), head.text.size(), &head.minor_version, &head.status,
                          &message, &message_length, raw.data(), &count, 0);
-  if (parsed != static_cast<int>(length) || !copy_fields(raw, count, head)) {
+  // The parser accepts any three digits as a status.
+  if (parsed != static_cast<int>(length) || !is_valid_status(head.status) ||
+      !copy_fields(raw, count, head)) {
     return HeadStatus::kMalformed;
   }
   consumed = length;
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -32,6 +32,12 @@
 /** Parses a decimal number; nothing if `text` contains anything else or the number is too large. */
 std::optional<std::uint64_t> parse_decimal(std::string_view text);
 
+/** Whether a response to this system may have the status code: RFC 9110, section 15, defines 100 to
+ * 599. 101 is excluded, since it accepts a change of protocol and no request asks for one. */
+constexpr bool is_valid_status(int status) {
+  return status >= 100 && status <= 599 && status != 101;
+}
+
 /** Head of a request or response. Not copyable, since the views point into `text`. */
 struct MessageHead {
   MessageHead() = default;
@@ -41,7 +47,7 @@
   std::string text;         // The complete head. Not changed after parsing.
   std::string_view method;  // Requests only.
   std::string_view target;  // Requests only: path and query.
-  int status = 0;           // Responses only.
+  int status = 0;           // Responses only; see `is_valid_status`.
   int minor_version = 1;
   std::vector<HeaderField> fields;
 
@@ -74,7 +80,8 @@
 HeadStatus parse_request_head(std::string_view bytes, MessageHead& head, std::size_t& consumed);
 
 /** Parses a response head at the start of `bytes`, like `parse_request_head`. Bytes that cannot be
- * the start of an HTTP/1 response are malformed from the first one on. */
+ * the start of an HTTP/1 response are malformed from the first one on. A complete head has a valid
+ * status. */
 HeadStatus parse_response_head(std::string_view bytes, MessageHead& head, std::size_t& consumed);
 
 /** Returns the framing of a request. Returns nothing if the framing is contradictory or unknown,
--- a/src/http1/message_parser_test.cc
+++ b/src/http1/message_parser_test.cc
@@ -103,6 +103,22 @@
   }
 }
 
+// Guards against responses with a status that callers cannot interpret.
+TEST_CASE("a response with an undefined status is malformed", "[http1]") {
+  for (int status = 0; status <= 999; ++status) {
+    CAPTURE(status);
+    const std::string digits = std::to_string(1000 + status).substr(1);
+    const bool defined = status >= 100 && status <= 599 && status != 101;
+    CHECK(parse_response("HTTP/1.1 " + digits + " X\r\n\r\n") ==
+          (defined ? HeadStatus::kComplete : HeadStatus::kMalformed));
+  }
+  for (const std::string_view status : {"20", "0200", "2000", "-20", "+200", "2x0", " 200"}) {
+    CAPTURE(status);
+    CHECK(parse_response("HTTP/1.1 " + std::string(status) + " X\r\n\r\n") ==
+          HeadStatus::kMalformed);
+  }
+}
+
 TEST_CASE("a body of known length does not consume the bytes after it", "[http1]") {
   BodyDecoder body(LengthBody{3});
   std::string content;
