http: Check response heads in the client with the gateway's parser

HttpClient serves all calls that are not callers' requests to the gateway: reports, orders, cache events, the store, peers, the sidecar and the command line.

Cause: h2o's client accepts heads that HTTP does not allow: any three digits as a status, folded lines, several lengths, and a length together with chunks. A complete response with the status 000 looked like a call without any response (Response::status is 0 for that), one with 101 or 600 was complete.

Change: the client checks the whole head with parse_response_head and response_framing, as the gateway does, before it tells the listener anything. Otherwise the call has failed, may have been sent, and has no status. The framing replaces two members that repeated a part of the same checks. Field names with blanks or control bytes were rejected before by libh2o's parser; these rows guard that.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -62,7 +62,8 @@
 
   using Outcome = std::variant<Complete, Failed>;
 
-  /** Callbacks of one call. Unset ones are skipped. */
+  /** Callbacks of one call. Unset ones are skipped. `on_head` is only called with a head that
+   * `parse_response_head` accepts and whose framing is not contradictory. */
   struct Listener {
     std::function<void(int status, std::span<const HttpHeader>)> on_head;
     std::function<void(std::string_view)> on_data;
@@ -71,7 +72,7 @@
 
   /** A response with its body, for calls that are not streamed. */
   struct Response {
-    int status = 0;  // 0 if no response head was received.
+    int status = 0;  // Valid, see `is_valid_status`, or 0 if no valid response head was received.
     std::vector<HttpHeader> headers;
     std::string body;
     Outcome outcome;
--- a/src/http/http_client_impl.cc
+++ b/src/http/http_client_impl.cc
@@ -19,15 +19,6 @@
 // removed over time.
 constexpr Duration kPoolRetention{60000};
 
-bool has_length(std::span<const HttpHeader> headers) {
-  return find_header(headers, "content-length") || find_header(headers, "transfer-encoding");
-}
-
-bool has_empty_body(std::span<const HttpHeader> headers) {
-  return find_header(headers, "content-length") == "0" &&
-         !find_header(headers, "transfer-encoding");
-}
-
 }  // namespace
 
 HttpClient::Impl::Pool::Pool(h2o_loop_t* loop, SocketAddress address) {
@@ -166,7 +157,7 @@
                                                   h2o_iovec_t,
                                                   h2o_header_t* headers,
                                                   std::size_t header_count,
-                                                  int) {
+                                                  int head_length) {
   Call& call = *static_cast<Call*>(client->data);
   const auto self = call.owner->shared_from_this();
   const bool is_end = error == h2o_http1client_error_is_eos;
@@ -176,6 +167,14 @@
                               .detail = to_string(call.request.endpoint) + ": " + error});
     return nullptr;
   }
+  const auto framing = check_head(call, static_cast<std::size_t>(head_length));
+  if (!framing) {
+    self->finish(call, Failed{.may_have_been_sent = true,
+                              .detail = to_string(call.request.endpoint) +
+                                        ": response with an invalid head"});
+    return nullptr;
+  }
+  call.framing = *framing;
   self->deliver_head(call, status, {headers, header_count});
   if (call.cancelled) {
     self->release(call);
@@ -188,6 +187,16 @@
   return on_body;
 }
 
+std::optional<BodyFraming> HttpClient::Impl::check_head(const Call& call, std::size_t head_length) {
+  // h2o removes the head from the input after `on_head`.
+  const std::string_view bytes(call.client->sock->input->bytes, head_length);
+  MessageHead head;
+  std::size_t consumed = 0;
+  return parse_response_head(bytes, head, consumed) == HeadStatus::kComplete
+             ? response_framing(head, call.request.method)
+             : std::nullopt;
+}
+
 void HttpClient::Impl::deliver_head(Call& call, int status, std::span<const h2o_header_t> headers) {
   extend_deadline(call);
   std::vector<HttpHeader> copied;
@@ -196,8 +205,6 @@
     copied.push_back({std::string(header.name->base, header.name->len),
                       std::string(header.value.base, header.value.len)});
   }
-  call.has_length = has_length(copied);
-  call.has_empty_body = has_empty_body(copied);
   if (call.listener.on_head) {
     call.in_callback = true;
     call.listener.on_head(status, copied);
@@ -219,10 +226,12 @@
     return -1;
   }
   h2o_socket_t* socket = call.client->sock;
+  const bool ends_with_connection = std::holds_alternative<UntilCloseBody>(call.framing);
   // h2o reports a chunked body that is truncated between two chunks, and a body that ends with the
   // connection, like a complete body. However, the end of a complete body comes with received
   // bytes.
-  const bool is_truncated = is_end && socket->bytes_read == 0 && !call.has_empty_body;
+  const bool is_truncated =
+      is_end && socket->bytes_read == 0 && !std::holds_alternative<NoBody>(call.framing);
   extend_deadline(call);
   call.body_bytes += socket->input->size;
   if (call.body_bytes > call.request.max_response_bytes) {
@@ -242,11 +251,11 @@
     return -1;
   }
   if (is_truncated) {
-    finish(call,
-           Failed{.may_have_been_sent = true,
-                  .detail = to_string(call.request.endpoint) +
-                            (call.has_length ? ": connection closed before the end of the response"
-                                             : ": response without a length")});
+    finish(call, Failed{.may_have_been_sent = true,
+                        .detail = to_string(call.request.endpoint) +
+                                  (ends_with_connection
+                                       ? ": response without a length"
+                                       : ": connection closed before the end of the response")});
   } else if (is_end) {
     finish(call, Complete{});
   }
--- a/src/http/http_client_impl.h
+++ b/src/http/http_client_impl.h
@@ -22,6 +22,7 @@
 #include "http/http_client.h"
 #include "http/http_loop_impl.h"
 #include "http/socket_address.h"
+#include "http1/message_parser.h"
 
 namespace bluebellstep {
 
@@ -73,8 +74,7 @@
     bool head_received = false;
     bool in_callback = false;  // A listener runs in a callback of h2o, which needs the call.
     bool cancelled = false;
-    bool has_length = false;  // The response has a length or is chunked.
-    bool has_empty_body = false;
+    BodyFraming framing;                       // Of the response, once its head is received.
     std::size_t body_bytes = 0;                // Received so far.
     std::optional<Instant> response_deadline;  // Of the complete response; set after connecting.
     Instant deadline;                          // The call fails at this time.
@@ -100,6 +100,8 @@
   void arm_timer();
   void check_deadlines();
   int deliver_body(Call& call, const char* error);
+  // Returns the framing of the response, or nothing if its head is invalid, which h2o may accept.
+  static std::optional<BodyFraming> check_head(const Call& call, std::size_t head_length);
   void deliver_head(Call& call, int status, std::span<const h2o_header_t> headers);
 
   static std::string build_head(const HttpCall& request);
--- a/src/http/http_client_test.cc
+++ b/src/http/http_client_test.cc
@@ -130,6 +130,23 @@
   CHECK(may_have_been_sent(response));
 }
 
+// Guards against heads that h2o's client accepts although HTTP does not allow them: an undefined
+// status, a folded line, and contradictory lengths.
+TEST_CASE("a response with an invalid head fails without a status", "[http][client]") {
+  const std::string head = GENERATE(
+      "000 X\r\n", "099 X\r\n", "101 X\r\n", "600 X\r\n", "999 X\r\n",
+      "200 OK\r\nx: 1\r\n y: 2\r\n", "200 OK\r\nx y: 1\r\n", "200 OK\r\nx : 1\r\n",
+      "200 OK\r\nx\x01y: 1\r\n", "200 OK\r\nx\x7fy: 1\r\n", "200 OK\r\ncontent-length : 1\r\n",
+      "200 OK\r\ncontent-length: 1\r\n", "200 OK\r\ntransfer-encoding: chunked\r\n");
+  CAPTURE(head);
+  Fixture fixture;
+  const auto response = fixture.exchange("HTTP/1.1 " + head + "content-length: 2\r\n\r\n{}");
+  CHECK_FALSE(is_complete(response));
+  CHECK(may_have_been_sent(response));
+  CHECK(response.status == 0);
+  CHECK(response.body.empty());
+}
+
 // Guards against a loop that waits for events, for up to 1 s, while h2o has callbacks to run.
 TEST_CASE("calls on a kept connection do not wait", "[http][client]") {
   Fixture fixture;
