byte_stream: Report a reset that a write notices first

What callers saw: an upstream answers a long upload at once with a 200 without a length, sends a part of the body, and resets the connection while the upload is still being written. The caller gets that part as a complete answer.

Cause: the kernel reports the error of a connection once only, to the first call that fails. While the gateway has bytes that the kernel has not accepted, h2o polls the socket for writing too, and writes before it calls `on_read`. The write takes the error, the read returns 0, and ByteStream reported an orderly end, which completes a body without a length. The code relied on the statement that a read of 0 bytes means an orderly end, which nobody had written down. It holds only while no write is in progress.

Evidence, from strace of the new test: epoll_wait: EPOLLIN|EPOLLOUT|EPOLLERR|EPOLLHUP; writev: ECONNRESET; recvfrom: 0; poll: POLLHUP.

Change: if a write is in progress when reading returns 0, ByteStream asks poll() whether the connection is closed in both directions, as it is after an error and is not after an orderly end. The statement stands at StreamEnd::kClosed and write_in_progress_. This covers all that reads with a ByteStream. An orderly end that is followed by a reset before the gateway reads either counts as an error; RFC 9112, section 8, calls such a message incomplete as well.

--- a/src/gateway/faulty_answers_test.cc
+++ b/src/gateway/faulty_answers_test.cc
@@ -1,16 +1,20 @@
 // Tests of what callers receive if an upstream repeats an answer, breaks a stream off, stops in the
-// middle of an answer's head, or sends a head that HTTP does not allow.
+// middle of an answer's head, sends a head that HTTP does not allow, or resets the connection while
+// a request is being written.
 
 #include <sys/socket.h>
 
 #include <array>
 #include <catch2/catch.hpp>
 #include <cerrno>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <thread>
 
 #include "tests/support/raw_socket.h"
 #include "tests/support/socket_gateway.h"
@@ -19,6 +23,9 @@
 namespace {
 
 constexpr std::string_view kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+// Body of a request that the kernel's buffers cannot hold, so that the gateway is still writing it
+// while the upstream reads nothing.
+constexpr std::size_t kUploadBytes = 16u << 20;
 
 std::shared_ptr<const ServingConfig> make_config() {
   const auto route = [](std::string name, RequestKind kind, std::uint32_t max_attempts) {
@@ -37,13 +44,33 @@
       route("order", RequestKind::kNonIdempotent, 1), route("lookup", RequestKind::kIdempotent, 2),
       route("stream", RequestKind::kStream, 1), route("resumable", RequestKind::kStream, 2)};
   config.services.emplace("s", ServiceInfo{.name = "s", .max_connections = 100});
+  config.limits.max_body_bytes = kUploadBytes;
   return std::make_shared<const ServingConfig>(std::move(config));
 }
 
-std::string request(std::string_view route, std::string_view id, std::string_view version = "1.1") {
+std::string request(std::string_view route,
+                    std::string_view id,
+                    std::string_view version = "1.1",
+                    std::size_t body_bytes = 0) {
   return "POST /" + std::string(route) + "/1 HTTP/" + std::string(version) +
          "\r\nHost: h\r\nRequest-Id: " + std::string(id) +
-         "\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
+         "\r\nDeadline-Ms: 3000\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+         std::string(body_bytes, 'u');
+}
+
+std::string upload(std::string_view route, std::string_view id) {
+  return request(route, id, "1.1", kUploadBytes);
+}
+
+// Most bytes that the kernel keeps for a connection that its peer does not read, except those that
+// the peer's kernel keeps.
+std::size_t max_send_buffer() {
+  std::ifstream file("/proc/sys/net/ipv4/tcp_wmem");
+  std::size_t smallest = 0;
+  std::size_t initial = 0;
+  std::size_t largest = 0;
+  file >> smallest >> initial >> largest;
+  return largest;
 }
 
 std::string answer(std::string_view id,
@@ -79,6 +106,12 @@
     return connection;
   }
 
+  /** Resets the connection once the gateway has read what the upstream has sent. */
+  static void reset_later(RawSocket& connection) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    connection.reset();
+  }
+
   RawListener upstream;
 };
 
@@ -249,4 +282,58 @@
   CHECK(received.ends_with("whole"));
 }
 
+// Guards against a part of an answer that is taken for all of it. The gateway notices a reset first
+// in a write if it is still writing the request; reading then reports an orderly end.
+TEST_CASE("an answer without a length that ends with a reset during an upload is incomplete",
+          "[gateway][faults]") {
+  REQUIRE(max_send_buffer() < kUploadBytes / 2);
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\n";
+  Fixture gateway(2);
+  RawSocket caller = gateway.connect();
+
+  SECTION("of a request that may run only once") {
+    caller.send(upload("order", "r1"));
+    RawSocket upstream = gateway.accept_request();
+    upstream.send(head + "part");
+    gateway.reset_later(upstream);
+    CHECK(caller.receive_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+  }
+  SECTION("of a request that may run again") {
+    caller.send(upload("lookup", "r1"));
+    RawSocket first = gateway.accept_request();
+    first.send(head + "part");
+    gateway.reset_later(first);
+    RawSocket second = gateway.accept_request();
+    second.send(answered("r1", "whole"));
+    const std::string received = caller.receive_until("whole");
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(received.ends_with("whole"));
+  }
+  SECTION("of a stream") {
+    caller.send(upload("stream", "r1"));
+    RawSocket upstream = gateway.accept_request();
+    upstream.send(head + std::string(kEvents));
+    const std::string received = caller.receive_until("data: b\n\n");
+    gateway.reset_later(upstream);
+    const std::string rest = caller.receive_all();
+    CHECK((received + rest).find("0\r\n\r\n") == std::string::npos);
+  }
+}
+
+// Guards against whole answers that are lost: an upstream may answer before it has read the request
+// and then close the connection in an orderly way.
+TEST_CASE("an answer without a length that ends with a close during an upload is complete",
+          "[gateway][faults]") {
+  REQUIRE(max_send_buffer() < kUploadBytes / 2);
+  Fixture gateway(1);
+  RawSocket caller = gateway.connect();
+  caller.send(upload("order", "r1"));
+  RawSocket upstream = gateway.accept_request();
+  upstream.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\nwhole");
+  ::shutdown(upstream.fd(), SHUT_WR);
+  const std::string received = caller.receive_until("whole");
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  CHECK(received.ends_with("whole"));
+}
+
 }  // namespace bluebellstep
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -180,6 +180,19 @@
   h2o_socket_read_start(socket_, on_read);
 }
 
+StreamEnd ByteStream::end_of_stream() const {
+  if (write_in_progress_ == 0) {
+    return StreamEnd::kClosed;
+  }
+  // The kernel reports an error of the connection only once, to the first call that fails. After an
+  // orderly end the connection is still open for writing; after an error it is closed in both
+  // directions, which poll() reports even if no events are requested. An orderly end before the
+  // error cannot be told apart; RFC 9112, section 8, counts the message as incomplete then, too.
+  pollfd poll_fd{.fd = h2o_socket_get_fd(socket_), .events = 0, .revents = 0};
+  const bool has_error = ::poll(&poll_fd, 1, 0) > 0 && (poll_fd.revents & (POLLERR | POLLHUP)) != 0;
+  return has_error ? StreamEnd::kBroken : StreamEnd::kClosed;
+}
+
 void ByteStream::end(StreamEnd stream_end) {
   h2o_socket_close(std::exchange(socket_, nullptr));
   if (!closing_ && listener_.on_end) {
@@ -225,7 +238,7 @@
     return;
   }
   if (count <= 0) {
-    self->end(count == 0 ? StreamEnd::kClosed : StreamEnd::kBroken);
+    self->end(count == 0 ? self->end_of_stream() : StreamEnd::kBroken);
     return;
   }
   if (!self->closing_) {
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -17,7 +17,7 @@
 
 /** How a connection ended. */
 enum class StreamEnd {
-  kClosed,      // The peer closed its side without an error.
+  kClosed,      // The peer closed its side, and no error of the connection is known.
   kBroken,      // Reset, timed out, or a write failed.
   kNotReached,  // The connection was never established; nothing was sent.
 };
@@ -103,6 +103,8 @@
   static void on_write(h2o_socket_t* socket, const char* error);
 
   void start_reading();
+  // Returns how the connection has ended if reading returns the end of the stream.
+  StreamEnd end_of_stream() const;
   void flush();
   // Passes a part of `sending_` to h2o.
   void write_part();
@@ -122,10 +124,12 @@
     void clear();
   };
 
-  Output pending_;                     // Sent after `sending_`.
-  Output sending_;                     // Being written; not changed until it is sent.
-  std::size_t sent_of_sending_ = 0;    // Bytes of `sending_` that the kernel has accepted.
-  std::size_t write_in_progress_ = 0;  // Bytes passed to h2o, which calls `on_write`.
+  Output pending_;                   // Sent after `sending_`.
+  Output sending_;                   // Being written; not changed until it is sent.
+  std::size_t sent_of_sending_ = 0;  // Bytes of `sending_` that the kernel has accepted.
+  // Bytes passed to h2o, which calls `on_write`. While above 0, h2o may have failed to write them
+  // and thereby have cleared the error of the socket, so that reading does not return it.
+  std::size_t write_in_progress_ = 0;
   std::size_t max_read_bytes_ = kMaxReadBytes;
   bool connected_ = false;
   bool closing_ = false;
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -92,6 +92,13 @@
     }
   }
 
+  /** Closes the connection so that the peer sees a reset instead of an orderly end. */
+  void reset() {
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    close();
+  }
+
   int fd() const { return fd_; }
 
  private:
