http: Never report a body that ends with a reset as complete

Cause: h2o's client reports a body without a length as complete whenever the connection ends, also with an error. HttpClient recognised this by an end without received bytes. That does not hold if the last bytes fill h2o's read buffer: h2o then reads again within the same callback, and reports the bytes and the reset together.

Change: a body that ends with the connection is truncated in any case, as its framing says. This is what the client did for all other ends of such bodies; HttpClient::Complete says so now. A reset during an upload was handled before: h2o reads only once the request is written.

Before: "a response without a length that ends with a reset is not complete" fails in 1 of 6 rows (8192 bytes, no upload).

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -50,7 +50,8 @@
  */
 class HttpClient {
  public:
-  /** The complete response was received. */
+  /** The complete response was received. A response whose body ends with the connection always
+   * fails, since h2o does not tell an orderly end from an error. */
   struct Complete {};
 
   /** The call failed. */
--- a/src/http/http_client_impl.cc
+++ b/src/http/http_client_impl.cc
@@ -226,12 +226,12 @@
     return -1;
   }
   h2o_socket_t* socket = call.client->sock;
+  // h2o reports a body that ends with the connection as complete, even if that ends with an error.
   const bool ends_with_connection = std::holds_alternative<UntilCloseBody>(call.framing);
-  // h2o reports a chunked body that is truncated between two chunks, and a body that ends with the
-  // connection, like a complete body. However, the end of a complete body comes with received
-  // bytes.
-  const bool is_truncated =
-      is_end && socket->bytes_read == 0 && !std::holds_alternative<NoBody>(call.framing);
+  // It also reports a chunked body as complete that is truncated between two chunks. However, the
+  // end of a complete body comes with received bytes.
+  const bool has_no_end = socket->bytes_read == 0 && !std::holds_alternative<NoBody>(call.framing);
+  const bool is_truncated = is_end && (ends_with_connection || has_no_end);
   extend_deadline(call);
   call.body_bytes += socket->input->size;
   if (call.body_bytes > call.request.max_response_bytes) {
--- a/src/http/http_client_test.cc
+++ b/src/http/http_client_test.cc
@@ -147,6 +147,28 @@
   CHECK(response.body.empty());
 }
 
+// Guards against a part of a response that is reported as complete.
+TEST_CASE("a response without a length that ends with a reset is not complete", "[http][client]") {
+  // h2o reports the last bytes and the reset at once if these bytes fill its buffer of 8192 bytes.
+  const std::size_t last_read = GENERATE(as<std::size_t>{}, 0, 5, 8192);
+  const std::size_t request_bytes = GENERATE(as<std::size_t>{}, 0, 16u << 20);
+  CAPTURE(last_read, request_bytes);
+  Fixture fixture;
+  HttpCall call = call_to(fixture.listener.port());
+  call.method = "POST";
+  call.body.assign(request_bytes, 'u');
+  auto response = send_async(fixture.client, std::move(call));
+  RawSocket server = fixture.listener.accept();
+  server.receive_until("\r\n\r\n");
+  server.send("HTTP/1.1 200 OK\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  fixture.loop.run_and_wait([&] {
+    server.send(std::string(last_read, 'x'));
+    server.reset();
+  });
+  CHECK_FALSE(is_complete(response.get()));
+}
+
 // Guards against a loop that waits for events, for up to 1 s, while h2o has callbacks to run.
 TEST_CASE("calls on a kept connection do not wait", "[http][client]") {
   Fixture fixture;
