http1: Reject chunks in responses of HTTP/1.0

What callers saw: nothing reported; found while the check of heads was compared with RFC 9112. An answer of HTTP/1.0 with chunks was decoded and passed on. Section 6.1 calls its framing faulty: a recipient that knows no chunks, such as a cache between them, ends it elsewhere.

Cause: requests and responses had their own copies of the check of Content-Length and Transfer-Encoding, and only that of requests looked at the version.

Change: both use parse_framing_fields, so the rule stands once.

Before: "contradictory response framing is rejected" fails in 1 of 4 rows (HTTP/1.0). After: all hold, as do the 234 test cases of gateway, http1 and http. The other three rows were handled before.

--- a/src/http1/message_parser.cc
+++ b/src/http1/message_parser.cc
@@ -79,26 +79,41 @@
   return text;
 }
 
-struct ContentLength {
-  bool valid = true;  // False if there are several fields or the value is not a number.
-  std::optional<std::uint64_t> length;  // Unset if there is no field.
+bool is_chunked(const MessageHead& head) {
+  return head.count("transfer-encoding") == 1 &&
+         equal_ignoring_case(*head.find("transfer-encoding"), "chunked");
+}
+
+/** The fields of a head that tell where the body ends. */
+struct FramingFields {
+  bool chunked = false;                 // Then there is no length.
+  std::optional<std::uint64_t> length;  // In bytes.
 };
 
-ContentLength parse_content_length(const MessageHead& head) {
-  const std::size_t count = head.count("content-length");
-  if (count == 0) {
-    return {};
+// Returns nothing if the fields are contradictory or unknown. RFC 9112, section 6.1, also rules out
+// chunks in HTTP/1.0.
+std::optional<FramingFields> parse_framing_fields(const MessageHead& head) {
+  const bool encoded = head.count("transfer-encoding") > 0;
+  const std::size_t length_count = head.count("content-length");
+  if (length_count == 0) {
+    const bool valid = !encoded || (is_chunked(head) && head.minor_version > 0);
+    return valid ? std::optional(FramingFields{.chunked = encoded}) : std::nullopt;
   }
   const auto length = parse_decimal(*head.find("content-length"));
-  if (count > 1 || !length) {
-    return {.valid = false};
+  if (encoded || length_count > 1 || !length) {
+    return std::nullopt;
   }
-  return {.length = length};
+  return FramingFields{.length = length};
 }
 
-bool is_chunked(const MessageHead& head) {
-  return head.count("transfer-encoding") == 1 &&
-         equal_ignoring_case(*head.find("transfer-encoding"), "chunked");
+BodyFraming framing_by_fields(const FramingFields& fields) {
+  if (fields.chunked) {
+    return ChunkedBody{};
+  }
+  if (fields.length.value_or(0) > 0) {
+    return LengthBody{*fields.length};
+  }
+  return NoBody{};
 }
 
 }  // namespace
@@ -197,40 +212,22 @@
 }
 
 std::optional<BodyFraming> request_framing(const MessageHead& head) {
-  const ContentLength length = parse_content_length(head);
-  const bool encoded = head.count("transfer-encoding") > 0;
-  if (!length.valid ||
-      (encoded && (!is_chunked(head) || length.length || head.minor_version == 0))) {
-    return std::nullopt;
-  }
-  if (encoded) {
-    return ChunkedBody{};
-  }
-  if (length.length && *length.length > 0) {
-    return LengthBody{*length.length};
-  }
-  return NoBody{};
+  const auto fields = parse_framing_fields(head);
+  return fields ? std::optional(framing_by_fields(*fields)) : std::nullopt;
 }
 
 std::optional<BodyFraming> response_framing(const MessageHead& head, std::string_view method) {
   if (method == "HEAD" || head.status == 204 || head.status == 304) {
     return NoBody{};
   }
-  const ContentLength length = parse_content_length(head);
-  const bool encoded = head.count("transfer-encoding") > 0;
-  if (!length.valid || (encoded && (!is_chunked(head) || length.length))) {
+  const auto fields = parse_framing_fields(head);
+  if (!fields) {
     return std::nullopt;
   }
-  if (encoded) {
-    return ChunkedBody{};
-  }
-  if (!length.length) {
+  if (!fields->chunked && !fields->length) {
     return UntilCloseBody{};
   }
-  if (*length.length == 0) {
-    return NoBody{};
-  }
-  return LengthBody{*length.length};
+  return framing_by_fields(*fields);
 }
 
 BodyDecoder::BodyDecoder(const BodyFraming& framing) : framing_(framing) {
--- a/src/http1/message_parser_test.cc
+++ b/src/http1/message_parser_test.cc
@@ -67,6 +67,21 @@
   CHECK_FALSE(framing_of("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"));
 }
 
+// Guards against a body that another recipient ends elsewhere. RFC 9112, section 6.1, calls chunks
+// in HTTP/1.0 faulty.
+TEST_CASE("contradictory response framing is rejected", "[http1]") {
+  const std::string head =
+      GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6",
+               "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+               "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked");
+  CAPTURE(head);
+  MessageHead parsed;
+  std::size_t consumed = 0;
+  REQUIRE(parse_response_head(head + "\r\n\r\n", parsed, consumed) == HeadStatus::kComplete);
+  CHECK_FALSE(response_framing(parsed, "GET"));
+}
+
 TEST_CASE("folded lines and bare line feeds make a head malformed", "[http1]") {
   MessageHead head;
   std::size_t consumed = 0;
