soak: Let servers send invalid response heads

The proxy in front of a server can now make the status or the name of the first field of each response invalid, as one more of its random faults; a caller that receives such a head is a violation.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -6,8 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <span>
+#include <string_view>
 #include <utility>
 
 #include "http/socket_address.h"
@@ -24,15 +27,37 @@
   ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger_option, sizeof(linger_option));
 }
 
-// Copies the data that is available, or discards it if `drop` is set. Returns false if the sender
-// closed the connection or the receiver does not accept all of the data.
-bool copy(int from, int to, bool drop) {
+// If `bytes` start with the head of a response, makes the name of its first field or its status
+// invalid.
+void invalidate_head(std::span<char> bytes) {
+  constexpr std::string_view kVersion = "HTTP/1.1 ";
+  const std::string_view text(bytes.data(), bytes.size());
+  const std::size_t line_end = text.find("\r\n");
+  if (!text.starts_with(kVersion) || line_end == std::string_view::npos ||
+      line_end + 4 > text.size()) {
+    return;
+  }
+  // The lengths of responses vary, so that both happen.
+  if (text.size() % 2 == 0) {
+    bytes[line_end + 3] = ' ';
+  } else {
+    std::fill_n(bytes.begin() + kVersion.size(), 3, '0');
+  }
+}
+
+// Copies the data that is available, with `fault` applied to it. Returns false if the sender closed
+// the connection or the receiver does not accept all of the data.
+bool copy(int from, int to, ProxyFault fault) {
   std::array<char, 16384> buffer;
   const ssize_t count = ::recv(from, buffer.data(), buffer.size(), 0);
   if (count <= 0) {
     return false;
   }
-  return drop || ::send(to, buffer.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
+  if (fault == ProxyFault::kInvalidHeads) {
+    invalidate_head({buffer.data(), static_cast<std::size_t>(count)});
+  }
+  return fault == ProxyFault::kDropResponses ||
+         ::send(to, buffer.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
 }
 
 }  // namespace
@@ -88,10 +113,10 @@
       std::this_thread::sleep_for(kDelay);
     }
     if (poll_fds[0].revents != 0) {
-      open = copy(caller, target, false);
+      open = copy(caller, target, ProxyFault::kNone);
     }
     if (open && poll_fds[1].revents != 0) {
-      open = copy(target, caller, fault == ProxyFault::kDropResponses);
+      open = copy(target, caller, fault);
     }
   }
   ::close(caller);
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -20,6 +20,7 @@
   kReset,          // Connections are reset.
   kUnresponsive,   // No data arrives in either direction; connections stay open.
   kDropResponses,  // Requests arrive, responses are discarded.
+  kInvalidHeads,   // Response heads have an undefined status or an invalid field name.
 };
 
 /** Forwards connections to a port of the loopback address, with one thread each. */
--- a/tests/soak/gateway_soak_test.cc
+++ b/tests/soak/gateway_soak_test.cc
@@ -88,6 +88,10 @@
           response.body != GatewayFleet::expected_body(id)) {
         found += id + " got another body: " + response.body + "\n";
       }
+      const auto* failed = std::get_if<HttpClient::Failed>(&response.outcome);
+      if (failed != nullptr && failed->detail.find("invalid head") != std::string::npos) {
+        found += id + " got an invalid head\n";
+      }
     }
     return found;
   }
@@ -138,7 +142,7 @@
         return;
       default:
         proxies_[random_.below(proxies_.size())]->set_fault(
-            static_cast<ProxyFault>(random_.below(5)));
+            static_cast<ProxyFault>(random_.below(6)));
         return;
     }
   }
@@ -188,7 +192,8 @@
 }  // namespace
 
 // Guards against a second execution of an order, an incorrect "not run", the answer of another
-// request, and gateways that do not recover. The environment variable selects the seed.
+// request, an answer with an invalid head, and gateways that do not recover. The environment
+// variable selects the seed.
 TEST_CASE("soak: promises hold under random faults", "[.soak]") {
   const char* text = std::getenv("BLUEBELLSTEP_SOAK_SEED");
   const std::uint64_t seed = text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
