byte_stream: Deliver answers that arrived before a reset

What callers saw: 502 for an answer that had arrived whole. Found while the previous fault was traced: an upstream answers a long upload at once, with a length, and resets the connection while the upload is being written.

Cause: a failed write ended the connection. What was still unread in the kernel, beyond the 64 KB of one read, was discarded. The code relied on all bytes from before an error having been read when a write fails.

Change: a connection to an upstream goes on reading after a write error if it has ended in both directions; reading returns the rest and then the end, which stays an error, since write_in_progress_ stays above 0. The connection is not used again: its request was not sent in full. Connections of callers end at once as before: their unread bytes are further requests of a caller that has left.

--- a/src/gateway/faulty_answers_test.cc
+++ b/src/gateway/faulty_answers_test.cc
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <thread>
 
+#include "http1/byte_stream.h"
 #include "tests/support/raw_socket.h"
 #include "tests/support/socket_gateway.h"
 
@@ -336,4 +337,31 @@
   CHECK(received.ends_with("whole"));
 }
 
+// Guards against a whole answer that is lost, if the gateway notices a reset in a write before it
+// has read all of the answer.
+TEST_CASE("a whole answer before a reset during an upload is delivered", "[gateway][faults]") {
+  REQUIRE(max_send_buffer() < kUploadBytes / 2);
+  // More than the gateway reads at once.
+  const std::string body(2 * ByteStream::kMaxReadBytes, 'w');
+  Fixture gateway(1);
+  RawSocket caller = gateway.connect();
+  caller.send(request("order", "r1"));
+  RawSocket upstream = gateway.accept_request();
+  // A large answer makes the kernel accept as much at once later.
+  upstream.send(answered("r1", std::string(3u << 20, 'w') + "end"));
+  REQUIRE(caller.receive_until("end").ends_with("end"));
+  caller.send(upload("order", "r2"));
+  upstream.receive_until("\r\n\r\n");
+  bool arrived = false;
+  gateway.run_on_loop([&] {
+    upstream.send(answered("r2", body + "whole"));
+    arrived = upstream.wait_until_acknowledged();
+    upstream.reset();
+  });
+  REQUIRE(arrived);
+  const std::string received = caller.receive_until("whole");
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  CHECK(received.ends_with("whole"));
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -24,7 +24,10 @@
               endpoint,
               {.on_connected = [this] { on_connected(); },
                .on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
-               .on_end = [this](StreamEnd stream_end) { on_stream_end(stream_end); }}) {}
+               .on_end = [this](StreamEnd stream_end) { on_stream_end(stream_end); }}) {
+  // An upstream may answer before it has read the request, and then reset the connection.
+  stream_.set_reads_after_write_error();
+}
 
 void UpstreamConnection::send_request(std::string head,
                                       std::shared_ptr<const std::string> body,
--- a/src/http1/byte_stream.cc
+++ b/src/http1/byte_stream.cc
@@ -180,17 +180,13 @@
   h2o_socket_read_start(socket_, on_read);
 }
 
-StreamEnd ByteStream::end_of_stream() const {
-  if (write_in_progress_ == 0) {
-    return StreamEnd::kClosed;
-  }
+bool ByteStream::has_error() const {
   // The kernel reports an error of the connection only once, to the first call that fails. After an
   // orderly end the connection is still open for writing; after an error it is closed in both
   // directions, which poll() reports even if no events are requested. An orderly end before the
   // error cannot be told apart; RFC 9112, section 8, counts the message as incomplete then, too.
   pollfd poll_fd{.fd = h2o_socket_get_fd(socket_), .events = 0, .revents = 0};
-  const bool has_error = ::poll(&poll_fd, 1, 0) > 0 && (poll_fd.revents & (POLLERR | POLLHUP)) != 0;
-  return has_error ? StreamEnd::kBroken : StreamEnd::kClosed;
+  return ::poll(&poll_fd, 1, 0) > 0 && (poll_fd.revents & (POLLERR | POLLHUP)) != 0;
 }
 
 void ByteStream::end(StreamEnd stream_end) {
@@ -238,7 +234,8 @@
     return;
   }
   if (count <= 0) {
-    self->end(count == 0 ? self->end_of_stream() : StreamEnd::kBroken);
+    const bool is_orderly = count == 0 && (self->write_in_progress_ == 0 || !self->has_error());
+    self->end(is_orderly ? StreamEnd::kClosed : StreamEnd::kBroken);
     return;
   }
   if (!self->closing_) {
@@ -249,6 +246,9 @@
 
 void ByteStream::on_write(h2o_socket_t* socket, const char* error) {
   auto* self = static_cast<ByteStream*>(socket->data);
+  if (error != nullptr && self->reads_after_write_error_ && self->has_error()) {
+    return;  // `on_read` ends the connection.
+  }
   const std::size_t written = std::exchange(self->write_in_progress_, 0);
   if (error != nullptr) {
     self->sending_.clear();
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -59,6 +59,10 @@
    * beyond stays in the kernel until the next call. */
   void set_max_read(std::size_t bytes) { max_read_bytes_ = bytes; }
 
+  /** After an error that a write notices, passes what has arrived before it to `on_bytes` and only
+   * then ends the connection. Otherwise such bytes are discarded. */
+  void set_reads_after_write_error() { reads_after_write_error_ = true; }
+
   /** Stops and continues to read. While reading is stopped, the end of the connection is not
    * noticed. */
   void pause_reading();
@@ -103,8 +107,9 @@
   static void on_write(h2o_socket_t* socket, const char* error);
 
   void start_reading();
-  // Returns how the connection has ended if reading returns the end of the stream.
-  StreamEnd end_of_stream() const;
+  // Whether the connection has an error, also if a failed write has cleared the error of the
+  // socket.
+  bool has_error() const;
   void flush();
   // Passes a part of `sending_` to h2o.
   void write_part();
@@ -128,8 +133,10 @@
   Output sending_;                   // Being written; not changed until it is sent.
   std::size_t sent_of_sending_ = 0;  // Bytes of `sending_` that the kernel has accepted.
   // Bytes passed to h2o, which calls `on_write`. While above 0, h2o may have failed to write them
-  // and thereby have cleared the error of the socket, so that reading does not return it.
+  // and thereby have cleared the error of the socket, so that reading does not return it. Stays
+  // above 0 if reading continues after a write error.
   std::size_t write_in_progress_ = 0;
+  bool reads_after_write_error_ = false;
   std::size_t max_read_bytes_ = kMaxReadBytes;
   bool connected_ = false;
   bool closing_ = false;
--- a/src/http1/byte_stream_test.cc
+++ b/src/http1/byte_stream_test.cc
@@ -40,6 +40,14 @@
 
   RawSocket accept() { return listener_.accept(); }
 
+  /** Lets the stream read all that arrived before an error, in small parts. */
+  void read_after_write_error() {
+    loop_.run_and_wait([this] {
+      stream_->set_max_read(1000);
+      stream_->set_reads_after_write_error();
+    });
+  }
+
   /** Writes `size` bytes and returns how many of them the kernel has not accepted. */
   std::size_t write(std::size_t size) {
     loop_.run_and_wait([&] { stream_->write(std::string(size, 'u')); });
@@ -94,6 +102,22 @@
   CHECK(fixture.received().starts_with("part"));
 }
 
+// Guards against a whole answer that is lost: a write notices the reset while the answer that the
+// peer sent before is still unread.
+TEST_CASE("bytes that arrived before a reset are read after a write error", "[http1]") {
+  Fixture fixture;
+  fixture.read_after_write_error();
+  RawSocket peer = fixture.accept();
+  REQUIRE(fixture.write(kUploadBytes) > 0);
+  const std::string answer(32u << 10, 'x');
+  fixture.run_on_loop([&] {
+    peer.send(answer);
+    peer.reset();
+  });
+  CHECK(fixture.wait_for_end() == StreamEnd::kBroken);
+  CHECK(fixture.received() == answer);
+}
+
 TEST_CASE("a close by the peer is an orderly end of a connection", "[http1]") {
   const bool uploading = GENERATE(true, false);
   CAPTURE(uploading);
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -86,6 +87,17 @@
   /** Reads until the connection ends or a read times out. Returns all received bytes. */
   std::string receive_all() { return receive_until(std::string_view("\0unsent\0", 8)); }
 
+  /** Waits until the peer's kernel has received all sent bytes, whether the peer has read them or
+   * not. Returns false if it has not within `kReadTimeoutMs`. */
+  bool wait_until_acknowledged() const {
+    int unacknowledged = 1;
+    for (int ms = 0; ms < kReadTimeoutMs && unacknowledged > 0; ++ms) {
+      ::ioctl(fd_, TIOCOUTQ, &unacknowledged);
+      ::usleep(1000);
+    }
+    return unacknowledged == 0;
+  }
+
   void close() {
     if (fd_ >= 0) {
       ::close(std::exchange(fd_, -1));
