--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -60,7 +60,8 @@
   void set_max_read(std::size_t bytes) { max_read_bytes_ = bytes; }
 
   /** After an error that a write notices, passes what has arrived before it to `on_bytes` and only
-   * then ends the connection; `unsent` stays above 0. Otherwise such bytes are discarded. */
+   * then ends the connection; `unsent` stays above 0. Otherwise such bytes are discarded. Only for
+   * connections whose reading is never paused, since reading alone then notices the end. */
   void set_reads_after_write_error() { reads_after_write_error_ = true; }
 
   /** Stops and continues to read. While reading is stopped, the end of the connection is not
