stream_versions: Keep streams at the software version that began them

What callers saw: streams whose first part came from one software version of a service and the rest from another, within one answer and after they came back, above all when all gateways had been killed at once.

Cause: the gateway knew the software version of an upstream, but asked for it neither when it continued a stream itself nor when a caller came back, and nothing that outlives the gateways told at which version a stream had begun. The header that names the stream was read nowhere.

Change: each service has a default version in the platform's store. Streams that begin at another one are recorded there, in batches, before the caller gets the first event. Within one answer only upstreams of the version that began the stream are asked; for a caller that comes back the version is known from this gateway's memory, or is the default one while nothing else is admitted and all gateways agree on that, or is read from the store. If it cannot be found out the caller is refused at once. Streams of routes with weighted services go back to the service that began them.

--- a/src/gateway/decoded_headers.h
+++ b/src/gateway/decoded_headers.h
@@ -31,6 +31,8 @@
   std::string_view model;
   std::optional<Duration> time_left;           // Until the caller's deadline, on arrival.
   std::optional<std::uint64_t> last_event_id;  // The caller has all events up to this one.
+  // The request id under which the caller got the first event of a stream that it wants continued.
+  std::string_view resumes;
   std::vector<PromptSegment> prompt;
   std::uint32_t prompt_tokens = 0;
   bool close = false;  // The caller asked to close the connection after the response.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -26,32 +26,15 @@
 constexpr std::size_t kMaxBufferedBodyBytes = 4u << 20;
 // Limit on the sum of these buffers; some gateways have 110 MB of memory.
 constexpr std::size_t kMaxTotalBufferedBytes = 12u << 20;
-// A caller with more unread bytes of a stream is disconnected.
-constexpr std::size_t kMaxUnsentBytes = 1u << 20;
 // Minimum retry delay in a shutdown. The load balancer sends new connections to other gateways.
 constexpr Duration kStoppingRetryDelay{50};
 // Minimum retry delay while the configuration, or a service that it refers to, is missing.
 constexpr Duration kNoConfigRetryDelay{500};
 
-constexpr std::string_view kLastChunk = "0\r\n\r\n";
-
-// Encodes a chunk of a response with chunked transfer encoding.
-std::string encode_chunk(std::string_view content) {
-  std::array<char, 20> size;
-  const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", content.size());
-  std::string out(size.data(), static_cast<std::size_t>(length));
-  out.append(content).append("\r\n");
-  return out;
-}
-
-// Returns the label for the ratio of an actual to a predicted time.
-std::string prediction_kind(double ratio) {
-  constexpr double kCloseFactor = 2;
-  return ratio > kCloseFactor ? "too_short" : ratio * kCloseFactor < 1 ? "too_long" : "close";
-}
-
-// Chooses a service in proportion to the weights, always the same one for a request id.
-const WeightedService& choose_target(const RouteRule& route, std::string_view request_id) {
+// Chooses a service in proportion to the weights, always the same one for a request id, which for a
+// stream that goes on is the one that began it.
+const WeightedService& choose_target(const RouteRule& route, const CallerRequestHead& caller) {
+  const std::string_view request_id = caller.resumes.empty() ? caller.request_id : caller.resumes;
   std::uint64_t total = 0;
   for (const WeightedService& target : route.targets) {
     total += target.weight;
@@ -130,7 +113,7 @@
       return id;
     }
   }
-  const WeightedService& target = choose_target(*request.route, request.caller.request_id);
+  const WeightedService& target = choose_target(*request.route, request.caller);
   request.service = request.config->find_service(target.service);
   if (request.service == nullptr) {
     refuse_request(request, "no_service", kNoConfigRetryDelay);
@@ -144,7 +127,7 @@
     refuse_request(request, "gateway_late", kLateRetryDelay);
     return id;
   }
-  dispatch(request);
+  find_stream_version(request);
   return id;
 }
 
@@ -157,7 +140,7 @@
 }
 
 PickQuery Forwarder::make_pick_query(const Request& request) const {
-  return PickQuery{
+  PickQuery query{
       .service = request.service,
       .zone = zone_,
       .route = request.route->name,
@@ -173,6 +156,10 @@
       .time_left = time_left(request, clock_.now()),
       .tie_breaker = hash64(request.caller.request_id),
       .excluded_ids = request.tried_upstreams};
+  if (versions_matter(request)) {
+    query.software_versions = request.usable_versions;
+  }
+  return query;
 }
 
 void Forwarder::dispatch(Request& request) {
@@ -194,6 +181,7 @@
     fail_request(request, request.possible_runs > 0, "prompt_quarantined");
     return;
   }
+  update_usable_versions(request);
   while (true) {
     const PickResult result = pool_.pick(make_pick_query(request), now);
     if (const auto* none = std::get_if<NoUpstreamAvailable>(&result)) {
@@ -230,7 +218,8 @@
   if (!acquired.reused) {
     metrics_.count("bluebellstep_gateway_connections_total", "opened");
   }
-  request.attempt.emplace(Attempt{.picked = picked,
+  request.attempt.emplace(Attempt{.number = ++request.attempt_count,
+                                  .picked = picked,
                                   .connection = std::move(acquired.connection),
                                   .started_at = now,
                                   .reused = acquired.reused});
@@ -280,6 +269,7 @@
        .on_end = [this, id](ExchangeOutcome outcome,
                             std::string_view reason) { on_end(id, outcome, reason); }});
   schedule_check(request);
+  record_stream_version(request);
 }
 
 void Forwarder::on_connected(RequestId id) {
@@ -349,7 +339,9 @@
     return;
   }
   if (request->attempt->streaming) {
-    forward_events(*request, content);
+    if (!hold_content(*request, content)) {
+      forward_events(*request, content);
+    }
     return;
   }
   request->last_progress_at = clock_.now();
@@ -372,61 +364,9 @@
           })->second;
 }
 
-void Forwarder::forward_events(Request& request, std::string_view content) {
-  const std::size_t events_before = request.event_buffer.event_count();
-  const std::string complete_events = request.event_buffer.feed(content);
-  if (request.event_buffer.overflowed()) {
-    on_attempt_failed(request, AttemptOutcome::kFailed, true, "event_too_large");
-    return;
-  }
-  if (complete_events.empty()) {
-    return;
-  }
-  const bool has_event = request.event_buffer.event_count() > events_before;
-  if (has_event) {
-    request.last_progress_at = clock_.now();
-    if (!request.attempt->prefill_reported) {
-      request.attempt->first_byte_at = request.last_progress_at;
-      quarantine_.record_answer(request.caller.prompt, request.last_progress_at);
-    }
-    report_prefill_finished(*request.attempt);
-  }
-  std::string out;
-  if (has_event && !request.first_event_at) {
-    request.first_event_at = clock_.now();
-    const Attempt& attempt = *request.attempt;
-    const double ratio = pool_.record_first_event(
-        attempt.picked, *request.first_event_at - attempt.started_at, *request.first_event_at);
-    metrics_.count("bluebellstep_gateway_predictions_total", prediction_kind(ratio));
-    if (request.account != nullptr) {
-      metrics_.first_token(request.account->name, request.route->name,
-                           *request.first_event_at - request.arrived_at);
-    }
-  }
-  if (!request.response_started) {
-    request.response_started = true;
-    request.chunked = request.head->minor_version > 0;
-    request.closes = !request.chunked || stop_times_ || request.caller.close;
-    out = platform::encode_caller_response_head(
-        *request.attempt->head, {.length = std::nullopt,
-                                 .has_body = request.chunked,
-                                 .close = request.closes,
-                                 .keep_alive = request.config->limits.idle_timeout});
-  }
-  out += request.chunked ? encode_chunk(complete_events) : complete_events;
-  request.response_writer.write(out);
-  if (request.response_writer.unsent() > kMaxUnsentBytes) {
-    end_attempt(request, AttemptOutcome::kCallerDisconnected, false);
-    request.response_writer.abort(!request.chunked);
-    finish_request(request, "caller_too_slow", 0);
-    return;
-  }
-  schedule_check(request);
-}
-
 void Forwarder::on_end(RequestId id, ExchangeOutcome outcome, std::string_view reason) {
   Request* request = find(id);
-  if (request == nullptr || !request->attempt) {
+  if (request == nullptr || !request->attempt || hold_end(*request, outcome, reason)) {
     return;
   }
   switch (outcome) {
@@ -519,22 +459,6 @@
   finish_request(request, server_error ? "upstream_error" : "answered", status);
 }
 
-void Forwarder::on_stream_complete(Request& request) {
-  const bool is_complete = !request.event_buffer.has_partial() && request.response_started;
-  if (!is_complete) {
-    // An answer that ends with its connection ends in the same way if the upstream crashes.
-    on_upstream_lost(request, "stream_cut");
-    return;
-  }
-  end_attempt(request, AttemptOutcome::kAnswered, true);
-  if (request.chunked) {
-    request.response_writer.write(kLastChunk);
-  }
-  // A close that was not announced would reset the caller's next request.
-  request.response_writer.complete(request.closes);
-  finish_request(request, "answered", 200);
-}
-
 bool Forwarder::may_outlast_shutdown(const Request& request, Instant now) const {
   return stop_times_ && now > stop_times_->last_arrival && request.deadline > stop_times_->end;
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -38,6 +38,7 @@
 #include "memory/memory_account.h"
 #include "metrics/metrics.h"
 #include "service_rollout/service_rollouts.h"
+#include "stream_versions/stream_versions.h"
 
 namespace bluebellstep {
 
@@ -90,6 +91,10 @@
   /** Sets what counts requests and outcomes by software version. It must outlive this object. */
   void set_rollouts(ServiceRollouts& rollouts) { service_rollouts_ = &rollouts; }
 
+  /** Sets what decides at which software versions streams begin and continue. It must outlive this
+   * object. Without it, they may at any version. */
+  void set_stream_versions(StreamVersions& versions) { stream_versions_ = &versions; }
+
   /** The gateway is shutting down: each further response closes its connection, and requests that
    * might not end in time are refused. */
   void set_stopping(const StopTimes& times) { stop_times_ = times; }
@@ -120,8 +125,20 @@
   bool contains(RequestId id) const { return requests_.contains(id); }
 
  private:
+  /** What an upstream sent of a stream before the store acknowledged the stream's version. */
+  struct HeldContent {
+    struct End {
+      ExchangeOutcome outcome{};
+      std::string reason;
+    };
+    std::string content;
+    std::optional<Instant> received_at;  // The first content.
+    std::optional<End> end;              // Set if the exchange has ended.
+  };
+
   /** An attempt to have one upstream answer a request. */
   struct Attempt {
+    std::uint32_t number = 0;  // Among the attempts of its request.
     PickedUpstream picked;
     std::unique_ptr<UpstreamConnection> connection;
     Instant started_at;
@@ -136,6 +153,8 @@
     UpstreamResponseHead response;      // Views point into `head`.
     std::string body;                   // Of a response that is not streamed.
     bool streaming = false;             // The response is forwarded event by event.
+    std::optional<HeldContent> held;    // Set while the store has not acknowledged the version.
+    std::optional<Instant> held_event_at;  // When the first event arrived, if it was held.
   };
 
   /** How an attempt was planned to use cached tokens of the prompt; for the log. */
@@ -162,6 +181,7 @@
     Instant arrived_at;
     Instant deadline;                          // Set with `service`.
     std::optional<Attempt> attempt;            // The current one.
+    std::uint32_t attempt_count = 0;
     std::vector<std::string> tried_upstreams;  // Ids of upstreams that are not tried again.
     std::uint32_t possible_runs = 0;           // Attempts on which the request may have run.
     std::uint32_t attempts_sent = 0;  // Attempts that reached an upstream, rejected ones included.
@@ -171,6 +191,11 @@
     bool response_started = false;  // The head of a streamed response was sent to the caller.
     bool chunked = false;           // The response to the caller uses chunked transfer encoding.
     bool closes = false;            // The head of the started response announced a close.
+    StreamKey stream;  // Set if `versions_matter`, like the next members.
+    // The version that began the stream. Unset before the caller has the first event.
+    std::optional<std::string> stream_version;
+    bool waits_for_version = false;  // No attempt is made before the version is known.
+    std::vector<std::string> usable_versions;  // For the next attempt.
     SseEventBuffer event_buffer;
     // When the upstream last sent an event of a stream, or anything else, the attempt started, or
     // the wait was extended.
@@ -188,6 +213,22 @@
   static constexpr Duration kMinTimeLeft{10};
 
   Request* find(RequestId id);
+  // Whether a stream must not get events from servers of two software versions.
+  bool versions_matter(const Request& request) const;
+  // Dispatches a request, a stream that a caller wants continued once its version is known.
+  void find_stream_version(Request& request);
+  void on_stream_version(RequestId id, const StreamBelief& belief);
+  // Sets the versions at which the next attempt may run.
+  void update_usable_versions(Request& request);
+  // Has the version of the current attempt recorded if its stream begins at one that must be.
+  void record_stream_version(Request& request);
+  void on_version_recorded(RequestId id, std::uint32_t attempt_number, bool recorded);
+  // Keep what the upstream sent until the version is recorded. Return whether they did.
+  bool hold_content(Request& request, std::string_view content);
+  static bool hold_end(Request& request, ExchangeOutcome outcome, std::string_view reason);
+  // The caller gets the first event of a stream from the current attempt.
+  void on_stream_begun(Request& request);
+  static Instant stream_expiry(const Request& request);
   PickQuery make_pick_query(const Request& request) const;
   // Selects an upstream and starts an attempt; ends the request if that is not possible.
   void dispatch(Request& request);
@@ -263,6 +304,7 @@
   UpstreamPool& pool_;
   Metrics& metrics_;
   ServiceRollouts* service_rollouts_ = nullptr;  // Null in deployments without roll-outs.
+  StreamVersions* stream_versions_ = nullptr;    // May be null.
   std::string zone_;
   RetryLimits retry_limits_;
   Clock clock_;
--- a/src/gateway/forwarder_responses.cc
+++ b/src/gateway/forwarder_responses.cc
@@ -224,6 +224,12 @@
   if (!request.last_upstream_id.empty()) {
     event.field("upstream", request.last_upstream_id);
   }
+  if (request.stream_version) {
+    event.field("software_version", *request.stream_version);
+  }
+  if (!request.caller.resumes.empty()) {
+    event.field("resumes", request.caller.resumes);
+  }
   if (!request.last_failure_reason.empty()) {
     event.field("why", request.last_failure_reason);
   }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -10,8 +10,11 @@
 #include <cmath>
 #include <cstdio>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "base/log_event.h"
@@ -29,6 +32,7 @@
 #include "process/drain_process.h"
 #include "process/signal_waiter.h"
 #include "service_rollout/service_rollout_driver.h"
+#include "stream_versions/stream_version_driver.h"
 
 namespace bluebellstep {
 namespace {
@@ -103,6 +107,14 @@
         forwarder(loop, pool, metrics, settings.zone, retry_limits(settings.bounds)),
         synchronizer(loop, client, settings, pool, quota, cache_directory, forwarder),
         rollout_driver(loop, client, settings, pool),
+        stream_versions(loop,
+                        client,
+                        settings,
+                        metrics,
+                        {.count_versions = [this] { return count_versions(); },
+                         .store_reachable = [this] { return synchronizer.store_reachable(); },
+                         .rank = [this] { return synchronizer.lease_rank(); },
+                         .report_soon = [this] { load_report_exchange.report_soon(); }}),
         load_report_exchange(
             loop,
             settings.peers,
@@ -110,7 +122,18 @@
             [this] { return own_load_report(); },
             [this](LoadReport report) { on_load_report(std::move(report)); }),
         caller_listener(loop, settings.callers, forwarder, caller_options(settings), &metrics) {
-    synchronizer.on_weights_changed([this] { rollout_driver.refresh(); });
+    forwarder.set_stream_versions(stream_versions);
+    synchronizer.on_config_changed(
+        [this] { stream_versions.set_services(services_with_resumable_streams()); });
+    synchronizer.on_gateway_removed(
+        [this](const std::string& name) { stream_versions.forget_gateway(name); });
+    synchronizer.set_version_table_callbacks(
+        [this] { return stream_versions.encoded_table(); },
+        [this](std::string_view table) { stream_versions.apply_encoded_table(table); });
+    synchronizer.on_weights_changed([this] {
+      rollout_driver.refresh();
+      stream_versions.refresh();
+    });
     pool.on_weights_went_back([this] { rollout_driver.refresh(); });
     synchronizer.on_peers_changed([this](std::vector<Endpoint> peers) {
       load_report_exchange.set_peers(std::move(peers));
@@ -164,13 +187,36 @@
   LoadReport own_load_report() {
     const Instant now = clock.now();
     load_aggregator.remove_unresponsive(now);
-    return pool.make_load_report(now);
+    LoadReport report = pool.make_load_report(now);
+    report.versions_epoch = stream_versions.epoch();
+    return report;
+  }
+
+  std::map<std::string, VersionCounts, std::less<>> count_versions() const {
+    std::map<std::string, VersionCounts, std::less<>> counts;
+    pool.visit_registrations([&](const UpstreamRegistration& upstream) {
+      counts[upstream.service][upstream.software_version] += upstream.leaving ? 0 : 1;
+    });
+    return counts;
+  }
+
+  std::set<std::string, std::less<>> services_with_resumable_streams() const {
+    std::set<std::string, std::less<>> services;
+    for (const RouteRule& route : forwarder.config()->routes) {
+      if (route.kind == RequestKind::kStream && route.resumable) {
+        for (const WeightedService& target : route.targets) {
+          services.insert(target.service);
+        }
+      }
+    }
+    return services;
   }
 
   void on_load_report(LoadReport report) {
     const Instant now = clock.now();
     synchronizer.on_gateway_report(report.gateway);
     quota.on_report(report.gateway);
+    stream_versions.on_report(report.gateway, report.versions_epoch);
     cache_directory.record_sent_by_peers(report.sent_segments, now);
     pool.apply_speed_reports(report, now);
     load_aggregator.apply(std::move(report), now);
@@ -234,6 +280,7 @@
   Forwarder forwarder;
   StateSynchronizer synchronizer;
   RolloutDriver rollout_driver;
+  StreamVersionDriver stream_versions;
   LoadReportExchange load_report_exchange;
   CallerListener caller_listener;
   std::optional<ServiceRolloutDriver> service_rollout_driver;
--- a/src/gateway/load_aggregator.cc
+++ b/src/gateway/load_aggregator.cc
@@ -92,17 +92,20 @@
   for (const SentSegment& segment : report.sent_segments) {
     sent_segments.push_back({segment.upstream_key, segment.key, segment.tokens});
   }
+  nlohmann::json json{report.gateway,         report.incarnation,        report.sequence,
+                      report.recent_requests, std::move(upstream_loads), std::move(sent_segments)};
+  // The first table has the epoch 1. Systems with one software version never get beyond it.
+  if (report.versions_epoch > 1) {
+    json.push_back(report.versions_epoch);
+  }
   std::string out;
-  nlohmann::json::to_msgpack(
-      nlohmann::json{report.gateway, report.incarnation, report.sequence, report.recent_requests,
-                     std::move(upstream_loads), std::move(sent_segments)},
-      out);
+  nlohmann::json::to_msgpack(json, out);
   return out;
 }
 
 std::optional<LoadReport> decode_load_report(std::span<const std::uint8_t> bytes) {
   const auto parsed = parse_datagram(bytes);
-  if (!parsed || parsed->size() != 6) {
+  if (!parsed || parsed->size() < 6 || parsed->size() > 7) {
     return std::nullopt;
   }
   const nlohmann::json& json = *parsed;
@@ -129,6 +132,9 @@
                                       .key = segment.at(1).get<std::uint64_t>(),
                                       .tokens = segment.at(2).get<std::uint32_t>()});
     }
+    if (json.size() > 6) {
+      report.versions_epoch = json.at(6).get<std::uint64_t>();
+    }
     return report;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;  // Not a load report.
--- a/src/gateway/load_aggregator.h
+++ b/src/gateway/load_aggregator.h
@@ -63,6 +63,7 @@
   std::vector<UpstreamLoad> upstream_loads;
   // Shared segments sent since the last report.
   std::vector<SentSegment> sent_segments;
+  std::uint64_t versions_epoch = 0;  // See `StreamVersionDriver::epoch`; not sent while below 2.
 };
 
 /** Encodes a report as the content of a datagram. */
--- a/src/gateway/load_report_exchange.cc
+++ b/src/gateway/load_report_exchange.cc
@@ -109,11 +109,13 @@
   report.incarnation = incarnation_;
   const Instant now = clock_.now();
   if (!report.upstream_loads.empty() || !last_report_was_empty_ ||
+      report.versions_epoch != last_versions_epoch_ ||
       now >= last_sent_at_ + ReportPacer::kIdleInterval) {
     last_sent_at_ = now;
     send(encode_load_report(report), peers_);
   }
   last_report_was_empty_ = report.upstream_loads.empty();
+  last_versions_epoch_ = report.versions_epoch;
   send_quarantine_report();
   send_quota_request();
   send_account_work();
--- a/src/gateway/load_report_exchange.h
+++ b/src/gateway/load_report_exchange.h
@@ -129,6 +129,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t version_report_sequence_ = 0;
   bool last_report_was_empty_ = false;
+  std::uint64_t last_versions_epoch_ = 0;
   Instant last_sent_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -113,6 +113,8 @@
       return "rollouts";
     case ObjectKind::kRolloutDecisions:
       return "rollout_decisions";
+    case ObjectKind::kStreamVersions:
+      return "stream_versions";
   }
   return {};
 }
@@ -269,6 +271,9 @@
       .field("routes", static_cast<std::uint64_t>(config.routes.size()))
       .field("accounts", static_cast<std::uint64_t>(config.accounts.size()));
   forwarder_.set_config(std::make_shared<const ServingConfig>(std::move(config)));
+  if (on_config_changed_) {
+    on_config_changed_();
+  }
   if (on_rollouts_changed_) {
     on_rollouts_changed_();
   }
@@ -465,6 +470,9 @@
         .field("name", name)
         .field("revision", object->second.revision)
         .field("silent_ms", GatewayMembership::kRemovalTimeout.ms);
+    if (on_gateway_removed_) {
+      on_gateway_removed_(name);
+    }
     client_.send(platform::remove_call(settings_.store, ObjectKind::kGateways, name,
                                        object->second.revision, StoreWatcher::kCallTimeout),
                  [name](const HttpClient::Response& response) {
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -94,6 +94,24 @@
     on_rollouts_changed_ = std::move(callback);
   }
 
+  /** Sets the callback for changes of the configuration. */
+  void on_config_changed(std::function<void()> callback) {
+    on_config_changed_ = std::move(callback);
+  }
+
+  /** Sets the callback for the removal of the registration of a gateway that no longer exists. */
+  void on_gateway_removed(std::function<void(const std::string&)> callback) {
+    on_gateway_removed_ = std::move(callback);
+  }
+
+  /** Sets what this gateway tells peers of the versions of streams, and what it does with what they
+   * tell; see `StreamVersionDriver::encoded_table`. */
+  void set_version_table_callbacks(std::function<std::string()> encode,
+                                   std::function<void(std::string_view)> apply) {
+    encode_version_table_ = std::move(encode);
+    apply_version_table_ = std::move(apply);
+  }
+
   /** Sets the callback for changes of the other gateways, which receives their addresses. */
   void on_peers_changed(std::function<void(std::vector<Endpoint>)> callback) {
     on_peers_changed_ = std::move(callback);
@@ -194,6 +212,10 @@
   Random random_;
   std::function<void()> on_weights_changed_;
   std::function<void()> on_rollouts_changed_;
+  std::function<void()> on_config_changed_;
+  std::function<void(const std::string&)> on_gateway_removed_;
+  std::function<std::string()> encode_version_table_;
+  std::function<void(std::string_view)> apply_version_table_;
   std::function<void(std::vector<Endpoint>)> on_peers_changed_;
   std::function<void(std::vector<Endpoint>)> on_zone_peers_changed_;
   BackgroundWorker worker_;  // Decodes what would delay the event loop.
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -283,6 +283,9 @@
   if (const auto view = valid_view()) {
     answer["view"] = encode_passed_view(*view);
   }
+  if (encode_version_table_) {
+    answer["version_table"] = encode_version_table_();
+  }
   if (store_answered_at_ > Instant{}) {
     answer["store_age_ms"] = (clock_.now() - store_answered_at_).ms;
   }
@@ -300,6 +303,10 @@
       const Instant now = clock_.now();
       pool_.record_store_answer(now - Duration{age->get<std::int64_t>()}, now);
     }
+    if (const auto table = json.find("version_table");
+        table != json.end() && apply_version_table_) {
+      apply_version_table_(table->get<std::string>());
+    }
     for (const auto& item : json.at("kinds")) {
       const auto kind = static_cast<ObjectKind>(item.at("kind").get<int>());
       std::vector<platform::StoredObject> objects;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -208,6 +208,11 @@
       !service_rollouts_->allows(registration.service, registration.software_version)) {
     return false;
   }
+  if (query.software_versions &&
+      std::find(query.software_versions->begin(), query.software_versions->end(),
+                registration.software_version) == query.software_versions->end()) {
+    return false;
+  }
   if (query.model.empty() || !query.service->engine) {
     return true;
   }
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -80,6 +80,8 @@
   // Hash of the request's id. Orders upstreams with nearly equal scores.
   std::uint64_t tie_breaker = 0;
   std::span<const std::string> excluded_ids;  // Upstreams that were already tried.
+  // Software versions at which the request may run; unset for any.
+  std::optional<std::span<const std::string>> software_versions;
 };
 
 /** The upstream chosen for a request, with the estimates that the choice is based on. */
--- /dev/null
+++ b/src/stream_versions/begun_streams.h
@@ -0,0 +1,104 @@
+// The streams that a gateway began at a version other than the default one, and their record in the
+// platform's store.
+//
+// Load pattern: tens of such streams begin each second, and each must be in the store before its
+// first event reaches the caller. One object holds all of them and is written as a whole, so that a
+// batch costs one call and a write that is carried out late cannot undo a later one.
+
+#ifndef BLUEBELLSTEP_STREAM_VERSIONS_BEGUN_STREAMS_H_
+#define BLUEBELLSTEP_STREAM_VERSIONS_BEGUN_STREAMS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/clock.h"
+
+namespace bluebellstep {
+
+/** Identifies a stream: a hash of the client account and of the request id under which the caller
+ * got its first event. */
+struct StreamKey {
+  std::uint64_t value = 0;
+
+  auto operator<=>(const StreamKey&) const = default;
+};
+
+/** Returns the key of the stream that `request_id` of `account` began. */
+StreamKey stream_key(std::string_view account, std::string_view request_id);
+
+/** Software version by stream. */
+using StreamVersionMap = std::map<StreamKey, std::string>;
+
+/** Encodes streams as JSON text. */
+std::string encode_begun_streams(const StreamVersionMap& streams);
+/** Decodes streams; nothing if the text is no record of streams. */
+std::optional<StreamVersionMap> decode_begun_streams(std::string_view text);
+
+/** The record of one gateway. Performs no I/O: the owner writes `content` and reports the result.
+ * All times are read from one monotonic clock. */
+class BegunStreams {
+ public:
+  /** Number of a change of the record. Later changes have higher numbers. */
+  using Sequence = std::uint64_t;
+
+  /** Most streams in the record. A gateway of a busy deployment begins some hundred a second, and
+   * the text of the record must fit into an object of the store. */
+  static constexpr std::size_t kMaxStreams = 10'000;
+  /** For this time after a start the streams of the process before are kept. No stream lasts as
+   * long as that. */
+  static constexpr Duration kAdoptedLifetime{30'000};
+
+  /** Whether another stream can be added. */
+  bool has_room() const { return streams_.size() < kMaxStreams; }
+
+  /** Adds a stream, or replaces the version of one. Returns the number of the change, which is
+   * acknowledged by `record_written` with this number or a higher one. */
+  Sequence add(StreamKey stream, std::string_view version, Instant expires_at);
+
+  /** Adds streams that the process before this one recorded. Those that this one began keep their
+   * version. */
+  void adopt(const StreamVersionMap& streams, Instant now);
+
+  /** Whether the record contains the stream, written or not. */
+  bool contains(StreamKey stream) const { return streams_.contains(stream); }
+
+  /** Whether there are changes that no write contains yet. */
+  bool needs_write() const { return sequence_ > sent_sequence_; }
+
+  /** Returns the text to write, and counts its changes as sent. Drops streams that have expired. */
+  std::string take_content(Instant now);
+
+  /** Number of the last change that the last text contained. */
+  Sequence sent_sequence() const { return sent_sequence_; }
+
+  /** The write failed, or its result is not known: its changes need another one. */
+  void record_failed() { sent_sequence_ = written_sequence_; }
+  /** The store has acknowledged the last text. */
+  void record_written() { written_sequence_ = sent_sequence_; }
+
+  /** Number of the last change that the store has acknowledged. */
+  Sequence written_sequence() const { return written_sequence_; }
+
+  std::size_t size() const { return streams_.size(); }
+
+ private:
+  struct Stream {
+    std::string version;
+    Instant expires_at;
+  };
+
+  std::map<StreamKey, Stream> streams_;
+  // written_sequence_ <= sent_sequence_ <= sequence_.
+  Sequence sequence_ = 0;
+  Sequence sent_sequence_ = 0;
+  Sequence written_sequence_ = 0;
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_STREAM_VERSIONS_BEGUN_STREAMS_H_
--- /dev/null
+++ b/src/stream_versions/stream_version_directory.h
@@ -0,0 +1,141 @@
+// Decides at which software versions streams may begin, and at which one a stream continues.
+//
+// Load pattern: callers whose streams broke off come back to any gateway, hundreds at once after a
+// crash, while some gateways cannot reach the store or each other. The decision must neither join
+// two versions nor ask the store where only one version serves. docs/design/stream-versions.md has
+// the rules and why they are safe.
+
+#ifndef BLUEBELLSTEP_STREAM_VERSIONS_STREAM_VERSION_DIRECTORY_H_
+#define BLUEBELLSTEP_STREAM_VERSIONS_STREAM_VERSION_DIRECTORY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "stream_versions/begun_streams.h"
+#include "stream_versions/stream_belief.h"
+#include "stream_versions/version_table.h"
+
+namespace bluebellstep {
+
+/** All that the store holds of streams, by one complete list. */
+struct StreamSnapshot {
+  std::optional<VersionTable> table;
+  std::set<std::string, std::less<>> gateways;
+  StreamVersionMap begun;  // Of all gateways.
+};
+
+/** The knowledge of one gateway. Performs no I/O. All times are read from one monotonic clock. */
+class StreamVersionDirectory {
+ public:
+  /** A gateway that does not say that it knows a table holds up its use until it has not been heard
+   * for this long. */
+  static constexpr Duration kSilence{2500};
+  /** A gateway trusts its own table while it heard every other gateway within this time. Less than
+   * `kSilence` by more than the time that a datagram takes. */
+  static constexpr Duration kHeardWithin{1800};
+  /** A gateway that heard neither the store nor another gateway for this long begins no streams: the
+   * default version may have moved. Less than `VersionTablePlanner::kDefaultGone`. */
+  static constexpr Duration kMaxAlone{15'000};
+
+  explicit StreamVersionDirectory(std::string own_name) : own_name_(std::move(own_name)) {}
+
+  /** Sets the services with resumable streams. Streams of others may begin and continue anywhere. */
+  void set_services(std::set<std::string, std::less<>> services) {
+    services_ = std::move(services);
+  }
+  bool covers(std::string_view service) const { return services_.contains(service); }
+
+  /** Takes in a table of the store or of another gateway. Returns whether it is newer than the known
+   * one. */
+  bool apply_table(const VersionTable& table, Instant now);
+
+  /** Takes in a complete list of the store's objects that was asked for at `asked_at`. */
+  void apply_snapshot(const StreamSnapshot& snapshot, Instant asked_at, Instant now);
+
+  /** The store answered. */
+  void record_store_answer(Instant now) { contact_at_ = now; }
+
+  /** Another gateway was heard, and knows the table of this epoch. Returns whether that table is
+   * newer than the known one. */
+  bool record_report(std::string_view gateway, std::uint64_t epoch, Instant now);
+
+  /** The newest table that this gateway knows; its epoch is 0 before the first one. */
+  const VersionTable& table() const { return table_; }
+
+  /** Number of gateways in the store, this one included; 0 before the first list. */
+  std::size_t gateway_count() const { return listed_gateways_.size(); }
+
+  /** Whether the gateways in the store are known as of when the table was learned. If not, the
+   * admitted versions are not used; read the list. */
+  bool needs_gateways() const { return gateways_as_of_ < learned_at_.second; }
+
+  /** What it takes to begin a stream at a version of a covered service.
+   *
+   * @param can_record  Whether the store is expected to acknowledge a record soon.
+   */
+  BeginRule begin_rule(std::string_view service,
+                       std::string_view version,
+                       bool can_record,
+                       Instant now);
+
+  /** Returns the versions of a covered service at which streams may begin. */
+  std::vector<std::string> usable_versions(std::string_view service, bool can_record, Instant now);
+
+  /** This gateway began a stream: the caller got the first event. */
+  void record_begun(StreamKey stream, std::string_view version, Instant expires_at, Instant now);
+
+  /** Returns at which version a stream of a covered service continues.
+   *
+   * @param stream  Unset if the caller does not name the stream.
+   */
+  StreamBelief belief(std::string_view service, std::optional<StreamKey> stream, Instant now) const;
+
+  /** Returns the same by a list of the store that was asked for after the caller came back. Never
+   * `AskStore`. Call it after `apply_snapshot` with the same list. */
+  StreamBelief belief(std::string_view service,
+                      std::optional<StreamKey> stream,
+                      const StreamSnapshot& snapshot) const;
+
+ private:
+  struct Gateway {
+    std::optional<Instant> heard_at;
+    std::uint64_t epoch = 0;
+  };
+  struct Begun {
+    std::string version;
+    Instant expires_at;
+  };
+
+  // The version of a stream that this gateway began; null for others.
+  const std::string* find_begun(std::optional<StreamKey> stream) const;
+  // Whether every other gateway knows the table of `epoch` or distrusts its own one.
+  bool is_in_force(std::uint64_t epoch, Instant now);
+  // Whether no other gateway can have begun streams by a newer table.
+  bool trusts_table(Instant now) const;
+  bool is_alone(Instant now) const;
+
+  std::string own_name_;
+  std::set<std::string, std::less<>> services_;
+  VersionTable table_;
+  // The epoch of the known table, and when this gateway learned it.
+  std::pair<std::uint64_t, Instant> learned_at_;
+  std::uint64_t in_force_epoch_ = 0;  // Tables up to this epoch are in force for good.
+  Instant gateways_as_of_;            // When the last applied list was asked for.
+  std::set<std::string, std::less<>> listed_gateways_;
+  std::map<std::string, Gateway, std::less<>> heard_gateways_;
+  Instant contact_at_;  // When the store or another gateway was last heard.
+  std::map<StreamKey, Begun> begun_;
+  Instant next_removal_;  // Of expired entries of `begun_`.
+};
+
+}  // namespace bluebellstep
+
+#endif  // BLUEBELLSTEP_STREAM_VERSIONS_STREAM_VERSION_DIRECTORY_H_
