--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -156,7 +156,7 @@
       .time_left = time_left(request, clock_.now()),
       .tie_breaker = hash64(request.caller.request_id),
       .excluded_ids = request.tried_upstreams};
-  if (versions_matter(request)) {
+  if (request.versions_matter) {
     query.software_versions = request.usable_versions;
   }
   return query;
@@ -344,11 +344,15 @@
     }
     return;
   }
-  request->last_progress_at = clock_.now();
-  request->attempt->body += content;
+  buffer_content(*request, content);
+}
+
+void Forwarder::buffer_content(Request& request, std::string_view content) {
+  request.last_progress_at = clock_.now();
+  request.attempt->body += content;
   buffered_body_bytes_ += content.size();
-  if (request->attempt->body.size() > kMaxBufferedBodyBytes) {
-    on_attempt_failed(*request, AttemptOutcome::kFailed, true, "answer_too_large");
+  if (request.attempt->body.size() > kMaxBufferedBodyBytes) {
+    on_attempt_failed(request, AttemptOutcome::kFailed, true, "answer_too_large");
   } else if (buffered_body_bytes_ > kMaxTotalBufferedBytes) {
     // The largest one, so that a faulty upstream does not end the requests to others.
     on_attempt_failed(largest_buffered(), AttemptOutcome::kFailed, true, "answer_too_large");
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -131,8 +131,7 @@
       ExchangeOutcome outcome{};
       std::string reason;
     };
-    std::string content;
-    std::optional<Instant> received_at;  // The first content.
+    std::optional<Instant> received_at;  // The first content, which is in `Attempt::body`.
     std::optional<End> end;              // Set if the exchange has ended.
   };
 
@@ -149,11 +148,11 @@
     // The pool was notified that the prefill has finished: the first event arrived, or the attempt
     // ended.
     bool prefill_reported = false;
-    std::unique_ptr<MessageHead> head;  // Of the response; null until it is received.
-    UpstreamResponseHead response;      // Views point into `head`.
-    std::string body;                   // Of a response that is not streamed.
-    bool streaming = false;             // The response is forwarded event by event.
-    std::optional<HeldContent> held;    // Set while the store has not acknowledged the version.
+    std::unique_ptr<MessageHead> head;     // Of the response; null until it is received.
+    UpstreamResponseHead response;         // Views point into `head`.
+    std::string body;                      // Of a response that is not streamed, or is held.
+    bool streaming = false;                // The response is forwarded event by event.
+    std::optional<HeldContent> held;       // Set while the store has not acknowledged the version.
     std::optional<Instant> held_event_at;  // When the first event arrived, if it was held.
   };
 
@@ -179,8 +178,8 @@
     const ClientAccount* account = nullptr;
     const ServiceInfo* service = nullptr;
     Instant arrived_at;
-    Instant deadline;                          // Set with `service`.
-    std::optional<Attempt> attempt;            // The current one.
+    Instant deadline;                // Set with `service`.
+    std::optional<Attempt> attempt;  // The current one.
     std::uint32_t attempt_count = 0;
     std::vector<std::string> tried_upstreams;  // Ids of upstreams that are not tried again.
     std::uint32_t possible_runs = 0;           // Attempts on which the request may have run.
@@ -191,10 +190,12 @@
     bool response_started = false;  // The head of a streamed response was sent to the caller.
     bool chunked = false;           // The response to the caller uses chunked transfer encoding.
     bool closes = false;            // The head of the started response announced a close.
-    StreamKey stream;  // Set if `versions_matter`, like the next members.
+    // The stream must not get events from servers of two software versions.
+    bool versions_matter = false;
+    StreamKey stream;  // Set if `versions_matter`.
     // The version that began the stream. Unset before the caller has the first event.
     std::optional<std::string> stream_version;
-    bool waits_for_version = false;  // No attempt is made before the version is known.
+    bool waits_for_version = false;            // No attempt is made before the version is known.
     std::vector<std::string> usable_versions;  // For the next attempt.
     SseEventBuffer event_buffer;
     // When the upstream last sent an event of a stream, or anything else, the attempt started, or
@@ -213,8 +214,6 @@
   static constexpr Duration kMinTimeLeft{10};
 
   Request* find(RequestId id);
-  // Whether a stream must not get events from servers of two software versions.
-  bool versions_matter(const Request& request) const;
   // Dispatches a request, a stream that a caller wants continued once its version is known.
   void find_stream_version(Request& request);
   void on_stream_version(RequestId id, const StreamBelief& belief);
@@ -226,6 +225,8 @@
   // Keep what the upstream sent until the version is recorded. Return whether they did.
   bool hold_content(Request& request, std::string_view content);
   static bool hold_end(Request& request, ExchangeOutcome outcome, std::string_view reason);
+  // Appends to the body of the current attempt, which fails if it or the sum of all is too large.
+  void buffer_content(Request& request, std::string_view content);
   // The caller gets the first event of a stream from the current attempt.
   void on_stream_begun(Request& request);
   static Instant stream_expiry(const Request& request);
--- a/src/gateway/forwarder_streams.cc
+++ b/src/gateway/forwarder_streams.cc
@@ -15,8 +15,8 @@
 
 // A caller with more unread bytes of a stream is disconnected.
 constexpr std::size_t kMaxUnsentBytes = 1u << 20;
-// A caller may come back this long after its deadline: its clock and the gateway's start at different
-// moments.
+// A caller may come back this long after its deadline: its clock and the gateway's start at
+// different moments.
 constexpr Duration kExpirySlack{5000};
 // Minimum retry delay of a caller whose stream cannot continue at present.
 constexpr Duration kUnknownVersionRetryDelay{300};
@@ -40,18 +40,16 @@
 
 }  // namespace
 
-bool Forwarder::versions_matter(const Request& request) const {
-  return stream_versions_ != nullptr && request.route->kind == RequestKind::kStream &&
-         request.route->resumable && stream_versions_->covers(request.service->name);
-}
-
 Instant Forwarder::stream_expiry(const Request& request) {
   return request.arrived_at + request.caller.time_left.value_or(request.route->timeout) +
          kExpirySlack;
 }
 
 void Forwarder::find_stream_version(Request& request) {
-  if (!versions_matter(request)) {
+  request.versions_matter =
+      stream_versions_ != nullptr && request.route->kind == RequestKind::kStream &&
+      request.route->resumable && stream_versions_->covers(request.service->name);
+  if (!request.versions_matter) {
     dispatch(request);
     return;
   }
@@ -90,7 +88,7 @@
 }
 
 void Forwarder::update_usable_versions(Request& request) {
-  if (!versions_matter(request)) {
+  if (!request.versions_matter) {
     return;
   }
   request.usable_versions = request.stream_version
@@ -99,7 +97,7 @@
 }
 
 void Forwarder::record_stream_version(Request& request) {
-  if (!versions_matter(request) || request.stream_version) {
+  if (!request.versions_matter || request.stream_version) {
     return;
   }
   Attempt& attempt = *request.attempt;
@@ -126,12 +124,19 @@
     fail_request(*request, request->possible_runs > 0, "version_not_recorded");
     return;
   }
-  const HeldContent held = *std::exchange(request->attempt->held, std::nullopt);
-  request->attempt->held_event_at = held.received_at;
-  if (!held.content.empty()) {
-    on_content(id, held.content);
-  }
-  if (held.end) {
+  Attempt& attempt = *request->attempt;
+  const HeldContent held = *std::exchange(attempt.held, std::nullopt);
+  attempt.held_event_at = held.received_at;
+  const std::string content = std::exchange(attempt.body, {});
+  buffered_body_bytes_ -= content.size();
+  if (!content.empty()) {
+    on_content(id, content);
+  }
+  request = find(id);
+  // The content may have ended the attempt.
+  const bool same_attempt =
+      request != nullptr && request->attempt && request->attempt->number == attempt_number;
+  if (held.end && same_attempt) {
     on_end(id, held.end->outcome, held.end->reason);
   }
 }
@@ -142,17 +147,13 @@
     return false;
   }
   held->received_at = held->received_at.value_or(clock_.now());
-  held->content += content;
-  request.last_progress_at = clock_.now();
-  if (held->content.size() > kMaxUnsentBytes) {
-    on_attempt_failed(request, AttemptOutcome::kFailed, true, "answer_too_large");
-  }
+  buffer_content(request, content);
   return true;
 }
 
 bool Forwarder::hold_end(Request& request, ExchangeOutcome outcome, std::string_view reason) {
   std::optional<HeldContent>& held = request.attempt->held;
-  if (!held || held->content.empty()) {
+  if (!held || !held->received_at) {
     return false;
   }
   held->end = {.outcome = outcome, .reason = std::string(reason)};
@@ -160,7 +161,7 @@
 }
 
 void Forwarder::on_stream_begun(Request& request) {
-  if (!versions_matter(request) || request.stream_version) {
+  if (!request.versions_matter || request.stream_version) {
     return;
   }
   request.stream_version = request.attempt->picked.software_version;
@@ -181,7 +182,8 @@
   if (has_event) {
     request.last_progress_at = clock_.now();
     if (!request.attempt->prefill_reported) {
-      request.attempt->first_byte_at = request.last_progress_at;
+      request.attempt->first_byte_at =
+          request.attempt->held_event_at.value_or(request.last_progress_at);
       quarantine_.record_answer(request.caller.prompt, request.last_progress_at);
     }
     report_prefill_finished(*request.attempt);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -112,9 +112,10 @@
                         settings,
                         metrics,
                         {.count_versions = [this] { return count_versions(); },
-                         .store_reachable = [this] { return synchronizer.store_reachable(); },
+                         .store_answered_at = [this] { return synchronizer.store_answered_at(); },
                          .rank = [this] { return synchronizer.lease_rank(); },
-                         .report_soon = [this] { load_report_exchange.report_soon(); }}),
+                         .report_soon = [this] { load_report_exchange.report_soon(); },
+                         .ask_peer = [this] { synchronizer.ask_peer(); }}),
         load_report_exchange(
             loop,
             settings.peers,
@@ -124,9 +125,11 @@
         caller_listener(loop, settings.callers, forwarder, caller_options(settings), &metrics) {
     forwarder.set_stream_versions(stream_versions);
     synchronizer.on_config_changed(
-        [this] { stream_versions.set_services(services_with_resumable_streams()); });
-    synchronizer.on_gateway_removed(
-        [this](const std::string& name) { stream_versions.forget_gateway(name); });
+        [this] { stream_versions.add_services(services_with_resumable_streams()); });
+    synchronizer.on_gateways_changed([this](const std::set<std::string, std::less<>>& names) {
+      stream_versions.set_registered(names);
+    });
+    synchronizer.on_registration_lost([this] { stream_versions.on_registration_lost(); });
     synchronizer.set_version_table_callbacks(
         [this] { return stream_versions.encoded_table(); },
         [this](std::string_view table) { stream_versions.apply_encoded_table(table); });
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -348,6 +348,9 @@
   }
   quota_.set_registered(names);
   membership_.set_registered(names, clock_.now());
+  if (on_gateways_changed_) {
+    on_gateways_changed_(names);
+  }
   if (!peers.empty()) {
     peers_ = std::move(peers);
     if (on_peers_changed_) {
@@ -357,6 +360,9 @@
   if (membership_.own_registration_lost()) {
     LogEvent("registration_lost", LogEvent::Severity::kWarning).field("name", settings_.name);
     write_registration(0);
+    if (on_registration_lost_) {
+      on_registration_lost_();
+    }
   }
 }
 
@@ -470,9 +476,6 @@
         .field("name", name)
         .field("revision", object->second.revision)
         .field("silent_ms", GatewayMembership::kRemovalTimeout.ms);
-    if (on_gateway_removed_) {
-      on_gateway_removed_(name);
-    }
     client_.send(platform::remove_call(settings_.store, ObjectKind::kGateways, name,
                                        object->second.revision, StoreWatcher::kCallTimeout),
                  [name](const HttpClient::Response& response) {
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -99,9 +100,15 @@
     on_config_changed_ = std::move(callback);
   }
 
-  /** Sets the callback for the removal of the registration of a gateway that no longer exists. */
-  void on_gateway_removed(std::function<void(const std::string&)> callback) {
-    on_gateway_removed_ = std::move(callback);
+  /** Sets the callback for changes of the registered gateways, which receives their names. */
+  void on_gateways_changed(
+      std::function<void(const std::set<std::string, std::less<>>& names)> callback) {
+    on_gateways_changed_ = std::move(callback);
+  }
+
+  /** Sets the callback for the removal of this gateway's registration. */
+  void on_registration_lost(std::function<void()> callback) {
+    on_registration_lost_ = std::move(callback);
   }
 
   /** Sets what this gateway tells peers of the versions of streams, and what it does with what they
@@ -139,6 +146,16 @@
   /** Whether the store answered the last call. */
   bool store_reachable() const { return store_reachable_; }
 
+  /** When the store last answered this gateway or the one that it follows. */
+  Instant store_answered_at() const { return store_answered_at_; }
+
+  /** Asks another gateway for newer objects, unless one is being asked. */
+  void ask_peer() {
+    if (!peer_query_in_flight_) {
+      query_peer();
+    }
+  }
+
   /** Records that a load report of another gateway was received. */
   void on_gateway_report(std::string_view gateway) { membership_.on_report(gateway, clock_.now()); }
 
@@ -213,7 +230,8 @@
   std::function<void()> on_weights_changed_;
   std::function<void()> on_rollouts_changed_;
   std::function<void()> on_config_changed_;
-  std::function<void(const std::string&)> on_gateway_removed_;
+  std::function<void(const std::set<std::string, std::less<>>&)> on_gateways_changed_;
+  std::function<void()> on_registration_lost_;
   std::function<std::string()> encode_version_table_;
   std::function<void(std::string_view)> apply_version_table_;
   std::function<void(std::vector<Endpoint>)> on_peers_changed_;
--- a/src/stream_versions/begun_streams.h
+++ b/src/stream_versions/begun_streams.h
@@ -49,9 +49,9 @@
   /** Most streams in the record. A gateway of a busy deployment begins some hundred a second, and
    * the text of the record must fit into an object of the store. */
   static constexpr std::size_t kMaxStreams = 10'000;
-  /** For this time after a start the streams of the process before are kept. No stream lasts as
-   * long as that. */
-  static constexpr Duration kAdoptedLifetime{30'000};
+  /** For this time after a start the streams of the process before are kept: the record does not
+   * tell when their callers' deadlines pass. */
+  static constexpr Duration kAdoptedLifetime{60'000};
 
   /** Whether another stream can be added. */
   bool has_room() const { return streams_.size() < kMaxStreams; }
@@ -67,6 +67,9 @@
   /** Whether the record contains the stream, written or not. */
   bool contains(StreamKey stream) const { return streams_.contains(stream); }
 
+  /** The store may have lost the record: the next write is needed even if nothing was added. */
+  void mark_changed() { ++sequence_; }
+
   /** Whether there are changes that no write contains yet. */
   bool needs_write() const { return sequence_ > sent_sequence_; }
 
--- a/src/stream_versions/stream_version_directory.cc
+++ b/src/stream_versions/stream_version_directory.cc
@@ -34,19 +34,35 @@
   }
 }
 
+bool StreamVersionDirectory::admits_any() const {
+  return std::any_of(table_.services.begin(), table_.services.end(),
+                     [](const auto& service) { return !service.second.admitted.empty(); });
+}
+
 bool StreamVersionDirectory::record_report(std::string_view gateway,
                                            std::uint64_t epoch,
                                            Instant now) {
-  auto found = heard_gateways_.find(gateway);
-  if (found == heard_gateways_.end()) {
-    found = heard_gateways_.emplace(gateway, Gateway{}).first;
-  }
-  found->second.heard_at = now;
-  found->second.epoch = std::max(found->second.epoch, epoch);
-  contact_at_ = now;
+  if (now > report_at_ + kMaxReportGap) {
+    report_gap_end_ = now;
+  }
+  report_at_ = now;
+  auto found = peers_.find(gateway);
+  if (found == peers_.end()) {
+    std::erase_if(peers_, [now](const auto& entry) {
+      return now > entry.second.heard_at + kTrustWithoutStore;
+    });
+    found = peers_.emplace(gateway, Peer{}).first;
+  }
+  // Not the highest one: a gateway that starts again may know an older table than before.
+  found->second = {.heard_at = now, .epoch = std::max<std::uint64_t>(1, epoch)};
   return epoch > table_.epoch;
 }
 
+const StreamVersionDirectory::Peer* StreamVersionDirectory::find_peer(std::string_view name) const {
+  const auto found = peers_.find(name);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
 bool StreamVersionDirectory::is_in_force(std::uint64_t epoch, Instant now) {
   if (epoch <= in_force_epoch_) {
     return true;
@@ -54,40 +70,60 @@
   if (needs_gateways()) {
     return false;
   }
+  const bool counts_silence = !joined_at_ || now >= *joined_at_ + kNewcomerTime;
   for (const std::string& name : listed_gateways_) {
-    const auto found = heard_gateways_.find(name);
-    const Gateway gateway = found == heard_gateways_.end() ? Gateway{} : found->second;
+    const Peer* peer = find_peer(name);
     const Instant quiet_since =
-        std::max(learned_at_.second, gateway.heard_at.value_or(learned_at_.second));
-    if (name != own_name_ && gateway.epoch < table_.epoch && now < quiet_since + kSilence) {
+        std::max(learned_at_.second, peer == nullptr ? Instant{} : peer->heard_at);
+    const bool knows = peer != nullptr && peer->epoch >= epoch;
+    const bool is_silent = counts_silence && now >= quiet_since + kSilence;
+    if (name != own_name_ && !knows && !is_silent) {
       return false;
     }
   }
-  in_force_epoch_ = table_.epoch;
+  in_force_epoch_ = epoch;
   return true;
 }
 
+Duration StreamVersionDirectory::known_for(std::uint64_t epoch, Instant now) {
+  const bool all_know =
+      !needs_gateways() && epoch <= table_.epoch && listed_gateways_.contains(own_name_) &&
+      std::all_of(listed_gateways_.begin(), listed_gateways_.end(), [&](const std::string& name) {
+        const Peer* peer = find_peer(name);
+        return name == own_name_ || (peer != nullptr && peer->epoch >= epoch);
+      });
+  const auto known = known_since_.find(epoch);
+  if (known != known_since_.end()) {
+    return now - known->second;
+  }
+  if (all_know) {
+    known_since_.emplace(epoch, now);
+  }
+  return Duration{0};
+}
+
 bool StreamVersionDirectory::trusts_table(Instant now) const {
-  if (table_.epoch == 0 || !listed_gateways_.contains(own_name_)) {
+  if (table_.epoch == 0 || !listed_gateways_.contains(own_name_) ||
+      now > store_answered_at_ + kTrustWithoutStore || now < report_gap_end_ + kSilence) {
     return false;
   }
-  const bool any_newer =
-      std::any_of(heard_gateways_.begin(), heard_gateways_.end(),
-                  [this](const auto& entry) { return entry.second.epoch > table_.epoch; });
-  return !any_newer && std::all_of(listed_gateways_.begin(), listed_gateways_.end(),
-                                   [this, now](const std::string& name) {
-                                     const auto found = heard_gateways_.find(name);
-                                     return name == own_name_ ||
-                                            (found != heard_gateways_.end() &&
-                                             now <= *found->second.heard_at + kHeardWithin);
-                                   });
+  const auto agrees = [this, now](const std::string& name) {
+    const Peer* peer = find_peer(name);
+    return name == own_name_ ||
+           (peer != nullptr && now <= peer->heard_at + kHeardWithin && peer->epoch == table_.epoch);
+  };
+  return std::none_of(peers_.begin(), peers_.end(),
+                      [this](const auto& entry) { return entry.second.epoch > table_.epoch; }) &&
+         std::all_of(listed_gateways_.begin(), listed_gateways_.end(), agrees) &&
+         std::all_of(registered_.begin(), registered_.end(), agrees);
 }
 
-bool StreamVersionDirectory::is_alone(Instant now) const {
-  const bool has_others =
-      std::any_of(listed_gateways_.begin(), listed_gateways_.end(),
-                  [this](const std::string& name) { return name != own_name_; });
-  return has_others && now > contact_at_ + kMaxAlone;
+bool StreamVersionDirectory::is_outdated(Instant now) const {
+  const bool is_listed = listed_gateways_.contains(own_name_);
+  // A gateway that others do not wait for knows only that the table held when it learned it.
+  const Instant held_at =
+      is_listed ? std::max(store_answered_at_, learned_at_.second) : learned_at_.second;
+  return now >= held_at + kMaxWithoutStore;
 }
 
 BeginRule StreamVersionDirectory::begin_rule(std::string_view service,
@@ -95,17 +131,17 @@
                                              bool can_record,
                                              Instant now) {
   const ServiceVersions* versions = table_.find(service);
-  if (versions == nullptr || is_alone(now)) {
+  if (versions == nullptr || is_outdated(now)) {
     return BeginRule::kForbidden;
   }
+  const BeginRule if_recorded = can_record ? BeginRule::kRecorded : BeginRule::kForbidden;
   if (version == versions->default_version) {
-    return BeginRule::kFree;
+    return versions->recorded_since == 0 ? BeginRule::kFree : if_recorded;
   }
   const auto admitted = versions->admitted.find(version);
-  if (admitted == versions->admitted.end() || !can_record || !is_in_force(admitted->second, now)) {
-    return BeginRule::kForbidden;
-  }
-  return BeginRule::kRecorded;
+  const bool may_begin = admitted != versions->admitted.end() && !admitted->second.withdrawn &&
+                         is_in_force(admitted->second.epoch, now);
+  return may_begin ? if_recorded : BeginRule::kForbidden;
 }
 
 std::vector<std::string> StreamVersionDirectory::usable_versions(std::string_view service,
@@ -122,7 +158,7 @@
     }
   };
   add(versions->default_version);
-  for (const auto& [version, epoch] : versions->admitted) {
+  for (const auto& [version, state] : versions->admitted) {
     add(version);
   }
   return usable;
@@ -175,6 +211,9 @@
     // The store holds an older state than it did: records may be gone too.
     return UnknownVersion{"older_version_table"};
   }
+  if (snapshot.unreadable) {
+    return UnknownVersion{"record_unreadable"};
+  }
   if (!stream && !versions->admitted.empty()) {
     return UnknownVersion{"stream_not_named"};
   }
--- a/src/stream_versions/stream_version_driver.cc
+++ b/src/stream_versions/stream_version_driver.cc
@@ -1,4 +1,4 @@
-// Lists and writes the objects about streams in the platform's store.
+// Lists the objects about streams in the platform's store, and writes the table of versions.
 
 #include "stream_versions/stream_version_driver.h"
 
@@ -14,7 +14,6 @@
 using platform::ObjectKind;
 
 constexpr std::string_view kTableName = "versions";
-constexpr std::string_view kRecordPrefix = "begun-";
 
 std::string_view belief_text(const StreamBelief& belief) {
   return std::visit(Overloaded{[](const KnownVersion&) { return std::string_view("known"); },
@@ -29,17 +28,26 @@
                                          HttpClient& client,
                                          const GatewaySettings& settings,
                                          Metrics& metrics,
-                                         Gateway gateway)
+                                         Environment environment)
     : loop_(loop),
       client_(client),
       settings_(settings),
       metrics_(metrics),
-      gateway_(std::move(gateway)),
-      directory_(settings.name) {}
-
-std::string StreamVersionDriver::record_name(std::string_view gateway) {
-  return std::string(kRecordPrefix).append(gateway);
-}
+      environment_(std::move(environment)),
+      directory_(settings.name),
+      record_writer_(loop,
+                     client,
+                     settings,
+                     {.on_created =
+                          [this] {
+                            directory_.record_joined(clock_.now());
+                            read_list();
+                          },
+                      .on_failed =
+                          [this] {
+                            reachable_ = false;
+                            read_list();
+                          }}) {}
 
 void StreamVersionDriver::run_after(Duration delay, std::function<void()> task) {
   loop_.post_after(delay, [alive = std::weak_ptr<bool>(alive_), task = std::move(task)] {
@@ -59,31 +67,14 @@
   });
 }
 
-void StreamVersionDriver::set_services(std::set<std::string, std::less<>> services) {
-  const bool any = !services.empty();
-  directory_.set_services(std::move(services));
-  if (any && !started_) {
-    started_ = true;
-    read_list();
-    plan_periodically();
-  } else {
+void StreamVersionDriver::add_services(const std::set<std::string, std::less<>>& services) {
+  directory_.add_services(services);
+  if (services.empty() || std::exchange(started_, true)) {
     refresh();
-  }
-}
-
-void StreamVersionDriver::forget_gateway(const std::string& name) {
-  const auto found = record_revisions_.find(name);
-  if (found == record_revisions_.end()) {
     return;
   }
-  // Callers may still come back for the streams in the record.
-  run_after(BegunStreams::kAdoptedLifetime, [this, name, revision = found->second] {
-    send(platform::remove_call(settings_.store, ObjectKind::kStreamVersions, record_name(name),
-                               revision, kCallTimeout),
-         [name](const HttpClient::Response& response) {
-           LogEvent("stream_record_removed").field("gateway", name).field("status", response.status);
-         });
-  });
+  read_list();
+  plan_periodically();
 }
 
 void StreamVersionDriver::on_report(std::string_view gateway, std::uint64_t epoch) {
@@ -92,6 +83,18 @@
   }
 }
 
+void StreamVersionDriver::set_registered(std::set<std::string, std::less<>> names) {
+  directory_.set_registered(names);
+  registered_ = std::move(names);
+}
+
+void StreamVersionDriver::on_registration_lost() {
+  directory_.forget_gateways();
+  if (started_) {
+    read_list();
+  }
+}
+
 std::string StreamVersionDriver::encoded_table() const {
   return epoch() == 0 ? std::string() : encode_version_table(directory_.table());
 }
@@ -110,12 +113,13 @@
   event.field("epoch", table.epoch);
   for (const auto& [service, versions] : table.services) {
     std::string text = versions.default_version;
-    for (const auto& [version, epoch] : versions.admitted) {
-      text.append(",").append(version);
+    for (const auto& [version, state] : versions.admitted) {
+      text.append(state.withdrawn ? ",-" : ",").append(version);
     }
     event.field(service, text);
   }
-  gateway_.report_soon();
+  environment_.report_soon();
+  // What the table admits is used once the gateways are known as of now.
   if (started_) {
     read_list();
   }
@@ -124,23 +128,26 @@
 // Lists.
 
 void StreamVersionDriver::read_list() {
-  if (list_in_flight_) {
-    list_again_ = true;
+  if (list_scheduled_) {
     return;
   }
-  list_in_flight_ = true;
-  list_again_ = false;
-  list_asked_at_ = clock_.now();
-  listed_ = {};
-  listed_record_revision_ = 0;
-  listed_record_.reset();
-  listed_table_revision_ = 0;
-  record_revisions_.clear();
-  waiting_callers_ = std::exchange(later_callers_, {});
-  send_list_call("");
+  list_scheduled_ = true;
+  if (list_) {
+    return;  // `apply_list` or `fail_list` reads the next one.
+  }
+  const Duration interval =
+      std::max(kListInterval,
+               kListIntervalPerGateway * static_cast<std::int64_t>(directory_.gateway_count()));
+  const Instant due = list_asked_at_ + (reachable_ ? interval : kRetryDelay);
+  run_after(std::max(Duration{0}, due - clock_.now()), [this] {
+    list_scheduled_ = false;
+    list_asked_at_ = clock_.now();
+    list_.emplace(List{.asked_at = list_asked_at_, .callers = std::exchange(waiting_callers_, {})});
+    send_list_call("");
+  });
 }
 
-void StreamVersionDriver::send_list_call(std::string after) {
+void StreamVersionDriver::send_list_call(std::string_view after) {
   send(platform::list_call(settings_.store, ObjectKind::kStreamVersions, after, kCallTimeout),
        [this](const HttpClient::Response& response) {
          on_list_page(platform::decode_page(response));
@@ -152,92 +159,132 @@
     fail_list(*fault);
     return;
   }
-  auto& page = std::get<platform::ObjectPage>(result);
+  const auto& page = std::get<platform::ObjectPage>(result);
   for (const platform::StoredObject& object : page.objects) {
-    if (object.name == kTableName) {
-      listed_.table = decode_version_table(object.content);
-      listed_table_revision_ = object.revision;
-    } else if (object.name.starts_with(kRecordPrefix)) {
-      const std::string gateway = object.name.substr(kRecordPrefix.size());
-      auto streams = decode_begun_streams(object.content);
-      if (!streams) {
-        LogEvent("stream_record_not_understood", LogEvent::Severity::kWarning)
-            .field("gateway", gateway);
-        streams.emplace();
-      }
-      listed_.gateways.insert(gateway);
-      record_revisions_[gateway] = object.revision;
-      listed_.begun.insert(streams->begin(), streams->end());
-      if (gateway == settings_.name) {
-        listed_record_revision_ = object.revision;
-        listed_record_ = std::move(*streams);
-      }
-    }
+    read_object(object);
   }
   if (page.continue_after) {
-    send_list_call(std::move(*page.continue_after));
+    send_list_call(*page.continue_after);
+  } else {
+    apply_list();
+  }
+}
+
+void StreamVersionDriver::read_object(const platform::StoredObject& object) {
+  if (object.name == kTableName) {
+    list_->snapshot.table = decode_version_table(object.content);
+    list_->table_revision = object.revision;
+    return;
+  }
+  const std::string prefix = StreamRecordWriter::object_name("");
+  if (!object.name.starts_with(prefix)) {
     return;
   }
-  apply_list();
+  const std::string gateway = object.name.substr(prefix.size());
+  const auto streams = decode_begun_streams(object.content);
+  if (streams) {
+    list_->snapshot.begun.insert(streams->begin(), streams->end());
+  } else {
+    list_->snapshot.unreadable = true;
+    LogEvent("stream_record_not_understood", LogEvent::Severity::kWarning)
+        .field("gateway", gateway);
+  }
+  list_->snapshot.gateways.insert(gateway);
+  list_->record_revisions[gateway] = object.revision;
+  if (gateway == settings_.name) {
+    list_->record_revision = object.revision;
+    list_->record = streams.value_or(StreamVersionMap());
+  }
 }
 
 void StreamVersionDriver::apply_list() {
   const Instant now = clock_.now();
-  directory_.record_store_answer(now);
-  // Further lists start at the end: `list_in_flight_` is still set.
-  if (listed_.table) {
-    apply_table(*listed_.table);
+  List list = std::move(*list_);
+  reachable_ = true;
+  directory_.record_store_answer(list.asked_at);
+  if (list.snapshot.table) {
+    apply_table(*list.snapshot.table);
   }
-  directory_.apply_snapshot(listed_, list_asked_at_, now);
+  directory_.apply_snapshot(list.snapshot, list.asked_at, now);
+  record_writer_.set_gateway_count(directory_.gateway_count());
+  record_writer_.set_listed(list.record_revision, list.record);
+  const std::uint64_t listed_epoch = list.snapshot.table ? list.snapshot.table->epoch : 0;
   if (!table_write_in_flight_) {
-    table_revision_ = listed_table_revision_;
-  }
-  if (!record_write_in_flight_) {
-    const bool first = !record_revision_;
-    record_revision_ = listed_record_revision_;
-    if (first && listed_record_) {
-      begun_streams_.adopt(*listed_record_, now);
+    table_revision_ = list.table_revision;
+    if (listed_epoch < epoch() && !directory_.needs_gateways()) {
+      // The store holds an older state than it did, and may have lost the record too.
+      VersionTable table = directory_.table();
+      ++table.epoch;
+      write_table(table);
+      record_writer_.rewrite();
     }
   }
-  answer_waiting_callers(&listed_);
-  list_in_flight_ = false;
-  if (list_again_ || directory_.needs_gateways()) {
+  remove_old_records(list);
+  answer(std::move(list.callers), &list.snapshot);
+  list_.reset();
+  const bool again = std::exchange(list_scheduled_, false);
+  if (again || directory_.needs_gateways()) {
     read_list();
   }
-  if (*record_revision_ == 0 || begun_streams_.needs_write()) {
-    write_record();
-  }
   plan_table();
 }
 
 void StreamVersionDriver::fail_list(const PlatformUnavailable& fault) {
   LogEvent("stream_list_failed", LogEvent::Severity::kWarning).field("why", fault.detail);
-  answer_waiting_callers(nullptr);
-  waiting_callers_ = std::exchange(later_callers_, {});
-  answer_waiting_callers(nullptr);
-  list_in_flight_ = false;
-  if (list_again_ || !record_revision_ || directory_.needs_gateways()) {
-    run_after(kRetryDelay, [this] { read_list(); });
+  reachable_ = false;
+  answer(std::move(list_->callers), nullptr);
+  answer(std::exchange(waiting_callers_, {}), nullptr);
+  list_.reset();
+  list_scheduled_ = false;
+  environment_.ask_peer();
+  // A list that succeeds is the sign that streams can be recorded again.
+  if (epoch() == 0 || directory_.admits_any() || !record_writer_.can_add()) {
+    read_list();
   }
 }
 
-void StreamVersionDriver::answer_waiting_callers(const StreamSnapshot* snapshot) {
-  for (const WaitingCaller& caller : std::exchange(waiting_callers_, {})) {
-    const StreamBelief belief =
-        snapshot == nullptr ? StreamBelief(UnknownVersion{"store_unavailable"})
-                            : directory_.belief(caller.service, caller.stream, *snapshot);
+void StreamVersionDriver::answer(std::vector<WaitingCaller> callers,
+                                 const StreamSnapshot* snapshot) {
+  for (const WaitingCaller& caller : callers) {
+    const StreamBelief belief = snapshot == nullptr
+                                    ? StreamBelief(UnknownVersion{"store_unavailable"})
+                                    : directory_.belief(caller.service, caller.stream, *snapshot);
     metrics_.count("bluebellstep_gateway_stream_lookups_total", std::string(belief_text(belief)));
     caller.on_result(belief);
   }
 }
 
+void StreamVersionDriver::remove_old_records(const List& list) {
+  const Instant now = clock_.now();
+  std::erase_if(unregistered_since_, [&](const auto& entry) {
+    return registered_.contains(entry.first) || !list.record_revisions.contains(entry.first);
+  });
+  for (const auto& [gateway, revision] : list.record_revisions) {
+    if (registered_.empty() || registered_.contains(gateway)) {
+      continue;
+    }
+    const Instant since = unregistered_since_.try_emplace(gateway, now).first->second;
+    if (now < since + kRecordRemovalDelay || environment_.rank() != 0) {
+      continue;
+    }
+    const std::string name = StreamRecordWriter::object_name(gateway);
+    send(platform::remove_call(settings_.store, ObjectKind::kStreamVersions, name, revision,
+                               kCallTimeout),
+         [gateway = gateway](const HttpClient::Response& response) {
+           LogEvent("stream_record_removed")
+               .field("gateway", gateway)
+               .field("status", response.status);
+         });
+  }
+}
+
 // The table.
 
 void StreamVersionDriver::refresh() {
   if (!started_) {
     return;
   }
-  auto counts = gateway_.count_versions();
+  auto counts = environment_.count_versions();
   std::erase_if(counts, [this](const auto& entry) { return !directory_.covers(entry.first); });
   planner_.set_counts(std::move(counts), clock_.now());
   plan_table();
@@ -249,19 +296,25 @@
 }
 
 void StreamVersionDriver::plan_table() {
-  const Instant now = clock_.now();
-  if (!plan_due_ && planner_.plan(directory_.table(), now)) {
-    const Duration delay =
-        std::min(kMaxPlanDelay, kPlanDelayPerRank * static_cast<std::int64_t>(gateway_.rank()));
-    plan_due_ = now + delay;
-    run_after(delay, [this] {
-      plan_due_.reset();
-      const auto planned = planner_.plan(directory_.table(), clock_.now());
-      if (planned && table_revision_ && !table_write_in_flight_ && gateway_.store_reachable()) {
-        write_table(*planned);
-      }
-    });
+  const auto plan = [this] {
+    const Instant now = clock_.now();
+    return planner_.plan(
+        directory_.table(),
+        [this, now](std::uint64_t epoch) { return directory_.known_for(epoch, now); }, now);
+  };
+  if (plan_scheduled_ || !plan()) {
+    return;
   }
+  plan_scheduled_ = true;
+  const Duration delay =
+      std::min(kMaxPlanDelay, kPlanDelayPerRank * static_cast<std::int64_t>(environment_.rank()));
+  run_after(delay, [this, plan] {
+    plan_scheduled_ = false;
+    const auto planned = plan();
+    if (planned && table_revision_ && !table_write_in_flight_ && reachable_) {
+      write_table(*planned);
+    }
+  });
 }
 
 void StreamVersionDriver::write_table(const VersionTable& table) {
@@ -284,28 +337,25 @@
                                           LogEvent::Severity::kWarning)
                                      .field("why", fault.detail);
                                  table_revision_.reset();
-                                 run_after(kRetryDelay, [this] { read_list(); });
+                                 reachable_ = false;
+                                 read_list();
                                }},
                     platform::decode_write(response));
        });
 }
 
-// The record.
-
-bool StreamVersionDriver::can_record() const {
-  return record_revision_.has_value() && begun_streams_.has_room() &&
-         clock_.now() >= record_held_until_ && gateway_.store_reachable();
-}
+// Streams that begin.
 
 std::vector<std::string> StreamVersionDriver::usable_versions(std::string_view service) {
-  return directory_.usable_versions(service, can_record(), clock_.now());
+  directory_.record_store_answer(environment_.store_answered_at());
+  return directory_.usable_versions(service, reachable_ && record_writer_.can_add(), clock_.now());
 }
 
 bool StreamVersionDriver::must_record(std::string_view service,
                                       std::string_view version,
                                       StreamKey stream) {
   // A record of an earlier attempt at another version may be in the store.
-  return begun_streams_.contains(stream) ||
+  return record_writer_.contains(stream) ||
          directory_.begin_rule(service, version, true, clock_.now()) != BeginRule::kFree;
 }
 
@@ -313,10 +363,7 @@
                                          std::string_view version,
                                          Instant expires_at,
                                          std::function<void(bool)> on_result) {
-  waiting_records_.push_back(
-      {.sequence = begun_streams_.add(stream, version, expires_at),
-       .on_result = std::move(on_result)});
-  write_record();
+  record_writer_.add(stream, version, expires_at, std::move(on_result));
 }
 
 void StreamVersionDriver::record_begun(StreamKey stream,
@@ -325,111 +372,24 @@
   directory_.record_begun(stream, version, expires_at, clock_.now());
 }
 
-void StreamVersionDriver::write_record() {
-  if (record_write_in_flight_ || record_write_scheduled_ || !record_revision_) {
-    return;
-  }
-  const Duration interval =
-      std::max(kWriteInterval, kWriteIntervalPerGateway *
-                                   static_cast<std::int64_t>(directory_.gateway_count()));
-  const Instant now = clock_.now();
-  const Instant due = record_sent_at_ + interval;
-  if (now >= due) {
-    send_record();
-    return;
-  }
-  record_write_scheduled_ = true;
-  run_after(due - now, [this] {
-    record_write_scheduled_ = false;
-    send_record();
-  });
-}
-
-void StreamVersionDriver::send_record() {
-  if (!record_revision_) {
-    fail_waiting_records();
-    return;
-  }
-  record_write_in_flight_ = true;
-  record_sent_at_ = clock_.now();
-  send(platform::write_call(settings_.store, ObjectKind::kStreamVersions, record_name(settings_.name),
-                            *record_revision_, begun_streams_.take_content(record_sent_at_),
-                            kCallTimeout),
-       [this](const HttpClient::Response& response) {
-         record_write_in_flight_ = false;
-         on_record_written(platform::decode_write(response));
-       });
-}
-
-void StreamVersionDriver::on_record_written(const PlatformClient::WriteResult& result) {
-  std::visit(Overloaded{[&](ObjectVersion version) {
-                          const bool created = *record_revision_ == 0;
-                          record_revision_ = version.value;
-                          begun_streams_.record_written();
-                          directory_.record_store_answer(clock_.now());
-                          if (created) {
-                            read_list();
-                          }
-                        },
-                        [&](const VersionConflict& conflict) {
-                          // A write whose answer was lost, or one of the process before this one.
-                          record_revision_ = conflict.current.version.value;
-                          if (const auto streams = decode_begun_streams(conflict.current.value)) {
-                            begun_streams_.adopt(*streams, clock_.now());
-                          }
-                          begun_streams_.record_failed();
-                          send_record();
-                        },
-                        [&](const PlatformUnavailable& fault) {
-                          LogEvent("stream_record_not_written", LogEvent::Severity::kWarning)
-                              .field("streams", static_cast<std::uint64_t>(begun_streams_.size()))
-                              .field("why", fault.detail);
-                          begun_streams_.record_failed();
-                          record_held_until_ = clock_.now() + kRetryDelay;
-                          fail_waiting_records();
-                        }},
-             result);
-  answer_waiting_records();
-  if (!record_write_in_flight_ && !waiting_records_.empty()) {
-    write_record();
-  }
-}
-
-void StreamVersionDriver::answer_waiting_records() {
-  std::vector<WaitingRecord> waiting = std::exchange(waiting_records_, {});
-  const BegunStreams::Sequence written = begun_streams_.written_sequence();
-  std::vector<WaitingRecord> ready;
-  for (WaitingRecord& record : waiting) {
-    (record.sequence <= written ? ready : waiting_records_).push_back(std::move(record));
-  }
-  for (const WaitingRecord& record : ready) {
-    record.on_result(true);
-  }
-}
-
-void StreamVersionDriver::fail_waiting_records() {
-  for (const WaitingRecord& record : std::exchange(waiting_records_, {})) {
-    record.on_result(false);
-  }
-}
-
 // Callers that come back.
 
 void StreamVersionDriver::find_version(std::string_view service,
                                        std::optional<StreamKey> stream,
                                        std::function<void(StreamBelief)> on_result) {
+  directory_.record_store_answer(environment_.store_answered_at());
   const StreamBelief belief = directory_.belief(service, stream, clock_.now());
   if (!std::holds_alternative<AskStore>(belief)) {
     metrics_.count("bluebellstep_gateway_stream_lookups_total", "without_store");
     on_result(belief);
     return;
   }
-  if (!gateway_.store_reachable()) {
+  if (!reachable_ && clock_.now() < list_asked_at_ + kCallTimeout + kRetryDelay) {
     metrics_.count("bluebellstep_gateway_stream_lookups_total", "store_unavailable");
     on_result(UnknownVersion{"store_unavailable"});
     return;
   }
-  later_callers_.push_back(
+  waiting_callers_.push_back(
       {.service = std::string(service), .stream = stream, .on_result = std::move(on_result)});
   read_list();
 }
--- a/src/stream_versions/stream_version_driver.h
+++ b/src/stream_versions/stream_version_driver.h
@@ -1,4 +1,5 @@
-// Makes the calls to the platform's store that `StreamVersionDirectory` and `BegunStreams` need.
+// Keeps the table of versions in the platform's store, and asks the store at which version a stream
+// began.
 //
 // Load pattern: after a crash of all gateways hundreds of callers come back at once, and each list
 // of the store is charged. Callers that wait while a list is being read share the next one.
@@ -23,54 +24,58 @@
 #include "metrics/metrics.h"
 #include "platform/object_format.h"
 #include "settings/gateway_settings.h"
+#include "stream_versions/stream_record_writer.h"
 #include "stream_versions/stream_version_directory.h"
 #include "stream_versions/stream_versions.h"
 
 namespace bluebellstep {
 
-/** Keeps the table of versions and this gateway's record of streams in the platform's store. All
- * members run on the HTTP thread. Makes no call before a service with resumable streams is known. */
+/** Makes the calls to the store that the decisions need. All members run on the HTTP thread. Makes
+ * no call before a service with resumable streams is known. */
 class StreamVersionDriver : public StreamVersions {
  public:
   /** Limit on each call to the store. Callers wait for it. */
   static constexpr Duration kCallTimeout{500};
-  /** Delay before the retry of a failed call. Refused calls are charged too. */
+  /** Delay before a failed call is made again. Refused calls are charged too. */
   static constexpr Duration kRetryDelay{400};
-  /** Minimum time between two writes of the record. Prefills take longer, so that most streams do
-   * not wait for it. */
-  static constexpr Duration kWriteInterval{100};
-  /** The same for each gateway of the system: together they make at most 250 writes a second, since
-   * the store bears a few hundred. */
-  static constexpr Duration kWriteIntervalPerGateway{4};
+  /** Minimum time between two lists, and the same for each gateway of the system: together they
+   * make at most 250 lists a second. */
+  static constexpr Duration kListInterval{30};
+  static constexpr Duration kListIntervalPerGateway{4};
   /** Interval between checks whether the table has to change, besides those on each change of the
    * upstreams. */
   static constexpr Duration kPlanInterval{2000};
   /** Gateways change the table in the order of their ranks, so that most find it changed. */
   static constexpr Duration kPlanDelayPerRank{60};
   static constexpr Duration kMaxPlanDelay{1500};
+  /** The record of a gateway that is not registered is removed after this time. Its callers have
+   * given up by then. */
+  static constexpr Duration kRecordRemovalDelay{90'000};
 
   /** What the driver asks of the rest of the gateway. */
-  struct Gateway {
-    /** Returns the registered upstreams by service. */
+  struct Environment {
+    /** Returns the registered upstreams by service and software version. */
     std::function<std::map<std::string, VersionCounts, std::less<>>()> count_versions;
-    /** Whether the store answered the last call of this gateway. */
-    std::function<bool()> store_reachable;
+    /** When the store last answered this gateway, or another one that passed its objects on. */
+    std::function<Instant()> store_answered_at;
     /** Rank of this gateway among all, from 0. */
     std::function<std::size_t()> rank;
     /** Tells the other gateways the epoch of the known table soon. */
     std::function<void()> report_soon;
+    /** Asks another gateway for its table, see `apply_encoded_table`. */
+    std::function<void()> ask_peer;
   };
 
   StreamVersionDriver(HttpLoop& loop,
                       HttpClient& client,
                       const GatewaySettings& settings,
                       Metrics& metrics,
-                      Gateway gateway);
+                      Environment environment);
   StreamVersionDriver(const StreamVersionDriver&) = delete;
   StreamVersionDriver& operator=(const StreamVersionDriver&) = delete;
 
-  /** Sets the services with resumable streams. */
-  void set_services(std::set<std::string, std::less<>> services);
+  /** Adds services with resumable streams. */
+  void add_services(const std::set<std::string, std::less<>>& services);
   /** The registered upstreams have changed. */
   void refresh();
 
@@ -79,9 +84,10 @@
   /** Another gateway reported that it knows the table of `epoch`. */
   void on_report(std::string_view gateway, std::uint64_t epoch);
 
-  /** The registration of a gateway that no longer exists was removed: removes its record too, unless
-   * it changes meanwhile. */
-  void forget_gateway(const std::string& name);
+  /** Sets the names of the registered gateways. */
+  void set_registered(std::set<std::string, std::less<>> names);
+  /** The registration of this gateway was removed: others no longer wait for it. */
+  void on_registration_lost();
 
   /** Returns the known table as JSON text for another gateway; empty before there is one. */
   std::string encoded_table() const;
@@ -101,38 +107,35 @@
                     std::function<void(StreamBelief)> on_result) override;
 
  private:
-  struct WaitingRecord {
-    BegunStreams::Sequence sequence = 0;
-    std::function<void(bool)> on_result;
-  };
   struct WaitingCaller {
     std::string service;
     std::optional<StreamKey> stream;
     std::function<void(StreamBelief)> on_result;
   };
-  // The object that another call may have changed meanwhile: its revision in the store, 0 if it
-  // does not exist, unset if that is not known.
-  using KnownRevision = std::optional<std::uint64_t>;
+  // The pages of the list in progress.
+  struct List {
+    Instant asked_at;
+    StreamSnapshot snapshot;
+    std::uint64_t table_revision = 0;  // 0 if the object does not exist, as below.
+    std::uint64_t record_revision = 0;
+    StreamVersionMap record;
+    std::map<std::string, std::uint64_t, std::less<>> record_revisions;  // By gateway.
+    std::vector<WaitingCaller> callers;  // Came back before the list was asked for.
+  };
 
-  static std::string record_name(std::string_view gateway);
-  bool can_record() const;
-  // Reads the list of the objects, or once more if one is being read.
+  // Reads the list of the objects, after the one that is being read.
   void read_list();
-  void send_list_call(std::string after);
+  void send_list_call(std::string_view after);
   void on_list_page(platform::PageResult result);
+  void read_object(const platform::StoredObject& object);
   void apply_list();
   void fail_list(const PlatformUnavailable& fault);
-  void answer_waiting_callers(const StreamSnapshot* snapshot);
+  void answer(std::vector<WaitingCaller> callers, const StreamSnapshot* snapshot);
+  void remove_old_records(const List& list);
   void plan_periodically();
   void plan_table();
   void write_table(const VersionTable& table);
   void apply_table(const VersionTable& table);
-  // Writes the record if it has to be, now or when the interval has passed.
-  void write_record();
-  void send_record();
-  void on_record_written(const PlatformClient::WriteResult& result);
-  void answer_waiting_records();
-  void fail_waiting_records();
   void run_after(Duration delay, std::function<void()> task);
   void send(HttpCall call, std::function<void(const HttpClient::Response&)> handler);
 
@@ -140,36 +143,27 @@
   HttpClient& client_;
   const GatewaySettings& settings_;
   Metrics& metrics_;
-  Gateway gateway_;
+  Environment environment_;
   Clock clock_;
   StreamVersionDirectory directory_;
   VersionTablePlanner planner_;
-  BegunStreams begun_streams_;
+  StreamRecordWriter record_writer_;
   bool started_ = false;
+  bool reachable_ = true;  // The store answered the last call of this object.
 
-  // The list in progress, and whether another one has to follow it.
-  bool list_in_flight_ = false;
-  bool list_again_ = false;
-  Instant list_asked_at_;
-  StreamSnapshot listed_;
-  KnownRevision listed_record_revision_;
-  std::optional<StreamVersionMap> listed_record_;
-  std::map<std::string, std::uint64_t, std::less<>> record_revisions_;  // By gateway.
-  KnownRevision listed_table_revision_;
-  // Those that came before the list in progress was asked for, and those that wait for the next.
-  std::vector<WaitingCaller> waiting_callers_;
-  std::vector<WaitingCaller> later_callers_;
-
-  KnownRevision table_revision_;
+  std::optional<List> list_;                    // The one in progress.
+  bool list_scheduled_ = false;                 // Another one follows.
+  Instant list_asked_at_;                       // The last one.
+  std::vector<WaitingCaller> waiting_callers_;  // For the next list.
+
+  // Of the table in the store; unset if it is not known.
+  std::optional<std::uint64_t> table_revision_;
   bool table_write_in_flight_ = false;
-  std::optional<Instant> plan_due_;
-
-  KnownRevision record_revision_;
-  bool record_write_in_flight_ = false;
-  bool record_write_scheduled_ = false;
-  Instant record_sent_at_;
-  Instant record_held_until_;  // Streams begin without a record until then, after a failed write.
-  std::vector<WaitingRecord> waiting_records_;
+  bool plan_scheduled_ = false;
+
+  std::set<std::string, std::less<>> registered_;
+  // By gateway with a record: since when it has been known not to be registered.
+  std::map<std::string, Instant, std::less<>> unregistered_since_;
   // Expires with this object; callbacks check it before they use the object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/stream_versions/version_table.cc
+++ b/src/stream_versions/version_table.cc
@@ -29,10 +29,12 @@
   nlohmann::json services = nlohmann::json::object();
   for (const auto& [name, versions] : table.services) {
     nlohmann::json admitted = nlohmann::json::object();
-    for (const auto& [version, epoch] : versions.admitted) {
-      admitted[version] = epoch;
+    for (const auto& [version, state] : versions.admitted) {
+      admitted[version] = {{"epoch", state.epoch}, {"withdrawn", state.withdrawn}};
     }
-    services[name] = {{"default", versions.default_version}, {"admitted", std::move(admitted)}};
+    services[name] = {{"default", versions.default_version},
+                      {"recorded_since", versions.recorded_since},
+                      {"admitted", std::move(admitted)}};
   }
   return nlohmann::json{{"epoch", table.epoch}, {"services", std::move(services)}}.dump(
       -1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -48,8 +50,10 @@
     for (const auto& [name, item] : json.at("services").items()) {
       ServiceVersions& versions = table.services[name];
       versions.default_version = item.at("default").get<std::string>();
-      for (const auto& [version, epoch] : item.at("admitted").items()) {
-        versions.admitted.emplace(version, read_json_count(epoch));
+      versions.recorded_since = read_json_count(item.at("recorded_since"));
+      for (const auto& [version, state] : item.at("admitted").items()) {
+        versions.admitted[version] = {.epoch = read_json_count(state.at("epoch")),
+                                      .withdrawn = state.at("withdrawn").get<bool>()};
       }
     }
     return table;
@@ -67,55 +71,77 @@
     }
   }
   counts_ = std::move(counts);
-  first_counts_at_ = first_counts_at_.value_or(now);
+  for (const auto& [service, versions] : counts_) {
+    known_since_.try_emplace(service, now);
+  }
 }
 
-Duration VersionTablePlanner::absence(std::string_view service,
-                                      std::string_view version,
-                                      Instant now) const {
+bool VersionTablePlanner::is_gone(std::string_view service,
+                                  std::string_view version,
+                                  Instant now) const {
   const auto counts = counts_.find(service);
-  if (!first_counts_at_ || (counts != counts_.end() && counts->second.contains(version))) {
-    return Duration{0};
+  if (counts == counts_.end() || counts->second.contains(version)) {
+    return false;
   }
-  const auto versions = last_seen_.find(service);
-  if (versions != last_seen_.end()) {
+  // A gateway that has just started may not have heard of all upstreams yet.
+  Instant gone_since = known_since_.find(service)->second;
+  if (const auto versions = last_seen_.find(service); versions != last_seen_.end()) {
     if (const auto seen = versions->second.find(version); seen != versions->second.end()) {
-      return now - seen->second;
+      gone_since = seen->second;
     }
   }
-  return now - *first_counts_at_;
+  return now >= gone_since + kGone;
 }
 
 void VersionTablePlanner::plan_service(const std::string& service,
                                        const VersionCounts& counts,
                                        ServiceVersions& versions,
                                        std::uint64_t next_epoch,
+                                       const KnownFor& known_for,
                                        Instant now) const {
   for (const auto& [version, count] : counts) {
-    if (version != versions.default_version) {
-      versions.admitted.try_emplace(version, next_epoch);
+    if (version == versions.default_version) {
+      continue;
     }
-  }
-  if (absence(service, versions.default_version, now) >= kDefaultGone) {
-    // Only a version that was admitted before: streams that began at it are recorded.
-    VersionCounts successors;
-    for (const auto& [version, count] : counts) {
-      const auto admitted = versions.admitted.find(version);
-      if (admitted != versions.admitted.end() && admitted->second < next_epoch) {
-        successors.emplace(version, count);
-      }
+    const auto [admitted, added] = versions.admitted.try_emplace(version);
+    if (added || admitted->second.withdrawn) {
+      admitted->second = {.epoch = next_epoch};
     }
-    if (!successors.empty()) {
-      versions.default_version = most_common(successors);
-      versions.admitted.erase(versions.default_version);
+  }
+  for (auto& [version, state] : versions.admitted) {
+    if (!state.withdrawn && is_gone(service, version, now)) {
+      state = {.epoch = next_epoch, .withdrawn = true};
     }
   }
-  std::erase_if(versions.admitted, [&](const auto& admitted) {
-    return absence(service, admitted.first, now) >= kAdmittedGone;
+  std::erase_if(versions.admitted, [&](const auto& entry) {
+    return entry.second.withdrawn && known_for(entry.second.epoch) >= kSettleTime;
   });
+  if (!is_gone(service, versions.default_version, now)) {
+    versions.recorded_since = 0;
+    return;
+  }
+  VersionCounts successors;
+  for (const auto& [version, count] : counts) {
+    const auto admitted = versions.admitted.find(version);
+    if (admitted != versions.admitted.end() && admitted->second.epoch < next_epoch) {
+      successors.emplace(version, count);
+    }
+  }
+  if (successors.empty()) {
+    return;
+  }
+  if (versions.recorded_since == 0) {
+    versions.recorded_since = next_epoch;
+  } else if (known_for(versions.recorded_since) >= kSettleTime) {
+    versions.admitted[versions.default_version] = {.epoch = next_epoch, .withdrawn = true};
+    versions.default_version = most_common(successors);
+    versions.admitted.erase(versions.default_version);
+    versions.recorded_since = 0;
+  }
 }
 
 std::optional<VersionTable> VersionTablePlanner::plan(const VersionTable& table,
+                                                      const KnownFor& known_for,
                                                       Instant now) const {
   VersionTable planned = table;
   planned.epoch = table.epoch + 1;
@@ -125,9 +151,12 @@
     }
     const auto [versions, added] = planned.services.try_emplace(service);
     if (added) {
+      // Gateways do not tell each other of a table that admits nothing, so that others follow
+      // later.
       versions->second.default_version = most_common(counts);
+      continue;
     }
-    plan_service(service, counts, versions->second, planned.epoch, now);
+    plan_service(service, counts, versions->second, planned.epoch, known_for, now);
   }
   return planned.services == table.services ? std::nullopt : std::optional(std::move(planned));
 }
--- a/src/stream_versions/version_table.h
+++ b/src/stream_versions/version_table.h
@@ -9,10 +9,11 @@
 #ifndef BLUEBELLSTEP_STREAM_VERSIONS_VERSION_TABLE_H_
 #define BLUEBELLSTEP_STREAM_VERSIONS_VERSION_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -20,11 +21,24 @@
 
 namespace bluebellstep {
 
+/** A further version of a service. */
+struct AdmittedVersion {
+  std::uint64_t epoch = 0;  // Of the table that admitted it, or that began to withdraw it.
+  // No stream begins at it any more. It is dropped once no stream that began at it can be open.
+  bool withdrawn = false;
+
+  bool operator==(const AdmittedVersion&) const = default;
+};
+
 /** The versions of one service. The empty text is the version of upstreams that state none. */
 struct ServiceVersions {
+  /** The version at which streams without a record began. */
   std::string default_version;
-  /** Further versions at which streams may begin, each with the epoch that admitted it. */
-  std::map<std::string, std::uint64_t, std::less<>> admitted;
+  /** Epoch of the table since which streams at the default version are recorded too, so that
+   * another version can become the default one; 0 if they are not recorded. */
+  std::uint64_t recorded_since = 0;
+  /** Further versions at which streams begin, or began. */
+  std::map<std::string, AdmittedVersion, std::less<>> admitted;
 
   bool operator==(const ServiceVersions&) const = default;
 };
@@ -53,30 +67,38 @@
  * monotonic clock. */
 class VersionTablePlanner {
  public:
-  /** The default version moves when its last upstream has been gone for this long. Streams at it
-   * have ended by then: an upstream that leaves serves for some seconds more. */
-  static constexpr Duration kDefaultGone{20'000};
-  /** An admitted version is dropped when its last upstream has been gone for this long, so that
-   * gateways need not ask the store any more. No stream lasts as long as that. */
-  static constexpr Duration kAdmittedGone{60'000};
+  /** A version without a registered upstream for this long is no longer needed. Releases replace
+   * upstreams within seconds. */
+  static constexpr Duration kGone{20'000};
+  /** A version is given up this long after all gateways know that it is about to be. By then no
+   * gateway acts on an older table, see `StreamVersionDirectory::kMaxWithoutStore`, and no stream
+   * that began by one is open: callers wait for a minute at most. */
+  static constexpr Duration kSettleTime{360'000};
+
+  /** Returns for how long all gateways have known the table of an epoch; 0 if some may not. */
+  using KnownFor = std::function<Duration(std::uint64_t epoch)>;
 
   /** Sets the registered upstreams of each service with resumable streams. */
   void set_counts(std::map<std::string, VersionCounts, std::less<>> counts, Instant now);
 
   /** Returns the table that should replace `table`, with the next epoch; nothing if it is right. */
-  std::optional<VersionTable> plan(const VersionTable& table, Instant now) const;
+  std::optional<VersionTable> plan(const VersionTable& table,
+                                   const KnownFor& known_for,
+                                   Instant now) const;
 
  private:
-  // How long a version has had no registered upstream, as far as this gateway knows.
-  Duration absence(std::string_view service, std::string_view version, Instant now) const;
+  // Whether a version has had no registered upstream for `kGone`, as far as this gateway knows.
+  bool is_gone(std::string_view service, std::string_view version, Instant now) const;
   void plan_service(const std::string& service,
                     const VersionCounts& counts,
                     ServiceVersions& versions,
                     std::uint64_t next_epoch,
+                    const KnownFor& known_for,
                     Instant now) const;
 
   std::map<std::string, VersionCounts, std::less<>> counts_;
-  std::optional<Instant> first_counts_at_;
+  // By service: when it first had a registered upstream.
+  std::map<std::string, Instant, std::less<>> known_since_;
   // By service and version: when an upstream was last registered.
   std::map<std::string, std::map<std::string, Instant, std::less<>>, std::less<>> last_seen_;
 };
