forwarder: Drop events of an upstream that restarted with another software version

A server may start again under its id. If its registration names another software version by the time of its first event, the version that was recorded or asked for is not that of the process that answers. The attempt fails and another upstream is tried.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -222,6 +222,9 @@
   // Has the version of the current attempt recorded if its stream begins at one that must be.
   void record_stream_version(Request& request);
   void on_version_recorded(RequestId id, std::uint32_t attempt_number, bool recorded);
+  // Whether the upstream of the current attempt has started again with another software version
+  // since it was chosen. Its events would not be of the version that was recorded or asked for.
+  bool has_changed_version(const Request& request) const;
   // Keep what the upstream sent until the version is recorded. Return whether they did.
   bool hold_content(Request& request, std::string_view content);
   static bool hold_end(Request& request, ExchangeOutcome outcome, std::string_view reason);
--- a/src/gateway/forwarder_streams.cc
+++ b/src/gateway/forwarder_streams.cc
@@ -141,6 +141,13 @@
   }
 }
 
+bool Forwarder::has_changed_version(const Request& request) const {
+  const PickedUpstream& picked = request.attempt->picked;
+  const UpstreamRegistration* registration = pool_.find_registration(picked.upstream_id);
+  return request.versions_matter && registration != nullptr &&
+         registration->software_version != picked.software_version;
+}
+
 bool Forwarder::hold_content(Request& request, std::string_view content) {
   std::optional<HeldContent>& held = request.attempt->held;
   if (!held) {
@@ -169,6 +176,10 @@
 }
 
 void Forwarder::forward_events(Request& request, std::string_view content) {
+  if (!request.attempt->prefill_reported && has_changed_version(request)) {
+    on_attempt_failed(request, AttemptOutcome::kFailed, true, "version_changed");
+    return;
+  }
   const std::size_t events_before = request.event_buffer.event_count();
   const std::string complete_events = request.event_buffer.feed(content);
   if (request.event_buffer.overflowed()) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -317,6 +317,11 @@
 
   std::size_t size() const { return upstreams_.size(); }
   bool contains(std::string_view id) const { return upstreams_.find(id) != upstreams_.end(); }
+  /** Returns the registration of an upstream as last received, or null. */
+  const UpstreamRegistration* find_registration(std::string_view id) const {
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? nullptr : &found->second.registration;
+  }
 
  private:
   struct Upstream {
