engine_standin: Send what precedes a break before the connection is closed

Cause: when the loop is late, one call of `pump` takes several tokens and the break from the model. `HttpServer::write` queues the tokens for the end of the loop's iteration, and `HttpServer::abort`, called in the same iteration, discards them. The stand-in now closes the connection by a timer, which runs in a later iteration.

The new test generates the tokens and the break in one step of the timer (1 us per token). Before: it got "" instead of "neg uwq qrr " in 6 of 6 runs. After: both tests passed in 50 of 50 runs on the machine as it was, and in 150 of 150 beside three busy processes. [standins]: 54 test cases passed.

--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -310,7 +310,8 @@
                    detach_stream(exchange);
                  },
                  [&](StreamBroken) {
-                   http.abort(exchange);
+                   // `abort` discards what has not been sent yet.
+                   server_.run_after(kMinDelay, [&http, exchange] { http.abort(exchange); });
                    detach_stream(exchange);
                  },
              },
--- a/standins/engine_standin_test.cc
+++ b/standins/engine_standin_test.cc
@@ -162,6 +162,17 @@
   CHECK(fixture.send("GET", "/v1/requests/other/stream?from_index=0").status == 404);
 }
 
+// Guards against a break that discards tokens which were generated in the same step of the timer.
+TEST_CASE("a broken stream delivers all tokens before the break", "[standins]") {
+  EngineOptions options = fast_options();
+  options.decode_step_us = 1;
+  Fixture fixture(options);
+  fixture.send("POST", "/faults", R"({"break_after_tokens":3})");
+  const auto broken = fixture.send("POST", "/v1/completions", completion("r", "prompt").dump());
+  CHECK(failed(broken));
+  CHECK(parse(broken.body).text == ExpectedAnswer("prompt").text(0, 3));
+}
+
 // Guards against a stalled stream that a reader can detect without a timeout.
 TEST_CASE("a stalled stream stays open without further events", "[standins]") {
   Fixture fixture;
