tests: Take broken streams up on real gateways with two software versions

The stand-in has engines of several versions: `POST /versions` takes `service`, `replaces` and `stop`, and each event of a stream names the version of its engine. It counts the calls to the store by kind of object. GatewayFleet sends `Resumes` and `Last-Event-Id`.

--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -15,6 +15,7 @@
 constexpr std::string_view kModelName = "clerk";
 constexpr std::string_view kOrderService = "order-desk";
 constexpr std::string_view kEngineService = "answers";
+constexpr std::string_view kObjectsPath = "/objects/";
 
 std::string header(const StandinRequest& request, std::string_view name) {
   return std::string(find_header(request.http.headers, name).value_or(std::string_view()));
@@ -38,6 +39,10 @@
 
 }  // namespace
 
+std::string_view FleetStandin::Instance::service() const {
+  return is_engine ? kEngineService : kOrderService;
+}
+
 FleetStandin::FleetStandin(HttpLoop& loop, const FleetOptions& options, const Endpoint& listen)
     : options_(options), metadata_store_(loop) {
   for (std::uint32_t i = 0; i < options_.plain_servers; ++i) {
@@ -52,6 +57,9 @@
   for (std::uint32_t i = 0; i < options_.spare_servers; ++i) {
     add_instance("spare-" + std::to_string(i), false);
   }
+  for (std::uint32_t i = 0; i < options_.spare_engines; ++i) {
+    add_instance("spare-engine-" + std::to_string(i), true);
+  }
   write_config();
   add_store_routes();
   metadata_store_.start({.listen = listen});
@@ -82,9 +90,10 @@
 }
 
 bool FleetStandin::apply_store_faults(const StandinRequest& request) {
-  if (!request.path.starts_with("/objects")) {
+  if (!request.path.starts_with(kObjectsPath)) {
     return false;
   }
+  count_store_call(request);
   if (metadata_store_.fault_flag("store_silent")) {
     return true;
   }
@@ -95,6 +104,11 @@
   return true;
 }
 
+void FleetStandin::count_store_call(const StandinRequest& request) {
+  const std::string_view rest = std::string_view(request.path).substr(kObjectsPath.size());
+  metadata_store_.count("calls_" + std::string(rest.substr(0, rest.find('/'))));
+}
+
 void FleetStandin::add_instance(const std::string& id, bool is_engine) {
   auto instance = std::make_unique<Instance>();
   instance->id = id;
@@ -127,10 +141,19 @@
 void FleetStandin::register_version(const StandinRequest& request) {
   const Json body = request.json();
   const auto version = body.value("version", std::string("v2"));
+  const auto service = body.value("service", std::string(kOrderService));
+  const auto replaced = body.value("replaces", std::string());
   int missing = body.value("count", 2);
   for (const auto& instance : instances_) {
+    if (instance->service() != service) {
+      continue;
+    }
+    if (instance->registered && instance->version == replaced) {
+      remove_from_service(*instance, body.value("stop", false));
+    }
     if (missing > 0 && !instance->registered) {
-      instance->id = "orders-" + version + "-" + std::to_string(missing--);
+      instance->id =
+          (instance->is_engine ? "engine-" : "orders-") + version + "-" + std::to_string(missing--);
       instance->version = version;
       instance->fail_percent = body.value("fail_percent", std::uint64_t{0});
       register_instance(*instance);
@@ -167,18 +190,23 @@
 
 void FleetStandin::stop_other_versions(const std::string& service, const std::string& version) {
   for (const auto& instance : instances_) {
-    const char* own_service = instance->is_engine ? kEngineService.data() : kOrderService.data();
-    if (service == own_service && instance->version != version && instance->registered &&
+    if (instance->service() == service && instance->version != version && instance->registered &&
         !instance->stopped) {
-      instance->stopped = true;
-      unregister_object("servers", instance->id);
+      remove_from_service(*instance, true);
     }
   }
 }
 
+void FleetStandin::remove_from_service(Instance& instance, bool stop) {
+  instance.stopped = instance.stopped || stop;
+  if (!object("servers", instance.id).is_null()) {
+    unregister_object("servers", instance.id);
+  }
+}
+
 void FleetStandin::register_instance(Instance& instance) {
   instance.registered = true;
-  Json registration = {{"service", instance.is_engine ? kEngineService : kOrderService},
+  Json registration = {{"service", instance.service()},
                        {"address", "127.0.0.1:" + std::to_string(instance.server->port())},
                        {"zone", "a"},
                        {"version", instance.version},
@@ -427,8 +455,13 @@
                               std::uint64_t next_event_id,
                               std::uint64_t cut_event_id) {
   HttpServer& http = instance.server->http();
+  if (instance.stopped) {
+    metadata_store_.count("cut_off");
+    http.abort(exchange);
+    return;
+  }
   const std::string event = "id: " + std::to_string(next_event_id) + "\ndata: " + id + "-" +
-                            std::to_string(next_event_id) + "\n\n";
+                            std::to_string(next_event_id) + " " + instance.version + "\n\n";
   if (next_event_id == cut_event_id) {
     http.write(exchange, event.substr(0, event.size() / 2));
     instance.server->run_after(kEventInterval, [&http, exchange] { http.abort(exchange); });
@@ -451,6 +484,8 @@
   command.add_option("--spare-servers", options.spare_servers,
                      "number of servers that are registered by POST /versions");
   command.add_option("--engines", options.engines, "number of model engines");
+  command.add_option("--spare-engines", options.spare_engines,
+                     "number of engines that are registered by POST /versions");
   command.add_option("--events", options.events, "number of events in each stream");
   command.add_option("--max-body-bytes", options.max_body_bytes,
                      "limit on request bodies in the configuration");
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -21,6 +21,7 @@
   std::uint32_t plain_servers = 2;
   std::uint32_t spare_servers = 4;  // Of the plain service; registered by `POST /versions`.
   std::uint32_t engines = 2;
+  std::uint32_t spare_engines = 4;         // Like `spare_servers`, for the service of the engines.
   std::uint32_t events = 10;               // In each stream.
   std::uint32_t max_body_bytes = 100'000;  // Limit of the stored configuration.
 };
@@ -31,11 +32,15 @@
  * `/lookups/` (idempotent) for the plain service, `/prompts/` (streams that may be resumed) and
  * `/chats/` (streams that may not) for the engines. The only API key is `key-1`.
  *
- * `POST /versions` registers `count` spare servers of the plain service with `version`;
- * `fail_percent` of their answers are errors. When the status `succeeded` is written to an object
- * of the kind `rollouts`, the servers of other versions stop at once; the counter `cut_off` counts
- * the requests that they were executing or received afterwards. Counters `runs_VERSION` count the
- * executions.
+ * `POST /versions` registers `count` spare servers of `service` (by default the plain one) with
+ * `version`; `fail_percent` of their answers are errors. The servers of the version `replaces`
+ * leave the service, and if `stop` is set, they stop at once. When the status `succeeded` is
+ * written to an object of the kind `rollouts`, the servers of other versions stop at once; the
+ * counter `cut_off` counts the requests that they were executing or received afterwards. Counters
+ * `runs_VERSION` count the executions. The data of each event of a stream ends with the version of
+ * the engine that sent it, also where an engine continues the stream of another version.
+ *
+ * Counters `calls_KIND` count the calls to the store for objects of a kind.
  *
  * `GET /runs` returns the number of executions by request id.
  *
@@ -78,6 +83,8 @@
     // Number of executed weight loads. A load with a different value in `expect` is refused.
     std::uint64_t command_count = 0;
     std::unique_ptr<StandinServer> server;
+
+    std::string_view service() const;
   };
 
   /** A watch request that waits for a change of an object of its kind. */
@@ -92,6 +99,7 @@
   void register_version(const StandinRequest& request);
   void write_status(const StandinRequest& request);
   void stop_other_versions(const std::string& service, const std::string& version);
+  void remove_from_service(Instance& instance, bool stop);
   void unregister_object(const std::string& kind, const std::string& name);
   void list_or_watch_objects(const StandinRequest& request);
   void create_object(const StandinRequest& request);
@@ -102,6 +110,7 @@
   void complete_watches(const std::string& kind);
   // Returns true if an injected fault of the store prevents the normal handling of the request.
   bool apply_store_faults(const StandinRequest& request);
+  void count_store_call(const StandinRequest& request);
   // Returns the object in its JSON representation; null if it does not exist.
   Json object(const std::string& kind, const std::string& name) const;
   void register_instance(Instance& instance);
--- a/tests/process/gateway_fleet.cc
+++ b/tests/process/gateway_fleet.cc
@@ -41,7 +41,8 @@
   processes_["fleet"] = std::make_unique<ChildProcess>(
       std::vector<std::string>{STANDINS_BINARY, "fleet", "--ip", "127.0.0.1", "--port", "0",
                                "--events", std::to_string(setup_.stream_events), "--max-body-bytes",
-                               std::to_string(setup_.max_body_bytes)},
+                               std::to_string(setup_.max_body_bytes), "--spare-engines",
+                               std::to_string(setup_.spare_engines)},
       (folder_ / "fleet").string());
   process("fleet").wait_for_listening();
   for (int i = 1; i <= gateways; ++i) {
@@ -104,7 +105,8 @@
 HttpCall GatewayFleet::make_call(const std::string& gateway,
                                  const std::string& route,
                                  const std::string& id,
-                                 const std::string& key) {
+                                 const std::string& key,
+                                 const std::optional<Resumption>& resumption) {
   HttpCall call{.endpoint = {"127.0.0.1", caller_port(gateway)},
                 .method = route == "lookups" ? "GET" : "POST",
                 .path = "/" + route + "/x"};
@@ -113,6 +115,10 @@
   if (route != "lookups") {
     call.body = "body of " + id;
   }
+  if (resumption) {
+    call.headers.push_back({"resumes", resumption->request_id});
+    call.headers.push_back({"last-event-id", std::to_string(resumption->last_event_id)});
+  }
   return call;
 }
 
@@ -123,11 +129,34 @@
   return client_.send_and_wait(make_call(gateway, route, id, key));
 }
 
+GatewayFleet::Response GatewayFleet::resume(const std::string& gateway,
+                                            const std::string& id,
+                                            const Resumption& resumption) {
+  return client_.send_and_wait(make_call(gateway, "prompts", id, "key-1", resumption));
+}
+
 void GatewayFleet::send(const std::string& gateway,
                         const std::string& route,
                         const std::string& id,
-                        std::function<void(Response)> on_response) {
-  client_.send(make_call(gateway, route, id, "key-1"), std::move(on_response));
+                        std::function<void(Response)> on_response,
+                        const std::optional<Resumption>& resumption) {
+  client_.send(make_call(gateway, route, id, "key-1", resumption), std::move(on_response));
+}
+
+void GatewayFleet::release_engines(const std::string& version,
+                                   const std::string& replaced,
+                                   bool stop,
+                                   int count) {
+  call_store("POST", "/versions",
+             {{"service", "answers"},
+              {"version", version},
+              {"count", count},
+              {"replaces", replaced},
+              {"stop", stop}});
+}
+
+int GatewayFleet::store_calls(const std::string& kind) {
+  return Json::parse(call_store("GET", "/counters", nullptr).body).value("calls_" + kind, 0);
 }
 
 GatewayFleet::Response GatewayFleet::call_store(const std::string& method,
@@ -151,11 +180,26 @@
 std::string GatewayFleet::complete_stream(const std::string& id) {
   std::string body;
   for (std::uint32_t i = 1; i <= kStreamEvents; ++i) {
-    body += "id: " + std::to_string(i) + "\ndata: " + id + "-" + std::to_string(i) + "\n\n";
+    body += "id: " + std::to_string(i) + "\ndata: " + id + "-" + std::to_string(i) + " v1\n\n";
   }
   return body;
 }
 
+StreamPart GatewayFleet::parse_stream(std::string_view body) {
+  constexpr std::string_view kId = "id: ";
+  constexpr std::string_view kEnd = "\n\n";
+  StreamPart part;
+  for (std::size_t at = 0, end = 0; (end = body.find(kEnd, at)) != std::string_view::npos;
+       at = end + kEnd.size()) {
+    const std::string_view event = body.substr(at, end - at);
+    if (event.starts_with(kId)) {
+      part.event_ids.push_back(std::stoull(std::string(event.substr(kId.size()))));
+      part.versions.emplace(event.substr(event.rfind(' ') + 1));
+    }
+  }
+  return part;
+}
+
 std::string GatewayFleet::expected_body(const std::string& id) {
   if (id.starts_with("orders")) {
     return "answer to " + id + " body of " + id;
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -8,7 +8,10 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "http/http_client.h"
@@ -22,11 +25,24 @@
 /** Options of a fleet. */
 struct FleetSetup {
   std::uint32_t stream_events = kStreamEvents;
+  std::uint32_t spare_engines = 4;         // For `POST /versions` of the stand-in.
   std::uint32_t max_body_bytes = 100'000;  // Limit in the stored configuration.
   std::string settings;                    // Lines added to each gateway's settings.
   std::string bounds;                      // Lines added to the section `bounds` of the settings.
 };
 
+/** Where a caller takes up a stream that broke off. */
+struct Resumption {
+  std::string request_id;  // Of the caller's attempt that brought the first event.
+  std::uint64_t last_event_id = 0;
+};
+
+/** What a caller received of a stream. */
+struct StreamPart {
+  std::vector<std::uint64_t> event_ids;  // Of the complete events.
+  std::set<std::string> versions;        // Software versions of the servers that sent them.
+};
+
 /** Runs the stand-in `fleet` and the gateways `g1`, `g2` and so on. */
 class GatewayFleet {
  public:
@@ -60,11 +76,15 @@
                    const std::string& id,
                    const std::string& key = "key-1");
 
+  /** Takes up a stream of the route `prompts`, and waits for the response. */
+  Response resume(const std::string& gateway, const std::string& id, const Resumption& resumption);
+
   /** Sends a request without waiting; `on_response` is called on the HTTP thread. */
   void send(const std::string& gateway,
             const std::string& route,
             const std::string& id,
-            std::function<void(Response)> on_response);
+            std::function<void(Response)> on_response,
+            const std::optional<Resumption>& resumption = std::nullopt);
 
   /** Replaces the injected faults of the stand-in; an empty object ends all of them. */
   void set_faults(const Json& faults);
@@ -72,13 +92,26 @@
   /** Returns how often the servers executed each request, by request id. */
   std::map<std::string, int> run_counts();
 
+  /** Registers engines of `version`; those of the version `replaced` leave, and stop if `stop`. */
+  void release_engines(const std::string& version,
+                       const std::string& replaced = "",
+                       bool stop = false,
+                       int count = 2);
+
+  /** Returns how often the gateways called the store for objects of `kind`. */
+  int store_calls(const std::string& kind);
+
   /** Calls the platform's store, or another endpoint of the stand-in. No body is sent if `body` is
    * null. */
   Response call_store(const std::string& method, const std::string& path, const Json& body);
 
-  /** Returns the body of the complete stream for the request `id`. */
+  /** Returns the body of the complete stream for the request `id` by engines of the version `v1`.
+   */
   static std::string complete_stream(const std::string& id);
 
+  /** Reads the body of a stream, complete or not. */
+  static StreamPart parse_stream(std::string_view body);
+
   /** Returns the body of the answer to the request `id`, which starts with the name of its route.
    */
   static std::string expected_body(const std::string& id);
@@ -94,7 +127,8 @@
   HttpCall make_call(const std::string& gateway,
                      const std::string& route,
                      const std::string& id,
-                     const std::string& key);
+                     const std::string& key,
+                     const std::optional<Resumption>& resumption = std::nullopt);
 
   FleetSetup setup_;
   std::filesystem::path folder_;
