gateway: Test the software versions of streams on sockets

Nothing tested which upstream the forwarder sends a stream to, when it asks for the version, or that the first event waits for the record.

The heads of upstreams' responses, which stood in two test files, move to tests/support/upstream_response.h; the loop that accepts a request moves to RawListener.

--- a/src/gateway/faulty_answers_test.cc
+++ b/src/gateway/faulty_answers_test.cc
@@ -19,6 +19,7 @@
 #include "http1/byte_stream.h"
 #include "tests/support/raw_socket.h"
 #include "tests/support/socket_gateway.h"
+#include "tests/support/upstream_response.h"
 
 namespace bluebellstep {
 namespace {
@@ -89,10 +90,6 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 
-std::string answered(std::string_view id, std::string_view body) {
-  return answer(id, "200 OK", "Server-Seal: s\r\n", body);
-}
-
 std::string refused(std::string_view id) {
   return answer(id, "503 Service Unavailable", "Not-Executed: 1\r\n", "full");
 }
@@ -107,11 +104,7 @@
     }
   }
 
-  RawSocket accept_request() {
-    RawSocket connection = upstream.accept();
-    connection.receive_until("\r\n\r\n");
-    return connection;
-  }
+  RawSocket accept_request() { return upstream.accept_request(); }
 
   /** Resets the connection once the gateway has read what the upstream has sent. */
   static void reset_later(RawSocket& connection) {
@@ -131,7 +124,7 @@
   RawSocket caller = gateway.connect();
   caller.send(request("order", "r1"));
   RawSocket upstream = gateway.accept_request();
-  upstream.send(answered("r1", "one"));
+  upstream.send(complete_response("r1", "one"));
   REQUIRE(caller.receive_until("one").ends_with("one"));
   caller.send(request("order", "r2"));
   upstream.receive_until("\r\n\r\n");
@@ -150,7 +143,7 @@
   upstream.send(refused("r2"));
 
   SECTION("the answer follows") {
-    upstream.send(answered("r3", "three"));
+    upstream.send(complete_response("r3", "three"));
     const std::string received = caller.receive_until("three");
     CHECK(received.starts_with("HTTP/1.1 200"));
     CHECK(received.ends_with("three"));
@@ -202,7 +195,7 @@
 // Guards against an empty or short answer that is framed as whole.
 TEST_CASE("an answer that ends within its head is no answer", "[gateway][faults]") {
   const std::string route = GENERATE("order", "stream");
-  const std::string complete = answered("r1", "id: 1\ndata: a\n\n");
+  const std::string complete = complete_response("r1", "id: 1\ndata: a\n\n");
   const std::size_t head_size = complete.find("\r\n\r\n") + 4;
   for (std::size_t size = 0; size < head_size; size += 5) {
     CAPTURE(route, size);
@@ -275,7 +268,7 @@
 // Guards against a request that fails although another upstream answers it.
 TEST_CASE("a lookup is retried after an invalid head", "[gateway][faults]") {
   const std::string broken = GENERATE(answer("r1", "000 X", "Server-Seal: s\r\n", "broken"),
-                                      answered("r1", "broken").insert(17, "X Y: 1\r\n"));
+                                      complete_response("r1", "broken").insert(17, "X Y: 1\r\n"));
   CAPTURE(broken);
   Fixture gateway(2);
   RawSocket caller = gateway.connect();
@@ -283,7 +276,7 @@
   RawSocket first = gateway.accept_request();
   first.send(broken);
   RawSocket second = gateway.accept_request();
-  second.send(answered("r1", "whole"));
+  second.send(complete_response("r1", "whole"));
   CHECK(receives_answer(caller, "whole"));
 }
 
@@ -309,7 +302,7 @@
     first.send(head + "part");
     gateway.reset_later(first);
     RawSocket second = gateway.accept_request();
-    second.send(answered("r1", "whole"));
+    second.send(complete_response("r1", "whole"));
     CHECK(receives_answer(caller, "whole"));
   }
   SECTION("of a stream") {
@@ -348,13 +341,13 @@
   caller.send(request("order", "r1"));
   RawSocket upstream = gateway.accept_request();
   // A large answer makes the kernel accept as much at once later.
-  upstream.send(answered("r1", std::string(3u << 20, 'w') + "end"));
+  upstream.send(complete_response("r1", std::string(3u << 20, 'w') + "end"));
   REQUIRE(caller.receive_until("end").ends_with("end"));
   caller.send(upload("order", "r2"));
   upstream.receive_until("\r\n\r\n");
   bool arrived = false;
   gateway.run_on_loop([&] {
-    upstream.send(answered("r2", body + "whole"));
+    upstream.send(complete_response("r2", body + "whole"));
     arrived = upstream.wait_until_acknowledged();
     upstream.reset();
   });
--- a/src/gateway/forwarder_faults_test.cc
+++ b/src/gateway/forwarder_faults_test.cc
@@ -10,6 +10,7 @@
 
 #include "gateway/forwarder.h"
 #include "tests/support/raw_socket.h"
+#include "tests/support/upstream_response.h"
 
 namespace bluebellstep {
 namespace {
@@ -121,11 +122,7 @@
     });
   }
 
-  RawSocket accept_request() {
-    RawSocket upstream = listener_.accept();
-    upstream.receive_until("\r\n\r\n");
-    return upstream;
-  }
+  RawSocket accept_request() { return listener_.accept_request(); }
 
   void set_stopping(const StopTimes& times) {
     loop_.run_and_wait([&] { forwarder_->set_stopping(times); });
@@ -148,15 +145,6 @@
   std::unique_ptr<Forwarder> forwarder_;
 };
 
-std::string response_head(std::string_view id, std::string_view framing) {
-  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) +
-         "\r\nServer-Seal: s\r\nKeep-Alive: timeout=5\r\n" + std::string(framing) + "\r\n\r\n";
-}
-
-std::string complete_response(std::string_view id, std::string_view body) {
-  return response_head(id, "Content-Length: " + std::to_string(body.size())) + std::string(body);
-}
-
 /** Sends `piece` again and again until the peer closes the connection or `limit_bytes` were sent.
  * Returns the number of bytes sent. */
 std::size_t send_without_end(RawSocket& socket, std::string_view piece, std::size_t limit_bytes) {
--- a/src/gateway/load_aggregator_test.cc
+++ b/src/gateway/load_aggregator_test.cc
@@ -113,4 +113,32 @@
   CHECK_FALSE(decode_load_report({}));
 }
 
+// Guards against reports that gateways of an earlier version cannot decode, and against the loss of
+// reports from those.
+TEST_CASE("a report tells the epoch of the versions from the second one on",
+          "[gateway][stream_versions]") {
+  const auto elements = [](const std::string& bytes) {
+    return nlohmann::json::from_msgpack(bytes).size();
+  };
+  LoadReport sent = report(1, 1, 3);
+  for (const std::uint64_t epoch : {0, 1}) {
+    sent.versions_epoch = epoch;
+    const std::string bytes = encode_load_report(sent);
+    CHECK(elements(bytes) == 6);
+    REQUIRE(decode(bytes));
+    CHECK(decode(bytes)->versions_epoch == 0);
+    CHECK(decode(bytes)->upstream_loads.size() == 1);
+  }
+  sent.versions_epoch = 2;
+  const std::string bytes = encode_load_report(sent);
+  CHECK(elements(bytes) == 7);
+  REQUIRE(decode(bytes));
+  CHECK(decode(bytes)->versions_epoch == 2);
+  nlohmann::json longer = nlohmann::json::from_msgpack(bytes);
+  longer.push_back(1);
+  std::string encoded;
+  nlohmann::json::to_msgpack(longer, encoded);
+  CHECK_FALSE(decode(encoded));
+}
+
 }  // namespace bluebellstep
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -143,6 +143,13 @@
     return RawSocket(::accept(fd_, nullptr, nullptr));
   }
 
+  /** Accepts the next connection and reads from it up to the end of a request's head. */
+  RawSocket accept_request() {
+    RawSocket connection = accept();
+    connection.receive_until("\r\n\r\n");
+    return connection;
+  }
+
   /** Whether a connection is ready to be accepted within `timeout_ms`. */
   bool has_connection(int timeout_ms) {
     pollfd poll_fd{.fd = fd_, .events = POLLIN, .revents = 0};
--- a/tests/support/socket_gateway.h
+++ b/tests/support/socket_gateway.h
@@ -37,14 +37,18 @@
     });
   }
 
-  /** Adds an upstream of the service "s" at a port of the loopback address. */
-  void add_upstream(std::string_view id, std::uint16_t port) {
+  /** Adds an upstream at a port of the loopback address. */
+  void add_upstream(std::string_view id,
+                    std::uint16_t port,
+                    std::string_view software_version = "",
+                    std::string_view service = "s") {
     loop_.run_and_wait([&] {
       pool_->put({.id = std::string(id),
-                  .service = "s",
+                  .service = std::string(service),
                   .endpoint = {"127.0.0.1", port},
                   .zone = "a",
-                  .slots = 4},
+                  .slots = 4,
+                  .software_version = std::string(software_version)},
                  Clock().now());
     });
   }
