gateway: Test that a held end applies only to the attempt that it belongs to

A held answer whose first event is too large ends its attempt when the record is acknowledged, and the request may go on at another upstream.

--- a/src/gateway/forwarder_records_test.cc
+++ b/src/gateway/forwarder_records_test.cc
@@ -162,4 +162,25 @@
   CHECK(gateway.begun() == std::vector<StreamAndVersion>{{stream, "1"}});
 }
 
+// Guards against an attempt that takes the end of the previous one for its own.
+TEST_CASE("a held answer that cannot be used does not end the attempt after it",
+          "[gateway][stream_versions]") {
+  RawListener version_1;
+  RawListener version_2;
+  StreamsGateway gateway;
+  gateway.set_recorded("2");
+  gateway.add(version_1, "1");
+  gateway.add(version_2, "2");
+  RawSocket caller = gateway.request("stream", "r1");
+  RawSocket first = version_2.accept_request();
+  first.send(complete_response("r1", std::string(SseEventBuffer::kMaxEventBytes + 1, 'x')));
+  REQUIRE(first.wait_until_acknowledged());
+  REQUIRE(caller.receive_some(kQuietMs).empty());
+  gateway.set_usable({"1"});
+  gateway.report_record(0, true);
+  RawSocket second = version_1.accept_request();
+  second.send(complete_response("r1", kFirstEvent));
+  CHECK(contains(caller.receive_until(kEndOfChunks), kFirstEvent));
+}
+
 }  // namespace bluebellstep
