gateway: Do not take an upstream for silent while its answer is held

An attempt whose answer had arrived and waited for the record of its version was ended as upstream_silent after the time that a stream may be without events, 1.3 s or more. The request was sent to a second upstream, and the first one was counted as failed, although only the store was slow. The record of a busy gateway may wait that long: its interval at 360 gateways is 1.4 s.

Attempts with held content have no idle limit; the deadline of the request and the time limit of the store's call bound the wait. When the record is acknowledged, the limit applies again.

--- a/src/gateway/forwarder_records_test.cc
+++ b/src/gateway/forwarder_records_test.cc
@@ -183,4 +183,23 @@
   CHECK(contains(caller.receive_until(kEndOfChunks), kFirstEvent));
 }
 
+// Guards against an upstream that is taken for a silent one while the store is slow.
+TEST_CASE("a held answer waits longer for its record than a stream may be silent",
+          "[gateway][stream_versions]") {
+  RawListener version_1;
+  RawListener version_2;
+  StreamsGateway gateway;
+  gateway.set_recorded("2");
+  gateway.add(version_1, "1");
+  gateway.add(version_2, "2");
+  RawSocket caller = gateway.request("impatient", "r1");
+  RawSocket upstream = version_2.accept_request();
+  upstream.send(complete_response("r1", kFirstEvent));
+  gateway.set_usable({"1", "2"});
+  CHECK(caller.receive_some(2000).empty());
+  CHECK_FALSE(version_1.has_connection(0));
+  gateway.report_record(0, true);
+  CHECK(contains(caller.receive_until(kEndOfChunks), kFirstEvent));
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/forwarder_streams.cc
+++ b/src/gateway/forwarder_streams.cc
@@ -127,6 +127,7 @@
   Attempt& attempt = *request->attempt;
   const HeldContent held = *std::exchange(attempt.held, std::nullopt);
   attempt.held_event_at = held.received_at;
+  schedule_check(*request);
   const std::string content = std::exchange(attempt.body, {});
   buffered_body_bytes_ -= content.size();
   if (!content.empty()) {
--- a/src/gateway/forwarder_timeouts.cc
+++ b/src/gateway/forwarder_timeouts.cc
@@ -39,9 +39,11 @@
     return check_at;
   }
   const Attempt& attempt = *request.attempt;
+  // The upstream has answered; the store's client limits the wait for the acknowledgement.
+  const bool waits_for_record = attempt.held && attempt.held->received_at;
   if (!attempt.connection->established()) {
     check_at = std::min(check_at, attempt.started_at + kConnectTimeout);
-  } else if (request.route->may_retry()) {
+  } else if (request.route->may_retry() && !waits_for_record) {
     const Duration time_limit =
         request.route->kind == RequestKind::kStream
             ? std::max(kMinStreamIdleTimeout, request.route->stream_patience - kStreamResumeTime)
