load_report_exchange: Heartbeats, so that idle gateways know of each other

An idle gateway reported every 10 s. With one software version a gateway then asked the store for each caller that came back ("process: one software version needs no call to the store after a pause": 20 calls for 20 callers, expected 0), and refused them while the store was away; with several versions a lost report held up the use of a new one.

--- a/src/gateway/load_report_exchange.cc
+++ b/src/gateway/load_report_exchange.cc
@@ -108,9 +108,12 @@
   report.sequence = ++sequence_;
   report.incarnation = incarnation_;
   const Instant now = clock_.now();
+  const bool sends_heartbeats =
+      report.versions_epoch > 1 || peers_.size() <= ReportPacer::kSmallFleetPeers;
+  const Duration idle_interval =
+      sends_heartbeats ? ReportPacer::kHeartbeatInterval : ReportPacer::kIdleInterval;
   if (!report.upstream_loads.empty() || !last_report_was_empty_ ||
-      report.versions_epoch != last_versions_epoch_ ||
-      now >= last_sent_at_ + ReportPacer::kIdleInterval) {
+      report.versions_epoch != last_versions_epoch_ || now >= last_sent_at_ + idle_interval) {
     last_sent_at_ = now;
     send(encode_load_report(report), peers_);
   }
--- a/src/gateway/report_pacer.h
+++ b/src/gateway/report_pacer.h
@@ -46,6 +46,10 @@
   /** An idle gateway sends one empty report and repeats it at this interval, to show that it is
    * alive. More frequent ones are not needed: peers treat missing reports like empty ones. */
   static constexpr Duration kIdleInterval{10'000};
+  /** The same with up to `kSmallFleetPeers` peers, and in any fleet that has changed its table of
+   * software versions: gateways ask the store for streams while one of them is silent, see
+   * `StreamVersionDirectory::kHeardWithin`. */
+  static constexpr Duration kHeartbeatInterval{600};
 
   /** When the next report is due. */
   Instant due() const { return due_; }
