peer_queries: Keep asking a peer that the store answers

The bounds are 2 s for a configuration and 2.5 s of margin for weights.

Cause: such a gateway asked one random peer every 0.5 s. A peer that the store does not answer either, or that is down, used up a turn, and nothing bounded the number of lost turns. It also waited for the next turn after the store was lost, and after its reader was lost until its own watches failed.

PeerQueries decides, without sockets, which peer is asked next: each once in a turn until one says that the store has just answered it, then that one. At most four are asked in 0.5 s. The first query is sent when the store or the reader is lost. A gateway no longer counts itself among its first peers.

Evidence: "a gateway that the store does not serve keeps to a peer that it serves" fails on the code before in 3 of 3 runs (the peer is not asked six times in 5 s; the others are asked six times and more) and passes in 3 of 3 after. The tests of PeerQueries bound the time to the only informed peer by 2 s over 1000 seeds, with up to three of four peers down. [gateway] and [peer_queries]: 189 test cases pass.

--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -75,15 +75,15 @@
                           cache,
                           CachePollScheduler(settings.name, settings.zone, settings.link_mbps)),
       forwarder_(forwarder),
-      random_(hash64(settings.name)),
       worker_(loop),
-      peers_(settings.first_peers),
+      peer_queries_(hash64(settings.name)),
       membership_(settings.name),
       source_(settings.name, settings.zone),
       follower_polls_([this](const KnownRevisions& known) { return has_changes_since(known); }) {
   for (const ObjectKind kind : kWatchedKinds) {
     add_watcher(kind);
   }
+  set_first_peers(settings.first_peers);
   // Other gateways may tell of upstreams before the store tells of the zones.
   pool_.cold_limit().record_view_lost(clock_.now());
   if (settings.bounds.expose_share > 0) {
@@ -121,7 +121,8 @@
 
 void StateSynchronizer::set_first_peers(std::vector<Endpoint> peers) {
   if (replica(ObjectKind::kGateways).objects().empty()) {
-    peers_ = std::move(peers);
+    std::erase(peers, settings_.peers);
+    peer_queries_.set_peers(std::move(peers));
   }
 }
 
@@ -188,6 +189,7 @@
   if (lost) {
     pool_.cold_limit().record_view_lost(clock_.now());
     follower_polls_.answer_all();
+    query_peer();
   }
 }
 
@@ -352,9 +354,9 @@
     on_gateways_changed_(names);
   }
   if (!peers.empty()) {
-    peers_ = std::move(peers);
+    peer_queries_.set_peers(peers);
     if (on_peers_changed_) {
-      on_peers_changed_(peers_);
+      on_peers_changed_(std::move(peers));
     }
   }
   if (membership_.own_registration_lost()) {
@@ -493,10 +495,10 @@
   check_registrations();
   update_watch_wait();
   free_outdated_segments();
-  if (!store_reachable_ && !peer_query_in_flight_) {
+  if (!store_reachable_) {
     query_peer();
   }
-  run_after(kPeerQueryInterval, [this] { run_periodic_tasks(); });
+  run_after(kTaskInterval, [this] { run_periodic_tasks(); });
 }
 
 StoreWatcher* StateSynchronizer::find_watcher(ObjectKind kind) const {
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -19,7 +19,6 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "base/random.h"
 #include "gateway/cache_directory.h"
 #include "gateway/cache_event_poller.h"
 #include "gateway/follower_polls.h"
@@ -33,6 +32,7 @@
 #include "http/background_worker.h"
 #include "http/http_client.h"
 #include "http/http_loop.h"
+#include "peer_queries/peer_queries.h"
 #include "settings/gateway_settings.h"
 
 namespace bluebellstep {
@@ -40,9 +40,8 @@
 /** Applies changes of the store's objects to routing. All members run on the HTTP thread. */
 class StateSynchronizer {
  public:
-  /** Interval between queries to peers while the store does not answer, and between other periodic
-   * tasks. */
-  static constexpr Duration kPeerQueryInterval{500};
+  /** Interval between periodic tasks. */
+  static constexpr Duration kTaskInterval{500};
   /** Limit on each query to a peer. */
   static constexpr Duration kPeerQueryTimeout{400};
   /** How long a reader may hold a poll of this gateway while nothing changes. */
@@ -212,9 +211,11 @@
   void update_watch_wait();
   void set_following(bool following, std::string_view reason);
   StoreWatcher* find_watcher(platform::ObjectKind kind) const;
+  // Queries peers one after the other until the store answers.
   void query_peer();
   std::string peer_query_path() const;
-  void apply_peer_answer(const HttpClient::Response& response, Instant asked_at);
+  // Returns the time since the store answered the peer; nothing if it is not known.
+  std::optional<Duration> apply_peer_answer(const HttpClient::Response& response, Instant asked_at);
   void run_after(Duration delay, std::function<void()> task);
 
   HttpLoop& loop_;
@@ -226,7 +227,6 @@
   CacheEventPoller cache_event_poller_;
   Forwarder& forwarder_;
   Clock clock_;
-  Random random_;
   std::function<void()> on_weights_changed_;
   std::function<void()> on_rollouts_changed_;
   std::function<void()> on_config_changed_;
@@ -238,7 +238,7 @@
   std::function<void(std::vector<Endpoint>)> on_zone_peers_changed_;
   BackgroundWorker worker_;  // Decodes what would delay the event loop.
   std::vector<std::unique_ptr<StoreWatcher>> watchers_;
-  std::vector<Endpoint> peers_;
+  PeerQueries peer_queries_;
   GatewayMembership membership_;
   StoreSource source_;
   FollowerPolls follower_polls_;
@@ -249,7 +249,7 @@
   std::optional<Instant> polled_at_;  // By a follower.
   Instant membership_checked_at_;
   bool store_reachable_ = true;
-  bool peer_query_in_flight_ = false;
+  bool peer_query_pending_ = false;  // A query is in flight, or the delay after it lasts.
   // By model: the version below which this gateway has freed segments in stores.
   std::map<std::string, std::uint64_t> freed_below_version_;
   bool target_weights_listed_ = false;  // The first list of target weight versions was applied.
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -198,6 +198,8 @@
     pool_.cold_limit().record_view_lost(clock_.now());
     set_following(false, answer ? "reader_lost_the_store" : "reader_did_not_answer");
     follower_polls_.answer_all();
+    // The store may have become unreachable meanwhile, which the watches notice later.
+    query_peer();
     run_after(kReaderCheckInterval, [this] { follow_reader(); });
     return;
   }
@@ -240,20 +242,28 @@
 }
 
 void StateSynchronizer::query_peer() {
-  if (peers_.empty()) {
+  const auto peer = peer_query_pending_ ? std::nullopt : peer_queries_.next();
+  if (!peer) {
     return;
   }
-  HttpCall call{.endpoint = peers_[random_.below(peers_.size())], .path = peer_query_path()};
+  HttpCall call{.endpoint = *peer, .path = peer_query_path()};
   call.connect_timeout = kPeerQueryTimeout;
   call.idle_timeout = kPeerQueryTimeout;
-  peer_query_in_flight_ = true;
+  peer_query_pending_ = true;
   client_.send(std::move(call),
-               [this, asked_at = clock_.now(),
-                alive = std::weak_ptr<bool>(alive_)](HttpClient::Response response) {
-                 if (!alive.expired()) {
-                   peer_query_in_flight_ = false;
-                   apply_peer_answer(response, asked_at);
+               [this, peer = *peer, asked_at = clock_.now(),
+                alive = std::weak_ptr<bool>(alive_)](const HttpClient::Response& response) {
+                 if (alive.expired()) {
+                   return;
                  }
+                 const std::optional<Duration> store_age = apply_peer_answer(response, asked_at);
+                 const bool informed = store_age && *store_age <= kMaxAnswerAge;
+                 run_after(peer_queries_.record_answer(peer, informed), [this] {
+                   peer_query_pending_ = false;
+                   if (!store_reachable_) {
+                     query_peer();
+                   }
+                 });
                });
 }
 
@@ -292,16 +302,19 @@
   return answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void StateSynchronizer::apply_peer_answer(const HttpClient::Response& response, Instant asked_at) {
+std::optional<Duration> StateSynchronizer::apply_peer_answer(const HttpClient::Response& response,
+                                                             Instant asked_at) {
+  std::optional<Duration> store_age;
   const auto json = response.status == 200 ? parse_json(response.body) : nlohmann::json();
   if (!json.is_object()) {
-    return;  // The peer is down or starting; the next query chooses a peer again.
+    return store_age;  // The peer is down or starting.
   }
   try {
     if (const auto age = json.find("store_age_ms"); age != json.end()) {
       // The store works if it answers the peer, so that a registration that is gone did not expire.
       const Instant now = clock_.now();
-      pool_.record_store_answer(now - Duration{age->get<std::int64_t>()}, now);
+      store_age = Duration{age->get<std::int64_t>()};
+      pool_.record_store_answer(now - *store_age, now);
     }
     if (const auto table = json.find("version_table");
         table != json.end() && apply_version_table_) {
@@ -332,7 +345,9 @@
         zones == json.end() ? std::vector<ReturnedZone>() : decode_returned_zones(*zones));
   } catch (const nlohmann::json::exception& fault) {
     LogEvent("peer_answer_not_understood", LogEvent::Severity::kWarning).field("why", fault.what());
+    return std::nullopt;
   }
+  return store_age;
 }
 
 }  // namespace bluebellstep
--- a/src/gateway/state_synchronizer_test.cc
+++ b/src/gateway/state_synchronizer_test.cc
@@ -1,8 +1,9 @@
-// Tests of a gateway that follows another one, against stand-ins of the platform's store and of the
-// other gateway on sockets.
+// Tests of what a gateway learns from the platform's store and from other gateways, against
+// stand-ins of them on sockets.
 
 #include "gateway/state_synchronizer.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
@@ -152,8 +153,82 @@
   std::unique_ptr<StateSynchronizer> synchronizer;
 };
 
+/** Another gateway, which knows nothing newer. */
+class PeerStandin {
+ public:
+  /** @param store_age_ms  Time since the store answered this gateway. */
+  PeerStandin(HttpLoop& loop, int store_age_ms)
+      : server_(loop,
+                {.listen = {"127.0.0.1", 0}},
+                {.on_request = [this, store_age_ms](ExchangeId exchange, const HttpRequest&) {
+                  ++queries_;
+                  server_.respond(exchange, 200, {},
+                                  R"({"kinds":[],"returned_zones":[],"store_age_ms":)" +
+                                      std::to_string(store_age_ms) + "}");
+                }}) {}
+
+  Endpoint endpoint() const { return {"127.0.0.1", server_.port()}; }
+  int queries() const { return queries_; }
+
+ private:
+  std::atomic<int> queries_ = 0;
+  HttpServer server_;
+};
+
+/** A gateway that the store does not serve, with three peers of which the store serves one. */
+class UnservedFixture {
+ public:
+  UnservedFixture() {
+    loop.run_and_wait([&] {
+      forwarder = std::make_unique<Forwarder>(loop, pool, metrics, "a", RetryLimits{});
+      synchronizer = std::make_unique<StateSynchronizer>(loop, client, settings, pool, quota, cache,
+                                                         *forwarder);
+      synchronizer->start();
+    });
+  }
+  ~UnservedFixture() {
+    loop.run_and_wait([&] {
+      synchronizer.reset();
+      forwarder.reset();
+    });
+  }
+
+  HttpLoop stand_in_loop;
+  HttpServer store{stand_in_loop,
+                   {.listen = {"127.0.0.1", 0}},
+                   {.on_request = [this](ExchangeId exchange, const HttpRequest&) {
+                     store.respond(exchange, 503, {}, "");
+                   }}};
+  PeerStandin informed{stand_in_loop, 100};
+  PeerStandin unserved_1{stand_in_loop, 20'000};
+  PeerStandin unserved_2{stand_in_loop, 20'000};
+  HttpLoop loop;
+  HttpClient client{loop};
+  GatewaySettings settings{
+      .name = "g2",
+      .zone = "a",
+      .store = {"127.0.0.1", store.port()},
+      .first_peers = {unserved_1.endpoint(), informed.endpoint(), unserved_2.endpoint()}};
+  Metrics metrics;
+  LoadAggregator load_aggregator;
+  CacheDirectory cache{load_aggregator};
+  RequestQuota quota{"g2", Clock().now() - Duration{60'000}};
+  UpstreamPool pool{PoolLimits{}, cache, load_aggregator, quota};
+  std::unique_ptr<Forwarder> forwarder;
+  std::unique_ptr<StateSynchronizer> synchronizer;
+};
+
 }  // namespace
 
+// Guards against configurations and target weights that take effect seconds late at a gateway that
+// the store does not serve: it asked peers that the store did not serve either.
+TEST_CASE_METHOD(UnservedFixture,
+                 "a gateway that the store does not serve keeps to a peer that it serves",
+                 "[gateway]") {
+  CHECK(wait_until([&] { return informed.queries() >= 6; }));
+  CHECK(unserved_1.queries() + unserved_2.queries() < 6);
+}
+
 // Guards against a server that has left and stays in use because the gateway that reads the store
 // was cut off from it a moment ago: that expires no registration.
 TEST_CASE_METHOD(
