state_synchronizer: Serve only once target weights and zones are known

What callers see: a gateway that has just started can send requests to engines whose weights are too old, or into a zone that is out of service.

Cause: requests were served, and the gateway was ready, as soon as a configuration and an upstream were known. The lists of target weights and of zones out of service are read by calls of their own, and an unknown target counted as none. A list that failed once was not asked for again until another call was answered.

A configuration now takes effect when both lists have been received, from the store or from a peer; until then requests are refused as before the first configuration. Kinds that were never listed are asked for while the store does not answer.

--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -166,9 +166,10 @@
   });
 }
 
-// While the store does not answer, calls for one kind are enough to detect its recovery.
+// While the store does not answer, calls for one kind are enough to detect its recovery. A kind
+// that was never listed is asked for all the same, since requests wait for it.
 bool StateSynchronizer::may_probe(ObjectKind kind) const {
-  return store_reachable_ || kind == ObjectKind::kConfiguration;
+  return store_reachable_ || kind == ObjectKind::kConfiguration || replica(kind).revision() == 0;
 }
 
 void StateSynchronizer::on_call_ended(ObjectKind kind, bool reachable) {
@@ -191,6 +192,7 @@
     follower_polls_.answer_all();
     query_peer();
   }
+  apply_config();
 }
 
 Instant StateSynchronizer::current_at(ObjectKind kind) const {
@@ -248,25 +250,38 @@
   }
   const std::string& content = last->object.content;
   if (content.size() < StoreWatcher::kMinBackgroundBytes) {
-    apply_config(platform::decode_config(content));
+    on_config(platform::decode_config(content));
     return;
   }
-  worker_.run([content] { return platform::decode_config(content); },
-              [this](platform::DecodeResult<ServingConfig>&& decoded) {
-                apply_config(std::move(decoded));
-              });
+  worker_.run(
+      [content] { return platform::decode_config(content); },
+      [this](platform::DecodeResult<ServingConfig>&& decoded) { on_config(std::move(decoded)); });
 }
 
-void StateSynchronizer::apply_config(platform::DecodeResult<ServingConfig>&& decoded) {
+void StateSynchronizer::on_config(platform::DecodeResult<ServingConfig>&& decoded) {
   if (const auto* fault = std::get_if<platform::DecodeError>(&decoded)) {
     LogEvent("config_not_understood", LogEvent::Severity::kError).field("why", fault->reason);
     return;
   }
   auto& config = std::get<ServingConfig>(decoded);
   const auto& current = forwarder_.config();
-  if (current != nullptr && config.version <= current->version) {
+  if ((current != nullptr && config.version <= current->version) ||
+      (received_config_ && config.version <= received_config_->version)) {
     return;
   }
+  received_config_ = std::move(config);
+  apply_config();
+}
+
+void StateSynchronizer::apply_config() {
+  // Without these lists, requests would reach zones that are out of service and engines whose
+  // weights are too old.
+  const bool lists_received = replica(ObjectKind::kZonesOutOfService).revision() > 0 &&
+                              replica(ObjectKind::kTargetWeights).revision() > 0;
+  if (!received_config_ || !lists_received) {
+    return;
+  }
+  ServingConfig config = *std::exchange(received_config_, std::nullopt);
   config.set_urgent_goals();
   LogEvent("config_in_force")
       .field("version", config.version)
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -173,7 +173,10 @@
   void add_watcher(platform::ObjectKind kind);
   void on_changes(platform::ObjectKind kind, ObjectReplica::Changes changes);
   void on_configs(const ObjectReplica::Changes& changes);
-  void apply_config(platform::DecodeResult<ServingConfig>&& decoded);
+  void on_config(platform::DecodeResult<ServingConfig>&& decoded);
+  // Puts the received configuration into force once the lists that restrict the choice of upstreams
+  // have been received.
+  void apply_config();
   void on_upstream(const platform::ObjectChange& change);
   void on_zones_out_of_service();
   void on_target_weights(const platform::StoredObject& object);
@@ -252,6 +255,7 @@
   bool peer_query_pending_ = false;  // A query is in flight, or the delay after it lasts.
   // By model: the version below which this gateway has freed segments in stores.
   std::map<std::string, std::uint64_t> freed_below_version_;
+  std::optional<ServingConfig> received_config_;  // Not yet in force.
   bool target_weights_listed_ = false;  // The first list of target weight versions was applied.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -336,6 +336,7 @@
       LogEvent("peer_knows_newer").field("kind", name_of(kind)).field("revision", revision);
       watcher->apply_snapshot(std::move(objects), revision);
     }
+    apply_config();
     const auto passed = json.find("view");
     const auto view =
         passed == json.end() ? std::nullopt : std::optional(decode_passed_view(*passed));
--- a/src/gateway/state_synchronizer_test.cc
+++ b/src/gateway/state_synchronizer_test.cc
@@ -153,6 +153,76 @@
   std::unique_ptr<StateSynchronizer> synchronizer;
 };
 
+/** A gateway whose store has a configuration and an upstream, and fails to list one kind. */
+class IncompleteListsFixture {
+ public:
+  IncompleteListsFixture() {
+    loop.run_and_wait([&] {
+      forwarder = std::make_unique<Forwarder>(loop, pool, metrics, "a", RetryLimits{});
+      synchronizer = std::make_unique<StateSynchronizer>(loop, client, settings, pool, quota, cache,
+                                                         *forwarder);
+    });
+  }
+  ~IncompleteListsFixture() {
+    loop.run_and_wait([&] {
+      synchronizer.reset();
+      forwarder.reset();
+    });
+  }
+
+  void start(const std::string& failing) {
+    failing_path = "/objects/" + failing;
+    loop.run_and_wait([&] { synchronizer->start(); });
+  }
+  bool on_loop(const std::function<bool()>& query) {
+    bool result = false;
+    loop.run_and_wait([&] { result = query(); });
+    return result;
+  }
+  bool received(platform::ObjectKind kind) {
+    return wait_until(
+        [&] { return on_loop([&] { return synchronizer->replica(kind).revision() > 0; }); });
+  }
+  void on_store_request(ExchangeId exchange, const HttpRequest& request) {
+    if (request.path.find("watch=") != std::string::npos) {
+      return;
+    }
+    if (fails && request.path.starts_with(failing_path)) {
+      store.respond(exchange, 503, {}, "");
+      return;
+    }
+    std::string items;
+    if (request.path.starts_with("/objects/config")) {
+      items = R"({"metadata":{"name":"main","revision":1},)"
+              R"("spec":{"version":1,"routes":[],"services":[]}})";
+    } else if (request.path.starts_with("/objects/servers")) {
+      items = R"({"metadata":{"name":"o1","revision":1},"spec":{"service":"s","zone":"a",)"
+              R"("address":"127.0.0.1:9","slots":4,"state":"ready"}})";
+    }
+    store.respond(exchange, 200, {},
+                  R"({"items":[)" + items + R"(],"has_more":false,"current_rev":1})");
+  }
+
+  std::string failing_path;
+  std::atomic<bool> fails = true;
+  HttpLoop store_loop;
+  HttpServer store{store_loop,
+                   {.listen = {"127.0.0.1", 0}},
+                   {.on_request = [this](ExchangeId exchange, const HttpRequest& request) {
+                     on_store_request(exchange, request);
+                   }}};
+  HttpLoop loop;
+  HttpClient client{loop};
+  GatewaySettings settings{.name = "g1", .zone = "a", .store = {"127.0.0.1", store.port()}};
+  Metrics metrics;
+  LoadAggregator load_aggregator;
+  CacheDirectory cache{load_aggregator};
+  RequestQuota quota{"g1", Clock().now() - Duration{60'000}};
+  UpstreamPool pool{PoolLimits{}, cache, load_aggregator, quota};
+  std::unique_ptr<Forwarder> forwarder;
+  std::unique_ptr<StateSynchronizer> synchronizer;
+};
+
 /** Another gateway, which knows nothing newer. */
 class PeerStandin {
  public:
@@ -229,6 +299,19 @@
   CHECK(unserved_1.queries() + unserved_2.queries() < 6);
 }
 
+// Guards against a gateway that has just started and sends requests to engines whose weights are
+// too old, or to a zone that is out of service, since it has not received these lists yet.
+TEST_CASE_METHOD(IncompleteListsFixture,
+                 "a gateway serves only once it knows the target weights and the zones",
+                 "[gateway]") {
+  start(GENERATE(as<std::string>{}, "versions", "evacuations"));
+  REQUIRE(received(platform::ObjectKind::kConfiguration));
+  REQUIRE(received(platform::ObjectKind::kUpstreams));
+  CHECK(on_loop([&] { return forwarder->config() == nullptr && !synchronizer->ready(); }));
+  fails = false;
+  CHECK(wait_until([&] { return on_loop([&] { return synchronizer->ready(); }); }));
+}
+
 // Guards against a server that has left and stays in use because the gateway that reads the store
 // was cut off from it a moment ago: that expires no registration.
 TEST_CASE_METHOD(
