state_synchronizer: Let query_peer guard itself against a second query

The merge of the peer queries with the table of software versions left a use of a removed member; a query in progress is checked in query_peer alone now.

--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -149,11 +149,7 @@
   Instant store_answered_at() const { return store_answered_at_; }
 
   /** Asks another gateway for newer objects, unless one is being asked. */
-  void ask_peer() {
-    if (!peer_query_in_flight_) {
-      query_peer();
-    }
-  }
+  void ask_peer() { query_peer(); }
 
   /** Records that a load report of another gateway was received. */
   void on_gateway_report(std::string_view gateway) { membership_.on_report(gateway, clock_.now()); }
