tests: Take the ports of gateways from below the ephemeral range

Two folders of such runs were left: "cannot listen on 127.0.0.1:37607: Address already in use", and the same for port 34211.

Cause: GatewayFleet lets its ports go before the gateways bind them. They were from the range that the kernel gives to outgoing connections (32768 to 60999 here), and the gateways that start first make such connections. The ports now are from below that range, and processes that run at the same time begin their search at different ports.

--- a/tests/process/gateway_fleet.cc
+++ b/tests/process/gateway_fleet.cc
@@ -2,8 +2,11 @@
 
 #include "tests/process/gateway_fleet.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <fstream>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
 #include <unistd.h>
@@ -15,14 +18,34 @@
 
 constexpr Duration kStartTimeout{10'000};
 
-// Returns distinct ports that were free. They are held until all are chosen, but another process
-// can bind one before it is used.
-std::vector<std::uint16_t> free_ports(int count) {
+constexpr std::uint32_t kLowestPort = 10'000;
+// Processes that run at the same time begin their search this far apart.
+constexpr std::uint32_t kPortsPerProcess = 64;
+
+// Returns the lowest port that the kernel gives to outgoing connections.
+std::uint32_t lowest_ephemeral_port() {
+  std::uint32_t lowest = 32'768;  // The default of Linux.
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> lowest;
+  return std::max(lowest, kLowestPort + kPortsPerProcess);
+}
+
+// Returns distinct ports that were free. They are held until all are chosen. An outgoing connection
+// cannot take one before it is used, but another process can bind it.
+std::vector<std::uint16_t> free_ports(std::size_t count) {
+  static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * kPortsPerProcess;
+  const std::uint32_t range = lowest_ephemeral_port() - kLowestPort;
   std::vector<ListeningSocket> sockets;
   std::vector<std::uint16_t> ports;
-  for (int i = 0; i < count; ++i) {
-    sockets.push_back(open_listening_socket({"127.0.0.1", 0}));
-    ports.push_back(sockets.back().port);
+  for (std::uint32_t tries = 0; ports.size() < count; ++tries) {
+    const auto port = static_cast<std::uint16_t>(kLowestPort + next++ % range);
+    try {
+      sockets.push_back(open_listening_socket({"127.0.0.1", port}));
+      ports.push_back(port);
+    } catch (const std::system_error&) {
+      if (tries >= range) {
+        throw;
+      }
+    }
   }
   for (const ListeningSocket& socket : sockets) {
     ::close(socket.fd);
