--- a/tests/soak/stream_versions_soak_test.cc
+++ b/tests/soak/stream_versions_soak_test.cc
@@ -70,7 +70,7 @@
     }
   }
   const char* outage = random.chance(0.5) ? "store_down" : "store_silent";
-  fleet.set_faults({{outage, fault < 4}, {"cut_streams", 1 + random.below(8)}});
+  fleet.set_faults({{outage, fault < 4}, {"cut_streams", random.below(20)}});
 }
 
 }  // namespace
