--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -75,15 +75,15 @@
                           cache,
                           CachePollScheduler(settings.name, settings.zone, settings.link_mbps)),
       forwarder_(forwarder),
-      random_(hash64(settings.name)),
       worker_(loop),
-      peers_(settings.first_peers),
+      peer_queries_(hash64(settings.name)),
       membership_(settings.name),
       source_(settings.name, settings.zone),
       follower_polls_([this](const KnownRevisions& known) { return has_changes_since(known); }) {
   for (const ObjectKind kind : kWatchedKinds) {
     add_watcher(kind);
   }
+  set_first_peers(settings.first_peers);
   // Other gateways may tell of upstreams before the store tells of the zones.
   pool_.cold_limit().record_view_lost(clock_.now());
   if (settings.bounds.expose_share > 0) {
@@ -121,7 +121,8 @@
 
 void StateSynchronizer::set_first_peers(std::vector<Endpoint> peers) {
   if (replica(ObjectKind::kGateways).objects().empty()) {
-    peers_ = std::move(peers);
+    std::erase(peers, settings_.peers);
+    peer_queries_.set_peers(std::move(peers));
   }
 }
 
@@ -165,9 +166,10 @@
   });
 }
 
-// While the store does not answer, calls for one kind are enough to detect its recovery.
+// While the store does not answer, calls for one kind are enough to detect its recovery. A kind
+// that was never listed is asked for all the same, since requests wait for it.
 bool StateSynchronizer::may_probe(ObjectKind kind) const {
-  return store_reachable_ || kind == ObjectKind::kConfiguration;
+  return store_reachable_ || kind == ObjectKind::kConfiguration || replica(kind).revision() == 0;
 }
 
 void StateSynchronizer::on_call_ended(ObjectKind kind, bool reachable) {
@@ -188,7 +190,9 @@
   if (lost) {
     pool_.cold_limit().record_view_lost(clock_.now());
     follower_polls_.answer_all();
+    query_peer();
   }
+  apply_config();
 }
 
 Instant StateSynchronizer::current_at(ObjectKind kind) const {
@@ -246,25 +250,38 @@
   }
   const std::string& content = last->object.content;
   if (content.size() < StoreWatcher::kMinBackgroundBytes) {
-    apply_config(platform::decode_config(content));
+    on_config(platform::decode_config(content));
     return;
   }
-  worker_.run([content] { return platform::decode_config(content); },
-              [this](platform::DecodeResult<ServingConfig>&& decoded) {
-                apply_config(std::move(decoded));
-              });
+  worker_.run(
+      [content] { return platform::decode_config(content); },
+      [this](platform::DecodeResult<ServingConfig>&& decoded) { on_config(std::move(decoded)); });
 }
 
-void StateSynchronizer::apply_config(platform::DecodeResult<ServingConfig>&& decoded) {
+void StateSynchronizer::on_config(platform::DecodeResult<ServingConfig>&& decoded) {
   if (const auto* fault = std::get_if<platform::DecodeError>(&decoded)) {
     LogEvent("config_not_understood", LogEvent::Severity::kError).field("why", fault->reason);
     return;
   }
   auto& config = std::get<ServingConfig>(decoded);
   const auto& current = forwarder_.config();
-  if (current != nullptr && config.version <= current->version) {
+  if ((current != nullptr && config.version <= current->version) ||
+      (received_config_ && config.version <= received_config_->version)) {
+    return;
+  }
+  received_config_ = std::move(config);
+  apply_config();
+}
+
+void StateSynchronizer::apply_config() {
+  // Without these lists, requests would reach zones that are out of service and engines whose
+  // weights are too old.
+  const bool lists_received = replica(ObjectKind::kZonesOutOfService).revision() > 0 &&
+                              replica(ObjectKind::kTargetWeights).revision() > 0;
+  if (!received_config_ || !lists_received) {
     return;
   }
+  ServingConfig config = *std::exchange(received_config_, std::nullopt);
   config.set_urgent_goals();
   LogEvent("config_in_force")
       .field("version", config.version)
@@ -352,9 +369,9 @@
     on_gateways_changed_(names);
   }
   if (!peers.empty()) {
-    peers_ = std::move(peers);
+    peer_queries_.set_peers(peers);
     if (on_peers_changed_) {
-      on_peers_changed_(peers_);
+      on_peers_changed_(std::move(peers));
     }
   }
   if (membership_.own_registration_lost()) {
@@ -493,10 +510,10 @@
   check_registrations();
   update_watch_wait();
   free_outdated_segments();
-  if (!store_reachable_ && !peer_query_in_flight_) {
+  if (!store_reachable_) {
     query_peer();
   }
-  run_after(kPeerQueryInterval, [this] { run_periodic_tasks(); });
+  run_after(kTaskInterval, [this] { run_periodic_tasks(); });
 }
 
 StoreWatcher* StateSynchronizer::find_watcher(ObjectKind kind) const {
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -19,7 +19,6 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "base/random.h"
 #include "gateway/cache_directory.h"
 #include "gateway/cache_event_poller.h"
 #include "gateway/follower_polls.h"
@@ -33,6 +32,7 @@
 #include "http/background_worker.h"
 #include "http/http_client.h"
 #include "http/http_loop.h"
+#include "peer_queries/peer_queries.h"
 #include "settings/gateway_settings.h"
 
 namespace bluebellstep {
@@ -40,9 +40,8 @@
 /** Applies changes of the store's objects to routing. All members run on the HTTP thread. */
 class StateSynchronizer {
  public:
-  /** Interval between queries to peers while the store does not answer, and between other periodic
-   * tasks. */
-  static constexpr Duration kPeerQueryInterval{500};
+  /** Interval between periodic tasks. */
+  static constexpr Duration kTaskInterval{500};
   /** Limit on each query to a peer. */
   static constexpr Duration kPeerQueryTimeout{400};
   /** How long a reader may hold a poll of this gateway while nothing changes. */
@@ -150,11 +149,7 @@
   Instant store_answered_at() const { return store_answered_at_; }
 
   /** Asks another gateway for newer objects, unless one is being asked. */
-  void ask_peer() {
-    if (!peer_query_in_flight_) {
-      query_peer();
-    }
-  }
+  void ask_peer() { query_peer(); }
 
   /** Records that a load report of another gateway was received. */
   void on_gateway_report(std::string_view gateway) { membership_.on_report(gateway, clock_.now()); }
@@ -174,7 +169,10 @@
   void add_watcher(platform::ObjectKind kind);
   void on_changes(platform::ObjectKind kind, ObjectReplica::Changes changes);
   void on_configs(const ObjectReplica::Changes& changes);
-  void apply_config(platform::DecodeResult<ServingConfig>&& decoded);
+  void on_config(platform::DecodeResult<ServingConfig>&& decoded);
+  // Puts the received configuration into force once the lists that restrict the choice of upstreams
+  // have been received.
+  void apply_config();
   void on_upstream(const platform::ObjectChange& change);
   void on_zones_out_of_service();
   void on_target_weights(const platform::StoredObject& object);
@@ -212,9 +210,11 @@
   void update_watch_wait();
   void set_following(bool following, std::string_view reason);
   StoreWatcher* find_watcher(platform::ObjectKind kind) const;
+  // Queries peers one after the other until the store answers.
   void query_peer();
   std::string peer_query_path() const;
-  void apply_peer_answer(const HttpClient::Response& response, Instant asked_at);
+  // Returns the time since the store answered the peer; nothing if it is not known.
+  std::optional<Duration> apply_peer_answer(const HttpClient::Response& response, Instant asked_at);
   void run_after(Duration delay, std::function<void()> task);
 
   HttpLoop& loop_;
@@ -226,7 +226,6 @@
   CacheEventPoller cache_event_poller_;
   Forwarder& forwarder_;
   Clock clock_;
-  Random random_;
   std::function<void()> on_weights_changed_;
   std::function<void()> on_rollouts_changed_;
   std::function<void()> on_config_changed_;
@@ -238,7 +237,7 @@
   std::function<void(std::vector<Endpoint>)> on_zone_peers_changed_;
   BackgroundWorker worker_;  // Decodes what would delay the event loop.
   std::vector<std::unique_ptr<StoreWatcher>> watchers_;
-  std::vector<Endpoint> peers_;
+  PeerQueries peer_queries_;
   GatewayMembership membership_;
   StoreSource source_;
   FollowerPolls follower_polls_;
@@ -249,9 +248,10 @@
   std::optional<Instant> polled_at_;  // By a follower.
   Instant membership_checked_at_;
   bool store_reachable_ = true;
-  bool peer_query_in_flight_ = false;
+  bool peer_query_pending_ = false;  // A query is in flight, or the delay after it lasts.
   // By model: the version below which this gateway has freed segments in stores.
   std::map<std::string, std::uint64_t> freed_below_version_;
+  std::optional<ServingConfig> received_config_;  // Not yet in force.
   bool target_weights_listed_ = false;  // The first list of target weight versions was applied.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/process/gateway_fleet.cc
+++ b/tests/process/gateway_fleet.cc
@@ -2,8 +2,11 @@
 
 #include "tests/process/gateway_fleet.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <fstream>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
 #include <unistd.h>
@@ -15,14 +18,34 @@
 
 constexpr Duration kStartTimeout{10'000};
 
-// Returns distinct ports that were free. They are held until all are chosen, but another process
-// can bind one before it is used.
-std::vector<std::uint16_t> free_ports(int count) {
+constexpr std::uint32_t kLowestPort = 10'000;
+// Processes that run at the same time begin their search this far apart.
+constexpr std::uint32_t kPortsPerProcess = 64;
+
+// Returns the lowest port that the kernel gives to outgoing connections.
+std::uint32_t lowest_ephemeral_port() {
+  std::uint32_t lowest = 32'768;  // The default of Linux.
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> lowest;
+  return std::max(lowest, kLowestPort + kPortsPerProcess);
+}
+
+// Returns distinct ports that were free. They are held until all are chosen. An outgoing connection
+// cannot take one before it is used, but another process can bind it.
+std::vector<std::uint16_t> free_ports(std::size_t count) {
+  static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * kPortsPerProcess;
+  const std::uint32_t range = lowest_ephemeral_port() - kLowestPort;
   std::vector<ListeningSocket> sockets;
   std::vector<std::uint16_t> ports;
-  for (int i = 0; i < count; ++i) {
-    sockets.push_back(open_listening_socket({"127.0.0.1", 0}));
-    ports.push_back(sockets.back().port);
+  for (std::uint32_t tries = 0; ports.size() < count; ++tries) {
+    const auto port = static_cast<std::uint16_t>(kLowestPort + next++ % range);
+    try {
+      sockets.push_back(open_listening_socket({"127.0.0.1", port}));
+      ports.push_back(port);
+    } catch (const std::system_error&) {
+      if (tries >= range) {
+        throw;
+      }
+    }
   }
   for (const ListeningSocket& socket : sockets) {
     ::close(socket.fd);
@@ -41,7 +64,8 @@
   processes_["fleet"] = std::make_unique<ChildProcess>(
       std::vector<std::string>{STANDINS_BINARY, "fleet", "--ip", "127.0.0.1", "--port", "0",
                                "--events", std::to_string(setup_.stream_events), "--max-body-bytes",
-                               std::to_string(setup_.max_body_bytes)},
+                               std::to_string(setup_.max_body_bytes), "--spare-engines",
+                               std::to_string(setup_.spare_engines)},
       (folder_ / "fleet").string());
   process("fleet").wait_for_listening();
   for (int i = 1; i <= gateways; ++i) {
@@ -104,7 +128,8 @@
 HttpCall GatewayFleet::make_call(const std::string& gateway,
                                  const std::string& route,
                                  const std::string& id,
-                                 const std::string& key) {
+                                 const std::string& key,
+                                 const std::optional<Resumption>& resumption) {
   HttpCall call{.endpoint = {"127.0.0.1", caller_port(gateway)},
                 .method = route == "lookups" ? "GET" : "POST",
                 .path = "/" + route + "/x"};
@@ -113,6 +138,10 @@
   if (route != "lookups") {
     call.body = "body of " + id;
   }
+  if (resumption) {
+    call.headers.push_back({"resumes", resumption->request_id});
+    call.headers.push_back({"last-event-id", std::to_string(resumption->last_event_id)});
+  }
   return call;
 }
 
@@ -123,11 +152,34 @@
   return client_.send_and_wait(make_call(gateway, route, id, key));
 }
 
+GatewayFleet::Response GatewayFleet::resume(const std::string& gateway,
+                                            const std::string& id,
+                                            const Resumption& resumption) {
+  return client_.send_and_wait(make_call(gateway, "prompts", id, "key-1", resumption));
+}
+
 void GatewayFleet::send(const std::string& gateway,
                         const std::string& route,
                         const std::string& id,
-                        std::function<void(Response)> on_response) {
-  client_.send(make_call(gateway, route, id, "key-1"), std::move(on_response));
+                        std::function<void(Response)> on_response,
+                        const std::optional<Resumption>& resumption) {
+  client_.send(make_call(gateway, route, id, "key-1", resumption), std::move(on_response));
+}
+
+void GatewayFleet::release_engines(const std::string& version,
+                                   const std::string& replaced,
+                                   bool stop,
+                                   int count) {
+  call_store("POST", "/versions",
+             {{"service", "answers"},
+              {"version", version},
+              {"count", count},
+              {"replaces", replaced},
+              {"stop", stop}});
+}
+
+int GatewayFleet::store_calls(const std::string& kind) {
+  return Json::parse(call_store("GET", "/counters", nullptr).body).value("calls_" + kind, 0);
 }
 
 GatewayFleet::Response GatewayFleet::call_store(const std::string& method,
@@ -151,11 +203,26 @@
 std::string GatewayFleet::complete_stream(const std::string& id) {
   std::string body;
   for (std::uint32_t i = 1; i <= kStreamEvents; ++i) {
-    body += "id: " + std::to_string(i) + "\ndata: " + id + "-" + std::to_string(i) + "\n\n";
+    body += "id: " + std::to_string(i) + "\ndata: " + id + "-" + std::to_string(i) + " v1\n\n";
   }
   return body;
 }
 
+StreamPart GatewayFleet::parse_stream(std::string_view body) {
+  constexpr std::string_view kId = "id: ";
+  constexpr std::string_view kEnd = "\n\n";
+  StreamPart part;
+  for (std::size_t at = 0, end = 0; (end = body.find(kEnd, at)) != std::string_view::npos;
+       at = end + kEnd.size()) {
+    const std::string_view event = body.substr(at, end - at);
+    if (event.starts_with(kId)) {
+      part.event_ids.push_back(std::stoull(std::string(event.substr(kId.size()))));
+      part.versions.emplace(event.substr(event.rfind(' ') + 1));
+    }
+  }
+  return part;
+}
+
 std::string GatewayFleet::expected_body(const std::string& id) {
   if (id.starts_with("orders")) {
     return "answer to " + id + " body of " + id;
