stream_versions: Name what is kept in memory apart from what is written

record_begun only notes a stream in this gateway's memory, record_version writes to the store; the former is note_begun now. No behaviour changes.

--- a/src/gateway/forwarder_streams.cc
+++ b/src/gateway/forwarder_streams.cc
@@ -173,7 +173,7 @@
     return;
   }
   request.stream_version = request.attempt->picked.software_version;
-  stream_versions_->record_begun(request.stream, *request.stream_version, stream_expiry(request));
+  stream_versions_->note_begun(request.stream, *request.stream_version, stream_expiry(request));
 }
 
 void Forwarder::forward_events(Request& request, std::string_view content) {
--- a/src/stream_versions/stream_version_directory.cc
+++ b/src/stream_versions/stream_version_directory.cc
@@ -164,10 +164,10 @@
   return usable;
 }
 
-void StreamVersionDirectory::record_begun(StreamKey stream,
-                                          std::string_view version,
-                                          Instant expires_at,
-                                          Instant now) {
+void StreamVersionDirectory::note_begun(StreamKey stream,
+                                        std::string_view version,
+                                        Instant expires_at,
+                                        Instant now) {
   if (now >= next_removal_) {
     next_removal_ = now + kRemovalInterval;
     std::erase_if(begun_, [now](const auto& entry) { return entry.second.expires_at <= now; });
--- a/src/stream_versions/stream_version_directory.h
+++ b/src/stream_versions/stream_version_directory.h
@@ -119,8 +119,8 @@
   /** Returns the versions of a covered service at which streams may begin. */
   std::vector<std::string> usable_versions(std::string_view service, bool can_record, Instant now);
 
-  /** This gateway began a stream: the caller got the first event. */
-  void record_begun(StreamKey stream, std::string_view version, Instant expires_at, Instant now);
+  /** This gateway began a stream: the caller gets the first event. */
+  void note_begun(StreamKey stream, std::string_view version, Instant expires_at, Instant now);
 
   /** Returns at which version a stream of a covered service continues.
    *
--- a/src/stream_versions/stream_version_driver.cc
+++ b/src/stream_versions/stream_version_driver.cc
@@ -366,10 +366,10 @@
   record_writer_.add(stream, version, expires_at, std::move(on_result));
 }
 
-void StreamVersionDriver::record_begun(StreamKey stream,
-                                       std::string_view version,
-                                       Instant expires_at) {
-  directory_.record_begun(stream, version, expires_at, clock_.now());
+void StreamVersionDriver::note_begun(StreamKey stream,
+                                     std::string_view version,
+                                     Instant expires_at) {
+  directory_.note_begun(stream, version, expires_at, clock_.now());
 }
 
 // Callers that come back.
--- a/src/stream_versions/stream_version_driver.h
+++ b/src/stream_versions/stream_version_driver.h
@@ -101,7 +101,7 @@
                       std::string_view version,
                       Instant expires_at,
                       std::function<void(bool)> on_result) override;
-  void record_begun(StreamKey stream, std::string_view version, Instant expires_at) override;
+  void note_begun(StreamKey stream, std::string_view version, Instant expires_at) override;
   void find_version(std::string_view service,
                     std::optional<StreamKey> stream,
                     std::function<void(StreamBelief)> on_result) override;
--- a/src/stream_versions/stream_versions.h
+++ b/src/stream_versions/stream_versions.h
@@ -46,7 +46,7 @@
                               std::function<void(bool recorded)> on_result) = 0;
 
   /** The caller gets the first event of a stream. */
-  virtual void record_begun(StreamKey stream, std::string_view version, Instant expires_at) = 0;
+  virtual void note_begun(StreamKey stream, std::string_view version, Instant expires_at) = 0;
 
   /** Finds out at which version a stream continues. Calls back once, possibly at once, and never
    * with `AskStore`.
--- a/tests/support/streams_gateway.h
+++ b/tests/support/streams_gateway.h
@@ -81,7 +81,7 @@
       on_result(false);
     }
   }
-  void record_begun(StreamKey stream, std::string_view version, Instant /*expires_at*/) override {
+  void note_begun(StreamKey stream, std::string_view version, Instant /*expires_at*/) override {
     begun.emplace_back(stream, version);
   }
   void find_version(std::string_view /*service*/,
