stream_versions: Test the protocol under random faults, and mend two that it found

The simulation drives the directory, the planner and the record as the driver and the writer do: releases, breaks, take-ups at any gateway, kills of one or all, cuts in one or both directions, late and lost writes, gateways that join late or are removed, long histories in which versions settle. Each of 14 omitted steps breaks the property. A restart within 80 s of the creation of a record, by a gateway that others do not list, is left out: the design note names it under "Not covered".

The gateway saw its record in the next list and counted others as silent, which did not know it. The registration is read from the store now before a record is removed.

--- a/src/stream_versions/stream_record_writer.cc
+++ b/src/stream_versions/stream_record_writer.cc
@@ -27,12 +27,19 @@
   if (!revision_) {
     streams_.adopt(streams, clock_.now());
   }
-  revision_ = revision;
+  set_revision(revision);
   if (revision == 0 || streams_.needs_write()) {
     schedule();
   }
 }
 
+void StreamRecordWriter::set_revision(std::uint64_t revision) {
+  revision_ = revision;
+  if (revision != 0 && std::exchange(creates_, false)) {
+    listener_.on_created();
+  }
+}
+
 void StreamRecordWriter::add(StreamKey stream,
                              std::string_view version,
                              Instant expires_at,
@@ -73,6 +80,7 @@
     return;
   }
   in_flight_ = true;
+  creates_ = creates_ || *revision_ == 0;
   sent_at_ = clock_.now();
   client_.send(platform::write_call(settings_.store, platform::ObjectKind::kStreamVersions,
                                     object_name(settings_.name), *revision_,
@@ -87,16 +95,13 @@
 
 void StreamRecordWriter::on_written(const PlatformClient::WriteResult& result) {
   std::visit(Overloaded{[&](ObjectVersion version) {
-                          const bool created = std::exchange(revision_, version.value) == 0u;
                           streams_.record_written();
                           answer_written();
-                          if (created) {
-                            listener_.on_created();
-                          }
+                          set_revision(version.value);
                         },
                         [&](const VersionConflict& conflict) {
                           // A write whose answer was lost, or one of the process before this one.
-                          revision_ = conflict.current.version.value;
+                          set_revision(conflict.current.version.value);
                           if (const auto streams = decode_begun_streams(conflict.current.value)) {
                             streams_.adopt(*streams, clock_.now());
                           }
--- a/src/stream_versions/stream_record_writer.h
+++ b/src/stream_versions/stream_record_writer.h
@@ -35,7 +35,8 @@
 
   /** Callbacks to the owner. */
   struct Listener {
-    /** The record was created: other gateways did not know this one before. */
+    /** This process has created the record, possibly by a write whose answer was lost: other
+     * gateways did not know this one before. */
     std::function<void()> on_created;
     /** A write failed, so the revision of the record is not known; call `set_listed`. */
     std::function<void()> on_failed;
@@ -83,6 +84,7 @@
   void schedule();
   void write();
   void on_written(const PlatformClient::WriteResult& result);
+  void set_revision(std::uint64_t revision);
   void answer_written();
   void fail_all();
 
@@ -95,6 +97,7 @@
   std::size_t gateway_count_ = 1;
   // Of the object in the store, 0 if it does not exist; unset if that is not known.
   std::optional<std::uint64_t> revision_;
+  bool creates_ = false;  // A write that creates the record was sent, and it does not exist yet.
   bool in_flight_ = false;
   bool scheduled_ = false;
   Instant sent_at_;
--- a/src/stream_versions/stream_version_driver.cc
+++ b/src/stream_versions/stream_version_driver.cc
@@ -267,17 +267,30 @@
     if (now < since + kRecordRemovalDelay || environment_.rank() != 0) {
       continue;
     }
-    const std::string name = StreamRecordWriter::object_name(gateway);
-    send(platform::remove_call(settings_.store, ObjectKind::kStreamVersions, name, revision,
-                               kCallTimeout),
-         [gateway = gateway](const HttpClient::Response& response) {
-           LogEvent("stream_record_removed")
-               .field("gateway", gateway)
-               .field("status", response.status);
-         });
+    remove_record(gateway, revision);
   }
 }
 
+void StreamVersionDriver::remove_record(const std::string& gateway, std::uint64_t revision) {
+  // The registrations that this gateway knows may be older than an outage of the store.
+  send(platform::read_call(settings_.store, ObjectKind::kGateways, gateway, kCallTimeout),
+       [this, gateway, revision](const HttpClient::Response& response) {
+         const auto result = platform::decode_read(response);
+         const auto* registration = std::get_if<std::optional<PlatformObject>>(&result);
+         if (registration == nullptr || *registration) {
+           return;
+         }
+         send(platform::remove_call(settings_.store, ObjectKind::kStreamVersions,
+                                    StreamRecordWriter::object_name(gateway), revision,
+                                    kCallTimeout),
+              [gateway](const HttpClient::Response& removal) {
+                LogEvent("stream_record_removed")
+                    .field("gateway", gateway)
+                    .field("status", removal.status);
+              });
+       });
+}
+
 // The table.
 
 void StreamVersionDriver::refresh() {
--- a/src/stream_versions/stream_version_driver.h
+++ b/src/stream_versions/stream_version_driver.h
@@ -132,6 +132,8 @@
   void fail_list(const PlatformUnavailable& fault);
   void answer(std::vector<WaitingCaller> callers, const StreamSnapshot* snapshot);
   void remove_old_records(const List& list);
+  // Removes a record of this revision if its gateway is not registered now.
+  void remove_record(const std::string& gateway, std::uint64_t revision);
   void plan_periodically();
   void plan_table();
   void write_table(const VersionTable& table);
--- /dev/null
+++ b/tests/support/stream_version_simulation.h
@@ -0,0 +1,773 @@
+// Simulation of the versions of streams under a virtual clock: gateways that start, stop and are
+// cut off, a store that is away, answers late or not at all, and upstreams of several versions that
+// come and go. It makes the calls that `StreamVersionDriver` makes.
+
+#ifndef BLUEBELLSTEP_TESTS_SUPPORT_STREAM_VERSION_SIMULATION_H_
+#define BLUEBELLSTEP_TESTS_SUPPORT_STREAM_VERSION_SIMULATION_H_
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "stream_versions/stream_version_directory.h"
+#include "tests/support/event_queue.h"
+
+namespace bluebellstep::stream_version_simulation {
+
+/** Step of the protocol that a run leaves out, to show that the checks detect its absence. */
+enum class Omitted {
+  kNothing,
+  kAcknowledgement,  // The first event does not wait for the record.
+  kInForce,          // An admitted version is used at once.
+  kLookup,           // A stream is taken for one at the default version without asking the store.
+  kAdoption,         // A gateway that starts drops the record of the process before.
+  kSettleTime,       // Versions are given up as soon as all gateways know of the first step.
+  kKnownFor,         // They are given up although some gateways do not know of it.
+  kGatewayList,      // The gateways are not listed after an admission.
+  kReplacement,      // A later attempt at the default version leaves the earlier record.
+  kOutdated,         // A gateway without the store begins streams for ever.
+  kHeard,            // A gateway trusts its table although it does not hear the others.
+  kRegistered,       // It trusts its table without those that are registered but not listed.
+  kStoreAnswer,      // It trusts its table however long the store has been away.
+  kJoined,           // A gateway whose record is new counts the silence of others.
+  kCondition,        // Objects are written whatever their revision is.
+};
+
+inline constexpr std::string_view kService = "s";
+inline constexpr std::size_t kGateways = 3;
+inline constexpr Duration kMaxStreamLifetime{60'000};
+inline constexpr Duration kExpirySlack{5000};  // Records are kept for so long after the deadline.
+inline constexpr Duration kLeavingTime{5000};  // An upstream that has left serves for so long.
+inline constexpr Duration kCallTimeout{500};
+inline constexpr Duration kRetryDelay{400};
+inline constexpr Duration kListInterval{30};
+inline constexpr Duration kRecordInterval{100};
+inline constexpr Duration kHeartbeatInterval{600};
+inline constexpr Duration kRecordRemovalDelay{90'000};
+inline constexpr Duration kUnregisterInterval{15'000};
+inline constexpr Instant kStarted{20'000};  // All gateways of a run without faults are in touch.
+
+struct Object {
+  std::uint64_t revision = 0;
+  std::string content;
+};
+using Objects = std::map<std::string, Object>;
+using Names = std::set<std::string, std::less<>>;
+
+struct Reply {
+  bool done = false;  // The condition of the write was met.
+  Objects objects;    // As the call found or left them.
+
+  std::uint64_t revision(const std::string& name) const {
+    const auto found = objects.find(name);
+    return found == objects.end() ? 0 : found->second.revision;
+  }
+};
+
+/** What a gateway loses when it is killed. */
+struct Gateway {
+  explicit Gateway(std::size_t index_in)
+      : index(index_in), name(std::to_string(index)), directory(name) {}
+  std::string record() const { return "begun-" + name; }
+
+  std::size_t index;
+  std::string name;
+  StreamVersionDirectory directory;
+  VersionTablePlanner planner;
+  BegunStreams begun;
+  std::map<std::uint64_t, Instant> learned_at;  // By epoch.
+  Names view;                                   // Versions with registered upstreams.
+  Names registered;                             // Gateways.
+  bool was_registered = false;
+  Names listed;  // Gateways of the last list.
+  Names first_list;
+  Instant store_answered_at;  // To the calls for upstreams and gateways.
+  bool reachable = true;      // The store answered the last call for streams.
+  std::optional<std::uint64_t> table_revision;
+  std::optional<std::uint64_t> record_revision;
+  bool list_in_flight = false;
+  bool list_scheduled = false;
+  Instant list_asked_at;
+  bool record_in_flight = false;
+  bool creates_record = false;  // The record did not exist, as far as this gateway knows.
+  bool record_scheduled = false;
+  bool table_in_flight = false;
+  bool plan_scheduled = false;
+  std::vector<std::function<void(const StreamSnapshot*)>> callers;  // Wait for the next list.
+  std::vector<std::pair<BegunStreams::Sequence, std::function<void(bool)>>> records;
+  std::map<std::string, Instant> unregistered_since;  // By gateway with a record.
+};
+using OnReply = std::function<void(Gateway&, const Reply*)>;  // Null if the store did not answer.
+
+class Simulation {
+ public:
+  Simulation(std::uint64_t seed, Omitted omitted, bool one_version)
+      : queue_(seed, Instant{0}), omitted_(omitted), one_version_(one_version) {}
+
+  /** Returns whether a stream got events of two versions. */
+  bool run() {
+    registered_versions_ = {"a"};
+    // Versions are given up in long runs only.
+    is_long_ = !one_version_ && queue_.random().chance(0.12);
+    length_ = one_version_ ? 40_s : is_long_ ? 640_s : 140_s;
+    const bool joins = queue_.random().chance(0.3);
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      const bool is_late = !one_version_ && joins && i + 1 == kGateways;
+      const Duration at = queue_.random_duration(0, 15'000);
+      queue_.after(is_late ? at + 10_s : at, [this, i] { start(i); });
+      if (is_late) {
+        queue_.after(at + 9_s, [this] { isolate_newcomer(); });
+      }
+    }
+    if (!one_version_) {
+      schedule_changes();
+    }
+    unregister_silent();
+    begin_streams();
+    queue_.run_until(Instant{0} + length_);
+    return broken_;
+  }
+
+  int take_ups = 0;  // Of streams whose version serves, with store and gateways in touch.
+  int continued = 0;
+  int late_calls = 0;  // To the store, after the start.
+
+ private:
+  struct Stream {
+    StreamKey key;
+    std::string version;  // Empty before the first event.
+    Instant expires_at;
+  };
+
+  template <typename Action>
+  void after(Duration delay, Gateway& gateway, Action action) {
+    const std::weak_ptr<Gateway> weak = gateways_[gateway.index];
+    queue_.after(delay, [weak, action] {
+      if (const auto alive = weak.lock()) {
+        action(*alive);
+      }
+    });
+  }
+
+  // Faults and changes of the upstreams.
+
+  void schedule_changes() {
+    const auto change_at = [this](std::int64_t from_ms, std::int64_t to_ms, std::string version) {
+      queue_.after(queue_.random_duration(from_ms, to_ms),
+                   [this, version] { change_upstreams(version); });
+    };
+    if (is_long_) {
+      change_at(1000, 15'000, "b");
+      change_at(10'000, 40'000, queue_.random().chance(0.7) ? "a" : "b");
+      change_at(400'000, 600'000, queue_.random().chance(0.7) ? "a" : "b");
+      if (queue_.random().chance(0.4)) {
+        queue_.after(queue_.random_duration(5000, 40'000), [this] { isolate(0); });
+      }
+    }
+    const std::int64_t last_ms = 60'000;
+    for (std::uint64_t left = queue_.random().below(is_long_ ? 3 : 8); left > 0; --left) {
+      const std::int64_t at_ms = queue_.random_duration(0, last_ms).ms;
+      if (!is_long_) {
+        change_at(at_ms, at_ms, {static_cast<char>('a' + queue_.random().below(3))});
+      }
+      // Most harm is done while the gateways learn of a change.
+      const Duration delay = queue_.random_duration(at_ms, at_ms + 4000);
+      queue_.after(queue_.random().chance(0.5) ? delay : queue_.random_duration(0, last_ms),
+                   [this] { cause_fault(); });
+    }
+  }
+
+  void change_upstreams(const std::string& version) {
+    if (registered_versions_.erase(version) != 0) {
+      left_at_[version] = queue_.now();
+    } else {
+      registered_versions_.insert(version);
+      came_at_[version] = queue_.now();
+    }
+  }
+
+  void cause_fault() {
+    const Instant until = queue_.now() + queue_.random_duration(500, length_.ms * 9 / 10);
+    const std::size_t one = queue_.random().below(kGateways);
+    const bool all = queue_.random().chance(0.5);
+    const std::uint64_t kind = queue_.random().below(5);
+    const bool outward = queue_.random().chance(0.7);
+    const bool inward = !outward || queue_.random().chance(0.7);
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      if (kind == 0 && (all || i == one)) {
+        kill(i);
+      } else if (kind == 1 && (all || i == one)) {
+        store_away_until_[i] = until;
+      } else if (kind >= 2 && i != one && (all || queue_.random().chance(0.5))) {
+        (outward ? cut_until_[one][i] : cut_until_[i][one]) = until;
+        (inward ? cut_until_[i][one] : cut_until_[one][i]) = until;
+        store_away_until_[one] = kind == 3 ? until : store_away_until_[one];
+        calls_fail_until_[one] = kind == 4 ? until : calls_fail_until_[one];
+      }
+    }
+    calm_from_ = std::max(calm_from_, (kind == 0 ? queue_.now() + 5_s : until) + 5_s);
+  }
+
+  void isolate(std::size_t gateway) {
+    const Instant until = queue_.now() + queue_.random_duration(100'000, length_.ms);
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      cut_until_[i][gateway] = cut_until_[gateway][i] = until;
+    }
+    store_away_until_[gateway] = until;
+    calm_from_ = std::max(calm_from_, until + 5_s);
+  }
+
+  // The last gateway starts where the others do not hear of it.
+  void isolate_newcomer() {
+    const Instant until = queue_.now() + queue_.random_duration(1000, length_.ms);
+    const bool is_away = queue_.random().chance(0.5);
+    for (std::size_t i = 0; i + 1 < kGateways; ++i) {
+      cut_until_[i][kGateways - 1] = cut_until_[kGateways - 1][i] = until;
+      (is_away ? store_away_until_ : calls_fail_until_)[i] = until;
+    }
+    calm_from_ = std::max(calm_from_, until + 5_s);
+  }
+
+  void kill(std::size_t i) {
+    if (gateways_[i] != nullptr && !is_unknown_newcomer(i)) {
+      gateways_[i].reset();
+      queue_.after(queue_.random_duration(100, queue_.random().chance(0.9) ? 5000 : 150'000),
+                   [this, i] { start(i); });
+    }
+  }
+
+  // The protocol does not cover a restart of a gateway whose record is new and that another one
+  // does not know, see "Not covered" in docs/design/stream-versions.md.
+  bool is_unknown_newcomer(std::size_t i) const {
+    const auto created = created_at_.find(gateways_[i]->record());
+    return (created == created_at_.end() ||
+            queue_.now() < created->second + StreamVersionDirectory::kNewcomerTime) &&
+           std::any_of(gateways_.begin(), gateways_.end(), [&](const auto& other) {
+             return other != nullptr && !other->listed.contains(gateways_[i]->name);
+           });
+  }
+
+  // The registration of a gateway that nobody hears is removed.
+  void unregister_silent() {
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      bool is_silent = gateways_[i] == nullptr || is_away(i);
+      for (std::size_t to = 0; to < kGateways && gateways_[i] != nullptr; ++to) {
+        is_silent = is_silent && (to == i || !linked(i, to));
+      }
+      if (is_silent && queue_.random().chance(0.4)) {
+        registered_gateways_.erase(std::to_string(i));
+      }
+    }
+    queue_.after(kUnregisterInterval, [this] { unregister_silent(); });
+  }
+
+  bool is_away(std::size_t gateway) const { return queue_.now() < store_away_until_[gateway]; }
+
+  bool linked(std::size_t from, std::size_t to) const {
+    return queue_.now() >= cut_until_[from][to];
+  }
+
+  bool serves(const std::string& version) const {
+    const auto left = left_at_.find(version);
+    return registered_versions_.contains(version) ||
+           (left != left_at_.end() && queue_.now() < left->second + kLeavingTime);
+  }
+
+  // The store.
+
+  void call(Gateway& gateway, std::function<Reply()> action, OnReply on_reply) {
+    late_calls += queue_.now() > kStarted ? 1 : 0;
+    if (is_away(gateway.index) || queue_.now() < calls_fail_until_[gateway.index] ||
+        (!one_version_ && queue_.random().chance(0.05))) {
+      if (queue_.random().chance(0.5)) {
+        queue_.after(queue_.network_delay(), [action] { action(); });
+      }
+      after(kCallTimeout, gateway, [on_reply](Gateway& g) { on_reply(g, nullptr); });
+      return;
+    }
+    const std::weak_ptr<Gateway> weak = gateways_[gateway.index];
+    queue_.after(queue_.random_duration(1, 100), [this, weak, action, on_reply] {
+      const Reply reply = action();
+      if (const auto alive = weak.lock()) {
+        after(queue_.random_duration(1, 100), *alive,
+              [on_reply, reply](Gateway& g) { on_reply(g, &reply); });
+      }
+    });
+  }
+
+  void write(Gateway& gateway,
+             const std::string& name,
+             std::uint64_t revision,
+             const std::optional<std::string>& content,
+             OnReply on_reply) {
+    const auto action = [this, name, revision, content] {
+      Reply reply{.done = true, .objects = {}};
+      const auto found = objects_.find(name);
+      const std::uint64_t current = found == objects_.end() ? 0 : found->second.revision;
+      if (omitted_ != Omitted::kCondition && current != revision) {
+        reply.done = false;
+      } else if (content) {
+        if (current == 0) {
+          created_at_[name] = queue_.now();
+        }
+        objects_[name] = {++last_revision_, *content};
+      } else {
+        objects_.erase(name);
+      }
+      reply.objects = objects_;
+      return reply;
+    };
+    call(gateway, action, std::move(on_reply));
+  }
+
+  void read_list(Gateway& gateway) {
+    if (std::exchange(gateway.list_scheduled, true) || gateway.list_in_flight) {
+      return;
+    }
+    const Instant due = gateway.list_asked_at + (gateway.reachable ? kListInterval : kRetryDelay);
+    after(std::max(Duration{0}, due - queue_.now()), gateway, [this](Gateway& g) {
+      g.list_scheduled = false;
+      g.list_in_flight = true;
+      g.list_asked_at = queue_.now();
+      call(
+          g,
+          [this] {
+            return Reply{true, objects_};
+          },
+          [this, callers = std::exchange(g.callers, {})](Gateway& to, const Reply* reply) {
+            reply ? apply_list(to, *reply, callers) : fail_list(to, callers);
+          });
+    });
+  }
+
+  using Callers = std::vector<std::function<void(const StreamSnapshot*)>>;
+
+  void apply_list(Gateway& gateway, const Reply& reply, const Callers& callers) {
+    StreamSnapshot snapshot;
+    for (const auto& [name, object] : reply.objects) {
+      if (name == "versions") {
+        snapshot.table = decode_version_table(object.content);
+      } else {
+        const auto streams = decode_begun_streams(object.content);
+        snapshot.gateways.insert(name.substr(6));
+        snapshot.unreadable = snapshot.unreadable || !streams;
+        snapshot.begun.insert(streams->begin(), streams->end());
+      }
+    }
+    gateway.reachable = true;
+    gateway.listed = snapshot.gateways;
+    gateway.directory.record_store_answer(gateway.list_asked_at);
+    if (snapshot.table) {
+      apply_table(gateway, *snapshot.table);
+    }
+    if (omitted_ == Omitted::kGatewayList && snapshot.gateways.contains(gateway.name)) {
+      gateway.first_list = gateway.first_list.empty() ? snapshot.gateways : gateway.first_list;
+      snapshot.gateways = gateway.first_list;
+    }
+    gateway.directory.apply_snapshot(snapshot, gateway.list_asked_at, queue_.now());
+    if (!gateway.record_in_flight) {
+      adopt(gateway, reply, !gateway.record_revision);
+      gateway.record_revision = reply.revision(gateway.record());
+      check_creation(gateway);
+      if (*gateway.record_revision == 0 || gateway.begun.needs_write()) {
+        schedule_record(gateway);
+      }
+    }
+    const std::uint64_t listed_epoch = snapshot.table ? snapshot.table->epoch : 0;
+    if (!gateway.table_in_flight) {
+      gateway.table_revision = reply.revision("versions");
+      if (listed_epoch < gateway.directory.table().epoch && !gateway.directory.needs_gateways()) {
+        VersionTable table = gateway.directory.table();
+        ++table.epoch;
+        write_table(gateway, table);
+        gateway.begun.mark_changed();
+        schedule_record(gateway);
+      }
+    }
+    remove_old_records(gateway, reply);
+    for (const auto& caller : callers) {
+      caller(&snapshot);
+    }
+    gateway.list_in_flight = false;
+    if (std::exchange(gateway.list_scheduled, false) || gateway.directory.needs_gateways()) {
+      read_list(gateway);
+    }
+    plan(gateway);
+  }
+
+  void fail_list(Gateway& gateway, Callers callers) {
+    gateway.reachable = false;
+    callers.insert(callers.end(), gateway.callers.begin(), gateway.callers.end());
+    gateway.callers.clear();
+    for (const auto& caller : callers) {
+      caller(nullptr);
+    }
+    gateway.list_in_flight = gateway.list_scheduled = false;
+    ask_peer(gateway);
+    if (gateway.directory.table().epoch == 0 || gateway.directory.admits_any() ||
+        !gateway.record_revision) {
+      read_list(gateway);
+    }
+  }
+
+  void remove_old_records(Gateway& gateway, const Reply& reply) {
+    for (std::size_t i = 0; i < kGateways && !gateway.registered.empty(); ++i) {
+      const std::string name = std::to_string(i);
+      const std::uint64_t revision = reply.revision("begun-" + name);
+      if (gateway.registered.contains(name) || revision == 0) {
+        gateway.unregistered_since.erase(name);
+        continue;
+      }
+      const Instant since =
+          gateway.unregistered_since.try_emplace(name, queue_.now()).first->second;
+      if (queue_.now() >= since + kRecordRemovalDelay &&
+          gateway.name == *gateway.registered.begin() && !registered_gateways_.contains(name)) {
+        write(gateway, "begun-" + name, revision, std::nullopt, [](Gateway&, const Reply*) {});
+      }
+    }
+  }
+
+  // Gateways.
+
+  void start(std::size_t i) {
+    gateways_[i] = std::make_shared<Gateway>(i);
+    Gateway& gateway = *gateways_[i];
+    gateway.directory.add_services({std::string(kService)});
+    read_list(gateway);
+    watch(gateway);
+    report(gateway);
+  }
+
+  // Upstreams and gateways come from the store, or from another gateway if it is away.
+  void watch(Gateway& gateway) {
+    if (!is_away(gateway.index)) {
+      if (!registered_gateways_.contains(gateway.name) && gateway.was_registered) {
+        gateway.directory.forget_gateways();
+        read_list(gateway);
+      }
+      gateway.was_registered = true;
+      registered_gateways_.insert(gateway.name);
+      after(queue_.random_duration(1, 200), gateway,
+            [this, versions = registered_versions_, names = registered_gateways_](Gateway& g) {
+              g.store_answered_at = queue_.now();
+              apply_watched(g, versions, names);
+            });
+    } else {
+      ask_peer(gateway);
+    }
+    after(queue_.random_duration(300, 1500), gateway, [this](Gateway& g) { watch(g); });
+  }
+
+  void ask_peer(Gateway& gateway) {
+    const auto& peer = gateways_[queue_.random().below(kGateways)];
+    if (peer != nullptr && peer->index != gateway.index && linked(gateway.index, peer->index) &&
+        linked(peer->index, gateway.index) && peer->directory.table().epoch > 0) {
+      apply_table(gateway, peer->directory.table());
+      apply_watched(gateway, peer->view, peer->registered);
+    }
+  }
+
+  void apply_watched(Gateway& gateway, const Names& versions, const Names& names) {
+    gateway.view = versions;
+    gateway.registered = names;
+    if (omitted_ != Omitted::kRegistered) {
+      gateway.directory.set_registered(names);
+    }
+    VersionCounts counts;
+    for (const std::string& version : versions) {
+      counts[version] = 1;
+    }
+    gateway.planner.set_counts({{std::string(kService), counts}}, queue_.now());
+    plan(gateway);
+  }
+
+  void report(Gateway& gateway) {
+    const std::uint64_t epoch = gateway.directory.table().epoch;
+    for (const auto& peer : gateways_) {
+      if (peer != nullptr && peer->index != gateway.index && linked(gateway.index, peer->index) &&
+          (one_version_ || !queue_.random().chance(0.05))) {
+        after(queue_.random_duration(1, queue_.random().chance(0.9) ? 20 : 400), *peer,
+              [this, from = gateway.name, epoch](Gateway& to) {
+                // Reports do not tell the first epoch.
+                if (to.directory.record_report(from, epoch < 2 ? 0 : epoch, queue_.now())) {
+                  read_list(to);
+                }
+              });
+      }
+    }
+    after(kHeartbeatInterval, gateway, [this](Gateway& g) { report(g); });
+  }
+
+  void plan(Gateway& gateway) {
+    if (gateway.plan_scheduled || !planned(gateway)) {
+      return;
+    }
+    gateway.plan_scheduled = true;
+    after(Duration{60} * static_cast<std::int64_t>(gateway.index), gateway, [this](Gateway& g) {
+      g.plan_scheduled = false;
+      const auto table = planned(g);
+      if (table && g.table_revision && !g.table_in_flight && g.reachable) {
+        write_table(g, *table);
+      }
+    });
+  }
+
+  std::optional<VersionTable> planned(Gateway& gateway) {
+    const Instant now = queue_.now();
+    const auto known_for = [this, &gateway, now](std::uint64_t epoch) {
+      if (omitted_ == Omitted::kKnownFor) {
+        const auto learned = gateway.learned_at.upper_bound(epoch - 1);
+        return learned == gateway.learned_at.end() ? Duration{0} : now - learned->second;
+      }
+      const Duration known = gateway.directory.known_for(epoch, now);
+      return omitted_ == Omitted::kSettleTime && known > Duration{0}
+                 ? VersionTablePlanner::kSettleTime
+                 : known;
+    };
+    return gateway.planner.plan(gateway.directory.table(), known_for, now);
+  }
+
+  void write_table(Gateway& gateway, const VersionTable& table) {
+    gateway.table_in_flight = true;
+    write(gateway, "versions", *gateway.table_revision, encode_version_table(table),
+          [this, table](Gateway& g, const Reply* reply) {
+            g.table_in_flight = false;
+            if (reply == nullptr) {
+              g.table_revision.reset();
+              g.reachable = false;
+              read_list(g);
+              return;
+            }
+            g.table_revision = reply->revision("versions");
+            if (reply->done) {
+              apply_table(g, table);
+            } else if (const auto found = reply->objects.find("versions");
+                       found != reply->objects.end()) {
+              apply_table(g, *decode_version_table(found->second.content));
+            }
+          });
+  }
+
+  void apply_table(Gateway& gateway, const VersionTable& table) {
+    if (gateway.directory.apply_table(table, queue_.now())) {
+      gateway.learned_at[table.epoch] = queue_.now();
+      read_list(gateway);
+    }
+  }
+
+  // The record.
+
+  void adopt(Gateway& gateway, const Reply& reply, bool any) {
+    const auto found = reply.objects.find(gateway.record());
+    if (any && found != reply.objects.end() && omitted_ != Omitted::kAdoption) {
+      gateway.begun.adopt(*decode_begun_streams(found->second.content), queue_.now());
+    }
+  }
+
+  void schedule_record(Gateway& gateway) {
+    if (gateway.record_in_flight || gateway.record_scheduled || !gateway.record_revision) {
+      return;
+    }
+    gateway.record_scheduled = true;
+    after(queue_.random_duration(0, kRecordInterval.ms), gateway, [this](Gateway& g) {
+      g.record_scheduled = false;
+      g.record_revision ? write_record(g) : answer_records(g, true);
+    });
+  }
+
+  void write_record(Gateway& gateway) {
+    gateway.record_in_flight = true;
+    write(gateway, gateway.record(), *gateway.record_revision,
+          gateway.begun.take_content(queue_.now()), [this](Gateway& g, const Reply* reply) {
+            g.record_in_flight = false;
+            if (reply == nullptr) {
+              g.record_revision.reset();
+              g.begun.record_failed();
+              answer_records(g, true);
+              g.reachable = false;
+              read_list(g);
+              return;
+            }
+            g.record_revision = reply->revision(g.record());
+            reply->done ? g.begun.record_written() : g.begun.record_failed();
+            adopt(g, *reply, !reply->done);
+            answer_records(g, false);
+            check_creation(g);
+            if (g.begun.needs_write()) {
+              schedule_record(g);
+            }
+          });
+  }
+
+  // Other gateways may not know this one from before if it created its record.
+  void check_creation(Gateway& gateway) {
+    const bool creates = std::exchange(gateway.creates_record, *gateway.record_revision == 0);
+    if (!creates || gateway.creates_record) {
+      return;
+    }
+    if (omitted_ != Omitted::kJoined) {
+      gateway.directory.record_joined(queue_.now());
+    }
+    read_list(gateway);
+  }
+
+  static void answer_records(Gateway& gateway, bool failed) {
+    for (auto& [sequence, on_result] : std::exchange(gateway.records, {})) {
+      if (failed || sequence <= gateway.begun.written_sequence()) {
+        on_result(!failed);
+      } else {
+        gateway.records.emplace_back(sequence, std::move(on_result));
+      }
+    }
+  }
+
+  // Streams.
+
+  void begin_streams() {
+    Stream& stream = *streams_.emplace_back(std::make_unique<Stream>());
+    stream = {.key = {streams_.size()},
+              .version = "",
+              .expires_at = queue_.now() + queue_.random_duration(5000, kMaxStreamLifetime.ms)};
+    if (const auto& gateway = gateways_[queue_.random().below(kGateways)]) {
+      attempt(*gateway, stream, 3);
+    }
+    queue_.after(queue_.random_duration(20, is_long_ ? 4000 : 800), [this] { begin_streams(); });
+  }
+
+  void attempt(Gateway& gateway, Stream& stream, int attempts) {
+    const Instant now = queue_.now();
+    const bool can_record = gateway.record_revision && gateway.reachable;
+    gateway.directory.record_store_answer(gateway.store_answered_at);
+    std::optional<StreamVersionDirectory> changed;
+    if (omitted_ == Omitted::kOutdated) {
+      changed.emplace(gateway.directory).record_store_answer(now);
+    }
+    StreamVersionDirectory& directory = changed ? *changed : gateway.directory;
+    std::vector<std::string> usable = directory.usable_versions(kService, can_record, now);
+    const ServiceVersions* versions = directory.table().find(kService);
+    if (omitted_ == Omitted::kInForce && can_record && versions != nullptr) {
+      for (const auto& [version, state] : versions->admitted) {
+        usable.push_back(version);
+      }
+    }
+    std::erase_if(usable, [&](const auto& version) { return !gateway.view.contains(version); });
+    if (attempts == 0 || usable.empty()) {
+      return;
+    }
+    const std::string version = usable[queue_.random().below(usable.size())];
+    const bool fails = !serves(version) || queue_.random().chance(0.3);
+    const bool recorded = gateway.begun.contains(stream.key) && omitted_ != Omitted::kReplacement;
+    const auto proceed = [=, this, &stream](Gateway& g) {
+      fails ? attempt(g, stream, attempts - 1) : begin(g, stream, version);
+    };
+    const Duration prefill = queue_.random_duration(5, queue_.random().chance(0.9) ? 500 : 5000);
+    if (!recorded && directory.begin_rule(kService, version, true, now) == BeginRule::kFree) {
+      after(prefill, gateway, proceed);
+      return;
+    }
+    const auto sequence = gateway.begun.add(stream.key, version, stream.expires_at + kExpirySlack);
+    const bool waits = omitted_ != Omitted::kAcknowledgement;
+    gateway.records.emplace_back(sequence, [=, this, &gateway](bool acknowledged) {
+      if (acknowledged && waits) {
+        after(prefill, gateway, proceed);
+      }
+    });
+    if (!waits) {
+      proceed(gateway);
+    }
+    schedule_record(gateway);
+  }
+
+  void begin(Gateway& gateway, Stream& stream, const std::string& version) {
+    if (queue_.now() >= stream.expires_at || !serves(version)) {
+      return;
+    }
+    continue_at(stream, version);
+    gateway.directory.note_begun(stream.key, version, stream.expires_at + kExpirySlack,
+                                 queue_.now());
+    for (int left = 3; left > 0; --left) {
+      queue_.after(queue_.random_duration(1, left > 1 ? 1000 : kMaxStreamLifetime.ms),
+                   [this, &stream] { take_up(stream); });
+    }
+  }
+
+  void continue_at(Stream& stream, const std::string& version) {
+    broken_ = broken_ || (!stream.version.empty() && stream.version != version);
+    stream.version = version;
+  }
+
+  void take_up(Stream& stream) {
+    const auto& gateway = gateways_[queue_.random().below(kGateways)];
+    const Instant now = queue_.now();
+    const auto came = came_at_.find(stream.version);
+    const bool expected = now > calm_from_ && registered_versions_.contains(stream.version) &&
+                          (came == came_at_.end() || now > came->second + 5_s);
+    if (gateway == nullptr || now >= stream.expires_at) {
+      return;
+    }
+    take_ups += expected ? 1 : 0;
+    const auto on_belief = [this, &stream, expected](const StreamBelief& belief) {
+      const auto* known = std::get_if<KnownVersion>(&belief);
+      if (known != nullptr && serves(known->version)) {
+        continued += expected ? 1 : 0;
+        continue_at(stream, known->version);
+      }
+    };
+    gateway->directory.record_store_answer(gateway->store_answered_at);
+    StreamBelief belief = gateway->directory.belief(kService, stream.key, now);
+    if (omitted_ == Omitted::kStoreAnswer) {
+      StreamVersionDirectory changed = gateway->directory;
+      changed.record_store_answer(now);
+      belief = changed.belief(kService, stream.key, now);
+    }
+    const auto* versions = gateway->directory.table().find(kService);
+    if (!std::holds_alternative<AskStore>(belief)) {
+      on_belief(belief);
+    } else if (versions != nullptr &&
+               (omitted_ == Omitted::kLookup ||
+                (omitted_ == Omitted::kHeard && versions->admitted.empty()))) {
+      on_belief(KnownVersion{versions->default_version});
+    } else if (gateway->reachable || now >= gateway->list_asked_at + kCallTimeout + kRetryDelay) {
+      gateway->callers.push_back([&g = *gateway, &stream, on_belief](const StreamSnapshot* list) {
+        on_belief(list ? g.directory.belief(kService, stream.key, *list)
+                       : UnknownVersion{"store_unavailable"});
+      });
+      read_list(*gateway);
+    }
+  }
+
+  EventQueue queue_;
+  Omitted omitted_;
+  bool one_version_;
+  bool is_long_ = false;
+  Duration length_;
+  bool broken_ = false;
+  Names registered_versions_;
+  Names registered_gateways_;
+  std::map<std::string, Instant> came_at_;
+  std::map<std::string, Instant> left_at_;
+  std::array<Instant, kGateways> store_away_until_;
+  std::array<Instant, kGateways> calls_fail_until_;                  // Those for streams.
+  std::array<std::array<Instant, kGateways>, kGateways> cut_until_;  // From, to.
+  Instant calm_from_ = kStarted;
+  Objects objects_;
+  std::map<std::string, Instant> created_at_;  // By object.
+  std::uint64_t last_revision_ = 0;
+  std::array<std::shared_ptr<Gateway>, kGateways> gateways_;  // Null while it is stopped.
+  std::vector<std::unique_ptr<Stream>> streams_;
+};
+
+}  // namespace bluebellstep::stream_version_simulation
+
+#endif  // BLUEBELLSTEP_TESTS_SUPPORT_STREAM_VERSION_SIMULATION_H_
