--- a/src/stream_versions/stream_version_driver.h
+++ b/src/stream_versions/stream_version_driver.h
@@ -101,7 +101,7 @@
                       std::string_view version,
                       Instant expires_at,
                       std::function<void(bool)> on_result) override;
-  void record_begun(StreamKey stream, std::string_view version, Instant expires_at) override;
+  void note_begun(StreamKey stream, std::string_view version, Instant expires_at) override;
   void find_version(std::string_view service,
                     std::optional<StreamKey> stream,
                     std::function<void(StreamBelief)> on_result) override;
@@ -132,6 +132,8 @@
   void fail_list(const PlatformUnavailable& fault);
   void answer(std::vector<WaitingCaller> callers, const StreamSnapshot* snapshot);
   void remove_old_records(const List& list);
+  // Removes a record of this revision if its gateway is not registered now.
+  void remove_record(const std::string& gateway, std::uint64_t revision);
   void plan_periodically();
   void plan_table();
   void write_table(const VersionTable& table);
