--- a/src/stream_versions/stream_version_directory.cc
+++ b/src/stream_versions/stream_version_directory.cc
@@ -17,7 +17,7 @@
     return false;
   }
   table_ = table;
-  learned_at_ = {table.epoch, now};
+  learned_at_ = now;
   return true;
 }
 
@@ -73,8 +73,7 @@
   const bool counts_silence = !joined_at_ || now >= *joined_at_ + kNewcomerTime;
   for (const std::string& name : listed_gateways_) {
     const Peer* peer = find_peer(name);
-    const Instant quiet_since =
-        std::max(learned_at_.second, peer == nullptr ? Instant{} : peer->heard_at);
+    const Instant quiet_since = std::max(learned_at_, peer == nullptr ? Instant{} : peer->heard_at);
     const bool knows = peer != nullptr && peer->epoch >= epoch;
     const bool is_silent = counts_silence && now >= quiet_since + kSilence;
     if (name != own_name_ && !knows && !is_silent) {
@@ -121,8 +120,7 @@
 bool StreamVersionDirectory::is_outdated(Instant now) const {
   const bool is_listed = listed_gateways_.contains(own_name_);
   // A gateway that others do not wait for knows only that the table held when it learned it.
-  const Instant held_at =
-      is_listed ? std::max(store_answered_at_, learned_at_.second) : learned_at_.second;
+  const Instant held_at = is_listed ? std::max(store_answered_at_, learned_at_) : learned_at_;
   return now >= held_at + kMaxWithoutStore;
 }
 
--- a/src/stream_versions/stream_version_directory.h
+++ b/src/stream_versions/stream_version_directory.h
@@ -102,7 +102,7 @@
 
   /** Whether the gateways in the store are known as of when the table was learned. If not, the
    * admitted versions are not used; read the list. */
-  bool needs_gateways() const { return gateways_as_of_ < learned_at_.second; }
+  bool needs_gateways() const { return gateways_as_of_ < learned_at_; }
 
   /** Returns for how long all gateways have known the table of an epoch; 0 if some may not. */
   Duration known_for(std::uint64_t epoch, Instant now);
@@ -158,8 +158,7 @@
   std::string own_name_;
   std::set<std::string, std::less<>> services_;
   VersionTable table_;
-  // The epoch of the known table, and when this gateway learned it.
-  std::pair<std::uint64_t, Instant> learned_at_;
+  Instant learned_at_;                // When this gateway learned the known table.
   std::uint64_t in_force_epoch_ = 0;  // What tables up to this epoch admitted is in force for good.
   Instant gateways_as_of_;            // When the last applied list was asked for.
   std::set<std::string, std::less<>> listed_gateways_;
