--- a/src/stream_versions/stream_version_directory.cc
+++ b/src/stream_versions/stream_version_directory.cc
@@ -67,7 +67,7 @@
   if (epoch <= in_force_epoch_) {
     return true;
   }
-  if (needs_gateways()) {
+  if (needs_gateways() || !listed_gateways_.contains(own_name_)) {
     return false;
   }
   const bool counts_silence = !joined_at_ || now >= *joined_at_ + kNewcomerTime;
--- a/src/stream_versions/stream_version_directory.h
+++ b/src/stream_versions/stream_version_directory.h
@@ -73,7 +73,10 @@
   void record_joined(Instant now) { joined_at_ = now; }
 
   /** The list of the gateways is no longer known, since this one was removed from it. */
-  void forget_gateways() { listed_gateways_.clear(); }
+  void forget_gateways() {
+    listed_gateways_.clear();
+    in_force_epoch_ = 0;
+  }
 
   /** Takes in a table of the store or of another gateway. Returns whether it is newer than the
    * known one. */
--- a/src/stream_versions/stream_version_driver.cc
+++ b/src/stream_versions/stream_version_driver.cc
@@ -90,6 +90,8 @@
 
 void StreamVersionDriver::on_registration_lost() {
   directory_.forget_gateways();
+  // Others may have trusted their tables without this gateway meanwhile.
+  directory_.record_joined(clock_.now());
   if (started_) {
     read_list();
   }
@@ -263,8 +265,12 @@
     if (registered_.empty() || registered_.contains(gateway)) {
       continue;
     }
-    const Instant since = unregistered_since_.try_emplace(gateway, now).first->second;
-    if (now < since + kRecordRemovalDelay || environment_.rank() != 0) {
+    const auto [unregistered, added] =
+        unregistered_since_.try_emplace(gateway, UnregisteredRecord{revision, now});
+    if (unregistered->second.revision != revision) {
+      unregistered->second = {revision, now};  // The gateway still writes it.
+    }
+    if (now < unregistered->second.since + kRecordRemovalDelay || environment_.rank() != 0) {
       continue;
     }
     remove_record(gateway, revision);
--- a/src/stream_versions/stream_version_driver.h
+++ b/src/stream_versions/stream_version_driver.h
@@ -112,6 +112,11 @@
     std::optional<StreamKey> stream;
     std::function<void(StreamBelief)> on_result;
   };
+  /** The record of a gateway that is not registered. */
+  struct UnregisteredRecord {
+    std::uint64_t revision = 0;
+    Instant since;  // When this was first known of this revision.
+  };
   // The pages of the list in progress.
   struct List {
     Instant asked_at;
@@ -164,8 +169,8 @@
   bool plan_scheduled_ = false;
 
   std::set<std::string, std::less<>> registered_;
-  // By gateway with a record: since when it has been known not to be registered.
-  std::map<std::string, Instant, std::less<>> unregistered_since_;
+  // By gateway with a record, but without a registration.
+  std::map<std::string, UnregisteredRecord, std::less<>> unregistered_since_;
   // Expires with this object; callbacks check it before they use the object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/stream_versions/stream_versions_test.cc
+++ b/src/stream_versions/stream_versions_test.cc
@@ -163,6 +163,19 @@
   CHECK(informed.begin_rule("s", "1", false, kStart) == BeginRule::kFree);
 }
 
+// Guards against a gateway that takes an admitted version for in force because it no longer knows
+// the other gateways.
+TEST_CASE("a gateway that was removed from the list uses no admitted version",
+          "[stream_versions]") {
+  const VersionTable table = make_table(2, {"1", 0, {{"2", {2, false}}}});
+  StreamVersionDirectory directory("g");
+  directory.apply_snapshot({.table = table, .gateways = {"g", "h"}}, kStart, kStart);
+  directory.record_report("h", 0, kStart);
+  CHECK(directory.begin_rule("s", "2", true, kStart) == BeginRule::kForbidden);
+  directory.forget_gateways();
+  CHECK(directory.begin_rule("s", "2", true, kStart) == BeginRule::kForbidden);
+}
+
 // Guards against streams that begin without a record while the default version may move, and at a
 // version that is about to be dropped.
 TEST_CASE("streams at a version that is given up are recorded or not begun", "[stream_versions]") {
--- a/src/stream_versions/version_table.cc
+++ b/src/stream_versions/version_table.cc
@@ -116,10 +116,13 @@
   std::erase_if(versions.admitted, [&](const auto& entry) {
     return entry.second.withdrawn && known_for(entry.second.epoch) >= kSettleTime;
   });
-  if (!is_gone(service, versions.default_version, now)) {
+  if (counts.contains(versions.default_version)) {
     versions.recorded_since = 0;
     return;
   }
+  if (!is_gone(service, versions.default_version, now)) {
+    return;
+  }
   VersionCounts successors;
   for (const auto& [version, count] : counts) {
     const auto admitted = versions.admitted.find(version);
--- a/tests/support/stream_version_simulation.h
+++ b/tests/support/stream_version_simulation.h
@@ -106,7 +106,8 @@
   bool plan_scheduled = false;
   std::vector<std::function<void(const StreamSnapshot*)>> callers;  // Wait for the next list.
   std::vector<std::pair<BegunStreams::Sequence, std::function<void(bool)>>> records;
-  std::map<std::string, Instant> unregistered_since;  // By gateway with a record.
+  // By gateway with a record: the revision of the record, and since when it is known.
+  std::map<std::string, std::pair<std::uint64_t, Instant>> unregistered_since;
 };
 using OnReply = std::function<void(Gateway&, const Reply*)>;  // Null if the store did not answer.
 
@@ -429,8 +430,12 @@
         gateway.unregistered_since.erase(name);
         continue;
       }
-      const Instant since =
-          gateway.unregistered_since.try_emplace(name, queue_.now()).first->second;
+      auto& unregistered =
+          gateway.unregistered_since.try_emplace(name, revision, queue_.now()).first->second;
+      if (unregistered.first != revision) {
+        unregistered = {revision, queue_.now()};
+      }
+      const Instant since = unregistered.second;
       if (queue_.now() >= since + kRecordRemovalDelay &&
           gateway.name == *gateway.registered.begin() && !registered_gateways_.contains(name)) {
         write(gateway, "begun-" + name, revision, std::nullopt, [](Gateway&, const Reply*) {});
@@ -454,6 +459,7 @@
     if (!is_away(gateway.index)) {
       if (!registered_gateways_.contains(gateway.name) && gateway.was_registered) {
         gateway.directory.forget_gateways();
+        gateway.directory.record_joined(queue_.now());
         read_list(gateway);
       }
       gateway.was_registered = true;
