fenced_lease: No number twice, and no second holder after a restore

What callers saw: two gateways that ordered weights with one fencing number. Cause: a store that was restored from an older copy has lost the last acquisitions. The lease took a missing or older object for a free lease, and counted its number up from that object.

A fencing number now holds the era, a count and a hash of the holder, so that it rises across restores and differs between holders. A lease ends with its era; others wait for term plus grace from when they heard of the era, unless the object was written in it. Only the holder of the era before takes the lease at once, so that updates go on. A rejection by an upstream counts for the rejected number only. Acquisitions and losses are logged (lease_changed).

--- a/src/commands/fenced_lease.cc
+++ b/src/commands/fenced_lease.cc
@@ -8,7 +8,9 @@
 #include <utility>
 
 #include "base/json_text.h"
+#include "base/log_event.h"
 #include "base/overloaded.h"
+#include "commands/fencing_number.h"
 
 namespace bluebellstep {
 
@@ -17,12 +19,30 @@
   assert(settings_.term > settings_.send_margin);
 }
 
+void FencedLease::record_era(std::uint64_t era, Instant known_since, Instant now) {
+  if (era < era_ || (era == era_ && known_since <= era_since_)) {
+    return;
+  }
+  const bool raised = era > era_;
+  held_in_era_before_ = held_ && now < held_->valid_until && era == era_ + 1;
+  era_ = era;
+  era_since_ = known_since;
+  if (!raised) {
+    return;
+  }
+  lose("store_restored");
+  // A write of the earlier era may still take effect, but makes no holder.
+  pending_write_.reset();
+  observed_.reset();
+  needs_read_ = true;
+}
+
 LeaseStep FencedLease::next(Instant now) {
   if (call_pending_) {
     return LeaseCallPending{};
   }
   if (held_ && now >= held_->valid_until) {
-    held_.reset();
+    lose("expired");
     needs_read_ = true;
   }
   if (!requested_ && !held_ && !pending_write_) {
@@ -49,24 +69,43 @@
 }
 
 LeaseStep FencedLease::next_not_held(Instant now) {
+  if (now < free_at()) {
+    needs_read_ = true;
+    not_before_ = std::min(free_at(), now + settings_.poll_interval);
+    return LeaseWait{not_before_, true};
+  }
+  prepare_write(observed_->version, next_number(), false, now);
+  return start_write();
+}
+
+Instant FencedLease::free_at() const {
   const auto& record = observed_->record;
-  const bool is_absent = observed_->version == StoreRevision{};
-  const bool is_own = record && record->holder == settings_.holder;
-  if (!is_absent && !is_own && !(record && record->holder.empty())) {
+  if (!observed_->version.is_absent() && !record) {
     // A value of unknown format may be the lease of another program version and is never taken
     // over.
-    const Duration wait_time =
-        record ? record->term + std::max(record->grace, settings_.grace) : Duration{INT64_MAX / 4};
-    const Instant free_at = observed_->first_read_at + wait_time;
-    if (now < free_at) {
-      needs_read_ = true;
-      not_before_ = std::min(free_at, now + settings_.poll_interval);
-      return LeaseWait{not_before_, true};
-    }
-  }
-  const std::uint64_t last_number = record ? record->fencing_number : 0;
-  prepare_write(observed_->version, std::max(last_number, highest_reported_) + 1, false, now);
-  return start_write();
+    return observed_->first_read_at + Duration{INT64_MAX / 4};
+  }
+  if (held_in_era_before_ && !(record && is_of_this_era(*record))) {
+    return Instant{INT64_MIN};
+  }
+  if (record && is_of_this_era(*record)) {
+    const bool is_free = record->holder.empty() || record->holder == settings_.holder;
+    return is_free
+               ? Instant{INT64_MIN}
+               : observed_->first_read_at + record->term + std::max(record->grace, settings_.grace);
+  }
+  // A late write of an earlier era may have replaced the object of a holder, who stops within the
+  // term after it was first read.
+  const Instant since = record ? std::max(era_since_, observed_->first_read_at) : era_since_;
+  return era_ == 0 ? Instant{INT64_MIN} : since + settings_.term + settings_.grace;
+}
+
+bool FencedLease::is_of_this_era(const Record& record) const {
+  return FencingNumber::decode(record.fencing_number).era == FencingNumber::limit(era_);
+}
+
+std::uint64_t FencedLease::next_number() const {
+  return FencingNumber::next(era_, highest_known_, settings_.holder).encode();
 }
 
 LeaseStep FencedLease::start_read() {
@@ -112,6 +151,9 @@
 
 void FencedLease::on_object(const PlatformObject& object, Instant now) {
   const std::optional<Record> record = parse(object.value);
+  if (record) {
+    highest_known_ = std::max(highest_known_, record->fencing_number);
+  }
   if (pending_write_ && record == pending_write_->record) {
     on_written(object.version, now);
     return;
@@ -123,18 +165,54 @@
     pending_write_.reset();  // Its version precondition can no longer hold.
   }
   if (held_ && object.version != held_->version) {
-    held_.reset();
+    lose("replaced");
   }
 }
 
 void FencedLease::on_written(StoreRevision version, Instant now) {
+  if (!pending_write_ || version.era != era_) {
+    needs_read_ = true;  // The store was restored since the write was sent.
+    return;
+  }
   const PendingWrite written = *std::exchange(pending_write_, std::nullopt);
+  const std::uint64_t number = written.record.fencing_number;
   observed_ = Observed{version, written.record, now};
-  held_.reset();
-  if (!written.record.holder.empty() && written.record.fencing_number >= highest_reported_) {
-    held_ = Held{version, written.record.fencing_number, written.first_sent_at + settings_.term / 2,
-                 written.first_sent_at + settings_.term};
+  if (written.record.holder.empty()) {
+    lose("released");
+    return;
+  }
+  if (number < highest_known_) {
+    lose("stale");
+    return;
+  }
+  if (!held_ || held_->fencing_number != number) {
+    LogEvent("lease_changed")
+        .field("lease", settings_.object_key)
+        .field("holder", settings_.holder)
+        .field("state", "held")
+        .field("fence", number)
+        .field("revision", to_string(version))
+        .field("wait_ms", (now - era_since_).ms);
+  }
+  highest_known_ = number;
+  held_in_era_before_ = false;
+  held_ = Held{version, number, written.first_sent_at + settings_.term / 2,
+               written.first_sent_at + settings_.term};
+}
+
+void FencedLease::lose(std::string_view reason) {
+  if (!held_) {
+    return;
   }
+  LogEvent("lease_changed")
+      .field("lease", settings_.object_key)
+      .field("holder", settings_.holder)
+      .field("state", "lost")
+      .field("why", reason)
+      .field("fence", held_->fencing_number)
+      .field("revision", to_string(held_->version))
+      .field("era", era_);
+  held_.reset();
 }
 
 void FencedLease::retry_later(Instant now) {
@@ -147,9 +225,17 @@
 }
 
 void FencedLease::report_stale(std::uint64_t highest) {
-  highest_reported_ = std::max(highest_reported_, highest);
-  held_.reset();
-  needs_read_ = true;
+  highest_known_ = std::max(highest_known_, highest);
+  if (held_ && held_->fencing_number < highest) {
+    lose("stale");
+    needs_read_ = true;
+  }
+}
+
+void FencedLease::report_rejected(std::uint64_t number) {
+  if (held_ && held_->fencing_number == number) {
+    report_stale(number + 1);
+  }
 }
 
 std::string FencedLease::format(const Record& record) {
--- a/src/commands/fenced_lease.h
+++ b/src/commands/fenced_lease.h
@@ -1,10 +1,20 @@
 // A lease that is stored as a platform object, with a fencing number that increases with each
-// acquisition.
+// acquisition; see `FencingNumber`.
 //
 // Clocks of different machines are never compared. The holder measures the term from before it sent
 // the write; another process measures term plus grace from when it read the same object version. As
 // long as both clocks run at the same rate, the second period ends at least the grace later than
 // the first.
+//
+// A store that was restored from an older copy has lost the acquisitions of some seconds, so that
+// its object does not tell who holds the lease. Four rules follow:
+// 1. A lease is held only as long as the process knows of no later era than the one in which it was
+//    acquired, and a write that was answered in a later era makes no holder.
+// 2. An object that was not written by an acquisition in the present era tells nothing of the
+//    holder. A process then waits for term plus grace from when it heard of the era: by then the
+//    last holder of an earlier era has stopped, also one that has heard nothing.
+// 3. The holder of the era before is the only one that need not wait.
+// 4. The fencing number rises with the era, and no two holders can have the same.
 
 #ifndef BLUEBELLSTEP_COMMANDS_FENCED_LEASE_H_
 #define BLUEBELLSTEP_COMMANDS_FENCED_LEASE_H_
@@ -12,6 +22,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "base/clock.h"
@@ -22,7 +33,8 @@
 /** Settings of a lease. */
 struct LeaseSettings {
   std::string object_key;
-  std::string holder;  // Unique to this incarnation of the process.
+  // Unique among processes that run at the same time. A process that is restarted may keep it.
+  std::string holder;
   Duration term{10'000};
   // Maximum time for which the effect of an action may continue after the lease expired. Another
   // process waits for term plus grace before it acquires the lease. 0 if the receiver of the
@@ -68,6 +80,11 @@
    * only after every action under the lease has ended. `may_act` returns false from now on. */
   void release() { requested_ = false; }
 
+  /** Records the newest era of the store that this process knows of.
+   *
+   * @param known_since  When the process first knew of it. */
+  void record_era(std::uint64_t era, Instant known_since, Instant now);
+
   /** Returns the platform call to make next, or the state of the lease. */
   LeaseStep next(Instant now);
   void on_read(const PlatformClient::ReadResult& result, Instant now);
@@ -79,10 +96,14 @@
   /** Fencing number of the current acquisition; 0 if the lease is not held. */
   std::uint64_t fencing_number() const { return held_ ? held_->fencing_number : 0; }
 
-  /** Reports that a receiver of actions has seen the fencing number `highest`. The lease counts as
-   * lost, and the next acquisition uses a higher number. */
+  /** Reports that a receiver of actions has seen the fencing number `highest`. The next acquisition
+   * uses a higher number, and the lease counts as lost if its number is lower. */
   void report_stale(std::uint64_t highest);
 
+  /** Reports that a receiver of actions has rejected `number` and has not told which higher one it
+   * has seen. The lease counts as lost if it still has this number. */
+  void report_rejected(std::uint64_t number);
+
  private:
   struct Record {
     std::string holder;  // Empty if released.
@@ -119,6 +140,12 @@
   LeaseStep next_not_held(Instant now);
   LeaseStep start_read();
   LeaseStep start_write();
+  // Until when the lease may be held by another process, as far as the object tells.
+  Instant free_at() const;
+  // Whether the object was written by an acquisition, or its release, in the present era.
+  bool is_of_this_era(const Record& record) const;
+  std::uint64_t next_number() const;
+  void lose(std::string_view reason);
   void prepare_write(StoreRevision expected, std::uint64_t number, bool release, Instant now);
   void on_object(const PlatformObject& object, Instant now);
   void on_written(StoreRevision version, Instant now);
@@ -130,7 +157,11 @@
   bool needs_read_ = true;
   Instant not_before_{INT64_MIN};  // No platform call is made earlier.
   std::uint64_t last_sequence_ = 0;
-  std::uint64_t highest_reported_ = 0;  // Highest fencing number that a receiver reported.
+  std::uint64_t highest_known_ = 0;   // Highest fencing number in an object or a report.
+  std::uint64_t era_ = 0;             // The newest era of the store that is known.
+  Instant era_since_{INT64_MIN / 2};  // When this process first knew of the era.
+  // This process held the lease when it heard of the era, and has not acquired it since.
+  bool held_in_era_before_ = false;
   std::optional<Observed> observed_;
   std::optional<PendingWrite> pending_write_;
   std::optional<Held> held_;
--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -7,6 +7,7 @@
 
 #include "base/log_event.h"
 #include "base/overloaded.h"
+#include "http/socket_address.h"
 #include "platform/engine_calls.h"
 #include "platform/object_format.h"
 
@@ -27,8 +28,9 @@
   LeaseSettings lease;
   lease.object_key = std::string(kLeaseName);
   // The incarnation is left out so that a restarted gateway takes over its own lease at once. This
-  // is safe: its former process has ended, and the new fencing number is higher.
-  lease.holder = settings.name;
+  // is safe: its former process has ended, since two cannot listen on one address, and the new
+  // fencing number is higher.
+  lease.holder = settings.name + "@" + to_string(settings.peers);
   lease.term = settings.bounds.lease_term;
   // Engines that do not check fencing numbers must not receive commands of two holders within a
   // term.
@@ -50,7 +52,13 @@
       store_client_(store_client),
       settings_(settings),
       pool_(pool),
-      lease_(lease_settings(settings)) {}
+      lease_(lease_settings(settings)) {
+  store_client_.on_era_raised([this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      advance();
+    }
+  });
+}
 
 RolloutDriver::~RolloutDriver() = default;
 
@@ -125,6 +133,10 @@
 
 // Makes the lease's next platform call, if any. Returns whether the lease must be advanced again.
 bool RolloutDriver::advance_lease(Instant now) {
+  const StoreEra& era = store_client_.era();
+  if (era.known_since()) {
+    lease_.record_era(era.number(), *era.known_since(), now);
+  }
   return std::visit(
       Overloaded{[&](const PlatformRead& read) {
                    send_to_store(platform::read_call(settings_.store, platform::ObjectKind::kLeases,
@@ -203,12 +215,12 @@
       .field("expected_sequence", engine_call.command.expected_sequence);
   pool_.record_loading(engine->upstream_id, now + kExpectedLoadTime);
   send(platform::load_call(engine->endpoint, engine_call.command, kCallTimeout),
-       [this, id = engine->upstream_id](const HttpClient::Response& response) {
+       [this, id = engine->upstream_id,
+        fence = engine_call.command.fencing_number](const HttpClient::Response& response) {
          const WeightLoadAnswer answer = platform::decode_load_answer(response);
          LogEvent("load_answered").field("upstream", id).field("status", response.status);
          if (answer == WeightLoadAnswer::kStaleFencingNumber) {
-           // The engine does not tell the number that it has seen.
-           lease_.report_stale(lease_.fencing_number() + 1);
+           lease_.report_rejected(fence);
          }
          rollout_.on_load_answer(id, answer, clock_.now());
        });
