--- a/src/commands/fenced_lease.cc
+++ b/src/commands/fenced_lease.cc
@@ -192,7 +192,7 @@
         .field("state", "held")
         .field("fence", number)
         .field("revision", to_string(version))
-        .field("wait_ms", (now - era_since_).ms);
+        .field("era", era_);
   }
   highest_known_ = number;
   held_in_era_before_ = false;
