store_history: One log line for answers that do not state the era

What callers saw: nothing. An answer with an unreadable Store-Era was logged each time, one without the header never, so a store that leaves it out could not be told from one that was never restored.

ObjectStoreClient logs store_era_not_stated when answers begin to lack a readable era, once until one states it again.

--- a/src/store_history/object_store_client.cc
+++ b/src/store_history/object_store_client.cc
@@ -43,8 +43,8 @@
           return;
         }
         const bool answered = response.status != 0;
-        const auto era = answered ? era_.record_answer(platform::stated_era(response), clock_.now())
-                                  : std::optional(era_.number());
+        const auto era =
+            answered ? record_answer(platform::stated_era(response)) : std::optional(era_.number());
         if (!era || (answered && named && *era != *named)) {
           LogEvent("store_answer_ignored")
               .field("era", era_.number())
@@ -57,4 +57,13 @@
       });
 }
 
+std::optional<StoreEra::Number> ObjectStoreClient::record_answer(
+    std::optional<StoreEra::Number> stated) {
+  if (!stated && states_era_) {
+    LogEvent("store_era_not_stated", LogEvent::Severity::kWarning).field("era", era_.number());
+  }
+  states_era_ = stated.has_value();
+  return era_.record_answer(stated, clock_.now());
+}
+
 }  // namespace bluebellstep
--- a/src/store_history/object_store_client.h
+++ b/src/store_history/object_store_client.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "base/clock.h"
@@ -43,10 +44,14 @@
   void on_era_raised(std::function<void()> callback) { callbacks_.push_back(std::move(callback)); }
 
  private:
+  // Returns the era of an answer that states this one; see `StoreEra::record_answer`.
+  std::optional<StoreEra::Number> record_answer(std::optional<StoreEra::Number> stated);
+
   HttpLoop& loop_;
   HttpClient& client_;
   Clock clock_;
   StoreEra era_;
+  bool states_era_ = true;  // The last answer stated its era, or there was none yet.
   std::vector<std::function<void()>> callbacks_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
