--- a/src/store_history/object_store_client_test.cc
+++ b/src/store_history/object_store_client_test.cc
@@ -98,7 +98,7 @@
 TEST_CASE_METHOD(StoreClientFixture,
                  "an answer of an earlier era than the newest does not count",
                  "[store_history]") {
-  store.hold_answers("servers");
+  store.hold_answers("GET /objects/servers");
   auto late = start(list());
   REQUIRE(testing::wait_until(kTimeout, [&] { return store.held_answers() == 1; }));
   store.restore(store.copy());
--- a/tests/support/restorable_store.cc
+++ b/tests/support/restorable_store.cc
@@ -89,9 +89,9 @@
   refused_ = std::move(part);
 }
 
-void RestorableStore::hold_answers(std::string part) {
+void RestorableStore::hold_answers(std::string call) {
   const std::lock_guard lock(mutex_);
-  held_ = std::move(part);
+  held_ = std::move(call);
 }
 
 void RestorableStore::send_held_answers() {
@@ -137,7 +137,7 @@
     server_.abort(exchange);
     return;
   }
-  holding_now_ = !held_.empty() && contains(call, held_);
+  holding_now_ = call == held_;
   const std::string path = request.path.substr(0, request.path.find('?'));
   const std::string rest = path.substr(std::string_view("/objects/").size());
   const std::string collection = rest.substr(0, rest.find('/'));
--- a/tests/support/restorable_store.h
+++ b/tests/support/restorable_store.h
@@ -62,8 +62,8 @@
   void drop_watches();
   /** Closes the connection of each call whose `METHOD path` contains `part`; empty for none. */
   void refuse(std::string part);
-  /** Prepares the answers to calls whose `METHOD path` contains `part`, and keeps them back. */
-  void hold_answers(std::string part);
+  /** Prepares the answers to calls with this `METHOD path`, and keeps them back. */
+  void hold_answers(std::string call);
   /** Sends the answers that were kept back, and keeps none from now on. */
   void send_held_answers();
   std::size_t held_answers() const;
