retained_objects: Keep what a restored store has lost

What callers saw: requests to an upstream that had reported that it leaves. Cause: a gateway took the list of a restored store whole, so that the upstream was ready again, one that had been removed came back, and a zone out of service was used.

RetainedObjects stands between the replicas and their readers. The first list of an era is compared with what was known: what it contradicts is retained until the object is written again, at most 30 s (3 s for upstreams that are missing, 10 s for what processes write). A number above that of the known object, or above all that was known, can only be a later write. Gateways tell each other what they retain, so that one that has just started knows it too. A gateway whose registration is lost writes it again at once. Each belief is logged (belief_retained, belief_released).

--- a/src/gateway/object_changes.cc
+++ b/src/gateway/object_changes.cc
@@ -157,6 +157,9 @@
   if (!answer.returned_zones.empty()) {
     json["returned_zones"] = encode_returned_zones(answer.returned_zones);
   }
+  if (!answer.beliefs.empty()) {
+    json["beliefs"] = encode_beliefs(answer.beliefs);
+  }
   // Names may come from other writers; a message must not be lost because of one.
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -176,6 +179,9 @@
     if (const auto zones = json.find("returned_zones"); zones != json.end()) {
       answer.returned_zones = decode_returned_zones(*zones);
     }
+    if (const auto beliefs = json.find("beliefs"); beliefs != json.end()) {
+      answer.beliefs = decode_beliefs(*beliefs);
+    }
     for (const Json& kind : json.at("kinds")) {
       answer.kinds.push_back(decode_kind(kind));
     }
--- a/src/gateway/object_changes.h
+++ b/src/gateway/object_changes.h
@@ -15,6 +15,7 @@
 #include "gateway/object_replica.h"
 #include "gateway/serving_config.h"
 #include "platform/object_format.h"
+#include "retained_objects/belief_format.h"
 
 namespace bluebellstep {
 
@@ -75,6 +76,7 @@
   std::optional<PassedView> view;
   std::vector<KindChanges> kinds;  // Only those with a newer revision.
   std::vector<ReturnedZone> returned_zones;
+  std::vector<KindBeliefs> beliefs;  // That retain an upstream as leaving or removed.
 };
 
 inline constexpr std::string_view kChangesPath = "/v1/changes";
--- a/src/gateway/object_replica.cc
+++ b/src/gateway/object_replica.cc
@@ -43,6 +43,9 @@
     }
     known = objects_.erase(known);
   }
+  if (is_new_era) {
+    revision_before_era_ = revision_;
+  }
   if (is_new_era || revision_.is_absent()) {
     removals_.clear();
     gaps_.clear();
--- a/src/gateway/object_replica.h
+++ b/src/gateway/object_replica.h
@@ -65,6 +65,8 @@
   /** The store's revision up to which all changes have been applied; absent before the first
    * list. */
   const StoreRevision& revision() const { return revision_; }
+  /** The same just before the present era of the store; absent if no earlier era is known. */
+  const StoreRevision& revision_before_era() const { return revision_before_era_; }
   /** The objects by name. */
   const Objects& objects() const { return objects_; }
 
@@ -79,6 +81,7 @@
   // All changes up to this revision have been applied. Objects may have higher revisions, since the
   // pages of a list are read one after the other. All revisions below are of the same era.
   StoreRevision revision_;
+  StoreRevision revision_before_era_;
   Objects objects_;
   std::deque<platform::StoredObject> removals_;  // Without content, by increasing revision.
   Gaps gaps_;
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -84,6 +84,7 @@
       follower_polls_([this](const KnownRevisions& known) { return has_changes_since(known); }) {
   for (const ObjectKind kind : kWatchedKinds) {
     add_watcher(kind);
+    retained_.try_emplace(kind, kind, name_of(kind));
   }
   set_first_peers(settings.first_peers);
   // Other gateways may tell of upstreams before the store tells of the zones.
@@ -224,6 +225,18 @@
 }
 
 void StateSynchronizer::on_changes(ObjectKind kind, ObjectReplica::Changes changes, bool restored) {
+  if (const auto retained = retained_.find(kind); retained != retained_.end()) {
+    changes = retained->second.apply(std::move(changes), restored, replica(kind), clock_.now());
+  }
+  apply_object_changes(kind, changes, restored);
+  if (kind == ObjectKind::kGateways && restored) {
+    restore_registration();
+  }
+}
+
+void StateSynchronizer::apply_object_changes(ObjectKind kind,
+                                             const ObjectReplica::Changes& changes,
+                                             bool restored) {
   for (const platform::ObjectChange& change : changes) {
     LogEvent("object_changed")
         .field("kind", name_of(kind))
@@ -336,7 +349,7 @@
 
 void StateSynchronizer::on_zones_out_of_service() {
   std::set<std::string, std::less<>> zones;
-  for (const auto& [name, object] : replica(ObjectKind::kZonesOutOfService).objects()) {
+  for (const auto& [name, object] : objects(ObjectKind::kZonesOutOfService)) {
     zones.insert(name);
   }
   pool_.set_zones_out_of_service(std::move(zones), clock_.now());
@@ -358,8 +371,8 @@
   std::vector<Endpoint> zone_peers;
   std::vector<std::string> zone_names;
   std::vector<StoreSource::Gateway> gateways;
-  const auto& objects = replica(ObjectKind::kGateways).objects();
-  for (const auto& [name, object] : objects) {
+  const auto& registrations = objects(ObjectKind::kGateways);
+  for (const auto& [name, object] : registrations) {
     auto gateway = decode_registration(object);
     if (!gateway) {
       continue;
@@ -380,7 +393,7 @@
     on_zone_peers_changed_(std::move(zone_peers));
   }
   std::set<std::string, std::less<>> names;
-  for (const auto& [name, object] : objects) {
+  for (const auto& [name, object] : registrations) {
     names.insert(name);
   }
   quota_.set_registered(names);
@@ -448,6 +461,14 @@
   cache_event_poller_.update_nodes();
 }
 
+void StateSynchronizer::restore_registration() {
+  const auto& stored = replica(ObjectKind::kGateways).objects();
+  const auto own = stored.find(settings_.name);
+  if (own == stored.end() || own->second.content != registration_json(settings_)) {
+    write_registration({});
+  }
+}
+
 void StateSynchronizer::write_registration(const StoreRevision& revision) {
   platform::StoreCall call =
       platform::write_call(settings_.store, ObjectKind::kGateways, settings_.name, revision,
@@ -485,7 +506,7 @@
 void StateSynchronizer::free_outdated_segments() {
   const Instant now = clock_.now();
   pool_.update_rollouts(now);
-  const auto& gateways = replica(ObjectKind::kGateways).objects();
+  const auto& gateways = objects(ObjectKind::kGateways);
   const auto turn = std::distance(gateways.begin(), gateways.find(settings_.name));
   for (const auto& [model, version] : pool_.settled_versions(now - kFreeTurnInterval * turn)) {
     if (freed_below_version_[model] < version) {
@@ -527,6 +548,7 @@
 void StateSynchronizer::run_periodic_tasks() {
   const Instant now = clock_.now();
   pool_.remove_expired_registrations(now);
+  release_retained();
   check_registrations();
   update_watch_wait();
   free_outdated_segments();
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -33,6 +33,8 @@
 #include "http/http_client.h"
 #include "http/http_loop.h"
 #include "peer_queries/peer_queries.h"
+#include "retained_objects/belief_format.h"
+#include "retained_objects/retained_objects.h"
 #include "settings/gateway_settings.h"
 #include "store_history/object_store_client.h"
 
@@ -143,6 +145,10 @@
   /** The objects of a watched kind, as last received. */
   const ObjectReplica& replica(platform::ObjectKind kind) const;
 
+  /** The objects of a watched kind as they count at present: as last received, except for what is
+   * retained after a restore of the store. */
+  const ObjectReplica::Objects& objects(platform::ObjectKind kind) const;
+
   /** When the objects of a kind were last known to be current; the start of the clock if never.
    * Lists of peers do not count, since they may be old. */
   Instant current_at(platform::ObjectKind kind) const;
@@ -173,6 +179,19 @@
   static std::string_view name_of(platform::ObjectKind kind);  // For the log.
   void add_watcher(platform::ObjectKind kind);
   void on_changes(platform::ObjectKind kind, ObjectReplica::Changes changes, bool restored);
+  // Acts on the changes that are not held back.
+  void apply_object_changes(platform::ObjectKind kind,
+                            const ObjectReplica::Changes& changes,
+                            bool restored);
+  // Writes this gateway's registration again if the restored store lacks it.
+  void restore_registration();
+  // Ends what is retained no longer.
+  void release_retained();
+  // What this gateway retains, to pass on to other gateways.
+  std::vector<KindBeliefs> beliefs() const;
+  // The part of it that keeps upstreams from use.
+  std::vector<KindBeliefs> beliefs_on_unused_upstreams() const;
+  void adopt_beliefs(const std::vector<KindBeliefs>& kinds);
   void on_configs(const ObjectReplica::Changes& changes);
   void on_config(platform::DecodeResult<ServingConfig>&& decoded);
   // Puts the received configuration into force once the lists that restrict the choice of upstreams
@@ -250,6 +269,7 @@
   std::function<void(std::vector<Endpoint>)> on_zone_peers_changed_;
   BackgroundWorker worker_;  // Decodes what would delay the event loop.
   std::vector<std::unique_ptr<StoreWatcher>> watchers_;
+  std::map<platform::ObjectKind, RetainedObjects> retained_;  // Not of all watched kinds.
   PeerQueries peer_queries_;
   GatewayMembership membership_;
   StoreSource source_;
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -101,7 +101,8 @@
                        .age = now - store_answered_at_,
                        .era = store_client_.era().number(),
                        .view = valid_view(),
-                       .returned_zones = pool_.cold_limit().returned_zones(now)};
+                       .returned_zones = pool_.cold_limit().returned_zones(now),
+                       .beliefs = beliefs_on_unused_upstreams()};
   for (std::size_t i = 0; i < watchers_.size(); ++i) {
     const ObjectReplica& replica = watchers_[i]->replica();
     const StoreRevision known_revision = i < known.size() ? known[i] : StoreRevision{};
@@ -247,6 +248,7 @@
     watcher->apply_changes({.changes = std::move(kind.changes), .store_revision = kind.revision},
                            kind.gaps);
   }
+  adopt_beliefs(answer.beliefs);
   record_passed_view(answer.view, std::min(now, due), ColdLimit::kPassedViewValidity,
                      answer.returned_zones);
 }
@@ -311,6 +313,9 @@
   if (const auto view = valid_view()) {
     answer["view"] = encode_passed_view(*view);
   }
+  if (const auto retained = beliefs(); !retained.empty()) {
+    answer["beliefs"] = encode_beliefs(retained);
+  }
   if (encode_version_table_) {
     answer["version_table"] = encode_version_table_();
   }
@@ -357,6 +362,9 @@
           .field("revision", to_string(revision));
       watcher->apply_snapshot(std::move(objects), revision);
     }
+    if (const auto beliefs = json.find("beliefs"); beliefs != json.end()) {
+      adopt_beliefs(decode_beliefs(*beliefs));
+    }
     apply_config();
     const auto passed = json.find("view");
     const auto view =
--- a/src/service_rollout/service_rollout_driver.cc
+++ b/src/service_rollout/service_rollout_driver.cc
@@ -113,8 +113,7 @@
   }
   const Instant now = clock_.now();
   VersionNames gateways;
-  for (const auto& [name, object] :
-       gateway_.synchronizer.replica(ObjectKind::kGateways).objects()) {
+  for (const auto& [name, object] : gateway_.synchronizer.objects(ObjectKind::kGateways)) {
     gateways.insert(name);
   }
   const bool current = store_current(now);
