stream_versions: Simulate paused gateways, and refuse lookups that a pause delayed

A caller that waited for a list of the store while its gateway was paused was answered by a list that was read after the pause. If its deadline had passed meanwhile, the record of its stream was gone, and the stream was taken for one at the default version. Lookups that took longer than kMaxLookupTime, less than the time for which records are kept after the deadline, are now refused.

The simulation pauses gateways: what is due waits and runs in any order when they resume, and reports beyond the size of the socket's buffer are lost.

A process test stops a gateway while engines of another version join, and takes streams up there.

--- a/src/stream_versions/stream_version_directory.h
+++ b/src/stream_versions/stream_version_directory.h
@@ -56,6 +56,10 @@
   /** A gateway without the store for this long begins no streams: the default version may have
    * moved. Less than `VersionTablePlanner::kSettleTime` by the longest stream. */
   static constexpr Duration kMaxWithoutStore{300'000};
+  /** A list of the store tells nothing to a caller that has waited for longer, since the process
+   * was paused: a stream whose caller's deadline has passed has no record any more. Less than the
+   * time for which records are kept after the deadline. */
+  static constexpr Duration kMaxLookupTime{3000};
 
   explicit StreamVersionDirectory(std::string own_name) : own_name_(std::move(own_name)) {}
 
--- a/src/stream_versions/stream_version_driver.cc
+++ b/src/stream_versions/stream_version_driver.cc
@@ -247,8 +247,10 @@
 
 void StreamVersionDriver::answer(std::vector<WaitingCaller> callers,
                                  const StreamSnapshot* snapshot) {
+  const Instant now = clock_.now();
   for (const WaitingCaller& caller : callers) {
-    const StreamBelief belief = snapshot == nullptr
+    const bool too_late = now > caller.came_at + StreamVersionDirectory::kMaxLookupTime;
+    const StreamBelief belief = snapshot == nullptr || too_late
                                     ? StreamBelief(UnknownVersion{"store_unavailable"})
                                     : directory_.belief(caller.service, caller.stream, *snapshot);
     metrics_.count("bluebellstep_gateway_stream_lookups_total", std::string(belief_text(belief)));
@@ -408,8 +410,10 @@
     on_result(UnknownVersion{"store_unavailable"});
     return;
   }
-  waiting_callers_.push_back(
-      {.service = std::string(service), .stream = stream, .on_result = std::move(on_result)});
+  waiting_callers_.push_back({.service = std::string(service),
+                              .stream = stream,
+                              .came_at = clock_.now(),
+                              .on_result = std::move(on_result)});
   read_list();
 }
 
--- a/src/stream_versions/stream_version_driver.h
+++ b/src/stream_versions/stream_version_driver.h
@@ -110,6 +110,7 @@
   struct WaitingCaller {
     std::string service;
     std::optional<StreamKey> stream;
+    Instant came_at;
     std::function<void(StreamBelief)> on_result;
   };
   /** The record of a gateway that is not registered. */
--- a/src/stream_versions/stream_version_model_test.cc
+++ b/src/stream_versions/stream_version_model_test.cc
@@ -9,6 +9,7 @@
 namespace bluebellstep {
 namespace {
 
+using stream_version_simulation::MoreFaults;
 using stream_version_simulation::Omitted;
 using stream_version_simulation::Simulation;
 
@@ -20,11 +21,12 @@
 struct Missing {
   Omitted step;
   std::uint64_t first_seed;  // The first one that showed it, to shorten the search.
+  MoreFaults more = {};
 };
 
 bool breaks(const Missing& missing) {
   for (std::uint64_t i = 0; i < kMaxSeeds; ++i) {
-    if (Simulation(missing.first_seed + i, missing.step, false).run()) {
+    if (Simulation(missing.first_seed + i, missing.step, false, missing.more).run()) {
       CAPTURE(missing.first_seed + i);
       return true;
     }
@@ -51,6 +53,24 @@
   CHECK(continued * 10 > take_ups * 9);
 }
 
+// Guards against a gateway that stood still while others learned of a version and used it, and then
+// trusts the table and the reports from before.
+TEST_CASE("streams continue only at the version that began them although gateways are paused",
+          "[stream_versions][model]") {
+  int take_ups = 0;
+  int continued = 0;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    Simulation simulation(seed, Omitted::kNothing, false, {.pauses = true});
+    CAPTURE(seed);
+    CHECK_FALSE(simulation.run());
+    take_ups += simulation.take_ups;
+    continued += simulation.continued;
+  }
+  CAPTURE(take_ups, continued);
+  CHECK(take_ups > 1000);
+  CHECK(continued * 10 > take_ups * 9);
+}
+
 // Guards against a gateway that does not wait for others that cannot know it, because the answer to
 // the write that created its record was lost.
 TEST_CASE("a gateway knows that it created its record", "[stream_versions][model]") {
@@ -91,6 +111,8 @@
       {Omitted::kStoreAnswer, 94},
       {Omitted::kJoined, 55},
       {Omitted::kCondition, 63},
+      {Omitted::kReportGap, 550, {.pauses = true}},
+      {Omitted::kLookupTime, 4415, {.pauses = true}},
   }));
   CAPTURE(static_cast<int>(missing.step));
   CHECK(breaks(missing));
--- a/tests/process/stream_versions_process_test.cc
+++ b/tests/process/stream_versions_process_test.cc
@@ -1,11 +1,20 @@
 // Tests on real processes that a stream continues only at the software version that began it.
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <memory>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "http/socket_address.h"
 #include "tests/process/gateway_fleet.h"
 
 namespace bluebellstep::testing {
@@ -16,6 +25,21 @@
 constexpr Duration kAtOnce{2000};
 constexpr const char *kDefaultVersion = "v1", *kOtherVersion = "v2";
 
+// Within this time each gateway sends a report to each other one.
+constexpr std::chrono::milliseconds kReportTime{1500};
+
+// Makes the kernel drop all further datagrams to a paused process.
+void fill_datagram_socket(std::uint16_t port) {
+  const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  REQUIRE(fd >= 0);
+  const auto address = to_socket_address({.ip = "127.0.0.1", .port = port});
+  const std::string filler(16'000, '-');
+  for (int i = 0; i < 1000; ++i) {
+    (void)::sendto(fd, filler.data(), filler.size(), 0, address->get(), address->length);
+  }
+  ::close(fd);
+}
+
 /** A stream of which the caller has received some events. */
 struct BrokenStream {
   Resumption resumption;
@@ -30,6 +54,22 @@
     break_off("g1", kOtherVersion);
   }
 
+  // Engines of the other version join while this gateway is paused. `resume` ends the pause.
+  explicit TwoVersions(const std::string& paused) {
+    for (const std::string gateway : {"g1", "g2", "g3"}) {
+      break_off(gateway, kDefaultVersion);
+    }
+    // Gateways that have just created their records wait for a paused one far longer.
+    for (const std::string gateway : {"g1", "g2"}) {
+      fleet.start_gateway(gateway);
+    }
+    fleet.process(paused).send_signal(SIGSTOP);
+    std::this_thread::sleep_for(kReportTime);
+    fill_datagram_socket(fleet.peer_port(paused));
+    fleet.release_engines(kOtherVersion);
+  }
+  void resume(const std::string& paused) { fleet.process(paused).send_signal(SIGCONT); }
+
   // Sends streams that break off to the gateway until the wanted version has begun one.
   BrokenStream break_off(const std::string& gateway, const std::string& version) {
     BrokenStream broken;
@@ -147,4 +187,31 @@
   }
 }
 
+// Guards against a gateway that continues streams by the table and the reports from before a pause,
+// while engines of another version joined and the other gateways used them. The first take-ups wait
+// in its socket.
+TEST_CASE("process: a gateway that was paused continues streams at their software version") {
+  const std::string paused = "g3";
+  TwoVersions two(paused);
+  two.break_off("g1", kOtherVersion);
+  const auto streams = two.break_off_some("g1");
+  std::vector<std::future<GatewayFleet::Response>> early;
+  for (const BrokenStream& broken : streams) {
+    auto answer = std::make_shared<std::promise<GatewayFleet::Response>>();
+    early.push_back(answer->get_future());
+    two.fleet.send(
+        paused, "prompts", "early-" + broken.resumption.request_id,
+        [answer](GatewayFleet::Response response) { answer->set_value(std::move(response)); },
+        broken.resumption);
+  }
+  two.resume(paused);
+  for (std::size_t i = 0; i < streams.size(); ++i) {
+    const auto response = early[i].get();
+    CAPTURE(i, response.status, response.body);
+    const StreamPart rest = GatewayFleet::parse_stream(response.body);
+    CHECK((response.status == 503 || rest.versions == std::set{streams[i].version}));
+  }
+  CHECK(two.take_up_all(paused, streams));
+}
+
 }  // namespace bluebellstep::testing
--- a/tests/support/stream_version_simulation.h
+++ b/tests/support/stream_version_simulation.h
@@ -1,6 +1,6 @@
-// Simulation of the versions of streams under a virtual clock: gateways that start, stop and are
-// cut off, a store that is away, answers late or not at all, and upstreams of several versions that
-// come and go. It makes the calls that `StreamVersionDriver` makes.
+// Simulation of the versions of streams under a virtual clock: gateways that start, stop, are
+// paused and are cut off, a store that is away, answers late or not at all, and upstreams of
+// several versions that come and go. It makes the calls that `StreamVersionDriver` makes.
 
 #ifndef BLUEBELLSTEP_TESTS_SUPPORT_STREAM_VERSION_SIMULATION_H_
 #define BLUEBELLSTEP_TESTS_SUPPORT_STREAM_VERSION_SIMULATION_H_
@@ -42,6 +42,13 @@
   kStoreAnswer,      // It trusts its table however long the store has been away.
   kJoined,           // A gateway whose record is new counts the silence of others.
   kCondition,        // Objects are written whatever their revision is.
+  kReportGap,        // A gateway that was paused takes reports that had waited for present ones.
+  kLookupTime,       // A caller that waited during a pause is answered by a list of after it.
+};
+
+/** Faults besides stops, cuts and outages of the store. */
+struct MoreFaults {
+  bool pauses = false;
 };
 
 inline constexpr std::string_view kService = "s";
@@ -56,6 +63,7 @@
 inline constexpr Duration kHeartbeatInterval{600};
 inline constexpr Duration kRecordRemovalDelay{90'000};
 inline constexpr Duration kUnregisterInterval{15'000};
+inline constexpr Duration kResumeTime{20};  // A paused gateway handles what has waited within it.
 inline constexpr Instant kStarted{20'000};  // All gateways of a run without faults are in touch.
 
 struct Object {
@@ -104,6 +112,7 @@
   bool record_scheduled = false;
   bool table_in_flight = false;
   bool plan_scheduled = false;
+  Instant reported_at;  // Of the last report, for `Omitted::kReportGap` only.
   std::vector<std::function<void(const StreamSnapshot*)>> callers;  // Wait for the next list.
   std::vector<std::pair<BegunStreams::Sequence, std::function<void(bool)>>> records;
   // By gateway with a record: the revision of the record, and since when it is known.
@@ -113,8 +122,8 @@
 
 class Simulation {
  public:
-  Simulation(std::uint64_t seed, Omitted omitted, bool one_version)
-      : queue_(seed, Instant{0}), omitted_(omitted), one_version_(one_version) {}
+  Simulation(std::uint64_t seed, Omitted omitted, bool one_version, MoreFaults more = {})
+      : queue_(seed, Instant{0}), omitted_(omitted), one_version_(one_version), more_(more) {}
 
   /** Returns whether a stream got events of two versions. */
   bool run() {
@@ -134,6 +143,9 @@
     if (!one_version_) {
       schedule_changes();
     }
+    if (more_.pauses) {
+      schedule_pauses();
+    }
     unregister_silent();
     begin_streams();
     queue_.run_until(Instant{0} + length_);
@@ -153,20 +165,34 @@
 
   template <typename Action>
   void after(Duration delay, Gateway& gateway, Action action) {
-    const std::weak_ptr<Gateway> weak = gateways_[gateway.index];
-    queue_.after(delay, [weak, action] {
-      if (const auto alive = weak.lock()) {
+    run_unpaused(delay, gateways_[gateway.index], action);
+  }
+
+  // What is due while the gateway is paused runs in any order when it resumes.
+  template <typename Action>
+  void run_unpaused(Duration delay, const std::weak_ptr<Gateway>& weak, Action action) {
+    queue_.after(delay, [this, weak, action] {
+      const auto alive = weak.lock();
+      if (alive != nullptr && is_paused(alive->index)) {
+        run_unpaused(until_resumed(alive->index), weak, action);
+      } else if (alive != nullptr) {
         action(*alive);
       }
     });
   }
 
+  bool is_paused(std::size_t gateway) const { return queue_.now() < paused_until_[gateway]; }
+
+  Duration until_resumed(std::size_t gateway) {
+    return paused_until_[gateway] - queue_.now() + queue_.random_duration(0, kResumeTime.ms);
+  }
+
   // Faults and changes of the upstreams.
 
   void schedule_changes() {
     const auto change_at = [this](std::int64_t from_ms, std::int64_t to_ms, std::string version) {
-      queue_.after(queue_.random_duration(from_ms, to_ms),
-                   [this, version] { change_upstreams(version); });
+      change_times_.push_back(queue_.random_duration(from_ms, to_ms));
+      queue_.after(change_times_.back(), [this, version] { change_upstreams(version); });
     };
     if (is_long_) {
       change_at(1000, 15'000, "b");
@@ -189,6 +215,24 @@
     }
   }
 
+  // Most harm is done while versions come and the other gateways use them.
+  void schedule_pauses() {
+    for (std::uint64_t left = 1 + queue_.random().below(4); left > 0; --left) {
+      const bool at_change = !change_times_.empty() && queue_.random().chance(0.8);
+      const Duration at = at_change ? change_times_[queue_.random().below(change_times_.size())] +
+                                          queue_.random_duration(0, 4000)
+                                    : queue_.random_duration(0, length_.ms);
+      queue_.after(at, [this] {
+        const std::size_t gateway = queue_.random().below(kGateways);
+        const Duration time = queue_.random().chance(0.8) ? queue_.random_duration(100, 8000)
+                                                          : queue_.random_duration(8000, 40'000);
+        paused_until_[gateway] = queue_.now() + time;
+        buffer_full_at_[gateway] = queue_.now() + queue_.random_duration(0, 2 * time.ms);
+        calm_from_ = std::max(calm_from_, paused_until_[gateway] + 5_s);
+      });
+    }
+  }
+
   void change_upstreams(const std::string& version) {
     if (registered_versions_.erase(version) != 0) {
       left_at_[version] = queue_.now();
@@ -477,8 +521,9 @@
 
   void ask_peer(Gateway& gateway) {
     const auto& peer = gateways_[queue_.random().below(kGateways)];
-    if (peer != nullptr && peer->index != gateway.index && linked(gateway.index, peer->index) &&
-        linked(peer->index, gateway.index) && peer->directory.table().epoch > 0) {
+    if (peer != nullptr && peer->index != gateway.index && !is_paused(peer->index) &&
+        linked(gateway.index, peer->index) && linked(peer->index, gateway.index) &&
+        peer->directory.table().epoch > 0) {
       apply_table(gateway, peer->directory.table());
       apply_watched(gateway, peer->view, peer->registered);
     }
@@ -503,18 +548,42 @@
     for (const auto& peer : gateways_) {
       if (peer != nullptr && peer->index != gateway.index && linked(gateway.index, peer->index) &&
           (one_version_ || !queue_.random().chance(0.05))) {
-        after(queue_.random_duration(1, queue_.random().chance(0.9) ? 20 : 400), *peer,
-              [this, from = gateway.name, epoch](Gateway& to) {
-                // Reports do not tell the first epoch.
-                if (to.directory.record_report(from, epoch < 2 ? 0 : epoch, queue_.now())) {
-                  read_list(to);
-                }
-              });
+        queue_.after(queue_.random_duration(1, queue_.random().chance(0.9) ? 20 : 400),
+                     [this, weak = std::weak_ptr<Gateway>(peer), from = gateway.name, epoch] {
+                       receive(weak, from, epoch);
+                     });
       }
     }
     after(kHeartbeatInterval, gateway, [this](Gateway& g) { report(g); });
   }
 
+  // The socket of a paused gateway holds a limited number of reports.
+  void receive(const std::weak_ptr<Gateway>& weak, const std::string& from, std::uint64_t epoch) {
+    const auto alive = weak.lock();
+    if (alive == nullptr ||
+        (is_paused(alive->index) && queue_.now() >= buffer_full_at_[alive->index])) {
+      return;
+    }
+    const auto handle = [this, from, epoch](Gateway& to) {
+      if (omitted_ == Omitted::kReportGap) {
+        hide_report_gap(to);
+      }
+      // Reports do not tell the first epoch.
+      if (to.directory.record_report(from, epoch < 2 ? 0 : epoch, queue_.now())) {
+        read_list(to);
+      }
+    };
+    is_paused(alive->index) ? after(Duration{0}, *alive, handle) : handle(*alive);
+  }
+
+  // Reports of a gateway that nobody waits for.
+  void hide_report_gap(Gateway& gateway) {
+    for (Instant& at = gateway.reported_at; at < queue_.now(); at = at + 1_s) {
+      gateway.directory.record_report("nobody", 0, at);
+    }
+    gateway.reported_at = queue_.now();
+  }
+
   void plan(Gateway& gateway) {
     if (gateway.plan_scheduled || !planned(gateway)) {
       return;
@@ -646,7 +715,8 @@
               .version = "",
               .expires_at = queue_.now() + queue_.random_duration(5000, kMaxStreamLifetime.ms)};
     if (const auto& gateway = gateways_[queue_.random().below(kGateways)]) {
-      attempt(*gateway, stream, 3);
+      const auto start = [this, &stream](Gateway& g) { attempt(g, stream, 3); };
+      is_paused(gateway->index) ? after(Duration{0}, *gateway, start) : start(*gateway);
     }
     queue_.after(queue_.random_duration(20, is_long_ ? 4000 : 800), [this] { begin_streams(); });
   }
@@ -713,8 +783,14 @@
     stream.version = version;
   }
 
-  void take_up(Stream& stream) {
-    const auto& gateway = gateways_[queue_.random().below(kGateways)];
+  void take_up(Stream& stream) { take_up(stream, queue_.random().below(kGateways)); }
+
+  void take_up(Stream& stream, std::size_t index) {
+    const auto& gateway = gateways_[index];
+    if (gateway != nullptr && is_paused(index)) {
+      queue_.after(until_resumed(index), [this, &stream, index] { take_up(stream, index); });
+      return;
+    }
     const Instant now = queue_.now();
     const auto came = came_at_.find(stream.version);
     const bool expected = now > calm_from_ && registered_versions_.contains(stream.version) &&
@@ -745,9 +821,11 @@
                 (omitted_ == Omitted::kHeard && versions->admitted.empty()))) {
       on_belief(KnownVersion{versions->default_version});
     } else if (gateway->reachable || now >= gateway->list_asked_at + kCallTimeout + kRetryDelay) {
-      gateway->callers.push_back([&g = *gateway, &stream, on_belief](const StreamSnapshot* list) {
-        on_belief(list ? g.directory.belief(kService, stream.key, *list)
-                       : UnknownVersion{"store_unavailable"});
+      gateway->callers.push_back([=, this, &g = *gateway, &stream](const StreamSnapshot* list) {
+        const bool too_late = queue_.now() > now + StreamVersionDirectory::kMaxLookupTime &&
+                              omitted_ != Omitted::kLookupTime;
+        on_belief(list && !too_late ? g.directory.belief(kService, stream.key, *list)
+                                    : UnknownVersion{"store_unavailable"});
       });
       read_list(*gateway);
     }
@@ -756,11 +834,15 @@
   EventQueue queue_;
   Omitted omitted_;
   bool one_version_;
+  MoreFaults more_;
   bool is_long_ = false;
   Duration length_;
   bool broken_ = false;
   Names registered_versions_;
   Names registered_gateways_;
+  std::vector<Duration> change_times_;
+  std::array<Instant, kGateways> paused_until_;
+  std::array<Instant, kGateways> buffer_full_at_;  // Later reports to a paused gateway are lost.
   std::map<std::string, Instant> came_at_;
   std::map<std::string, Instant> left_at_;
   std::array<Instant, kGateways> store_away_until_;
