fleet_standin: Restore the store from a copy, and servers that leave

Tests of a restored store on real gateways had no store that can be restored.

The store of the fleet moves into FleetStore without a change of what it answers. It then learns POST /copy and POST /restore: revisions go back and are given out again, a watch from a revision that it no longer has gets 410, open watches end with 503, and the header Store-Era rises. What gateways wrote since the copy is gone; what the operator and the servers wrote is written again after 1.5 s, except by servers that have stopped.

POST /leave makes a server drain or removes it, and late_requests counts what reaches it more than 2 s later. GET /loads returns the commands to load weights; engines can check their fences. GatewayFleet starts more servers, restarts a gateway with another port for the store, and reads counters.

--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -10,12 +10,10 @@
 
 using Json = nlohmann::json;
 
-constexpr Duration kDefaultWatchWait{30'000};
 constexpr Duration kEventInterval{3};
 constexpr std::string_view kModelName = "clerk";
 constexpr std::string_view kOrderService = "order-desk";
 constexpr std::string_view kEngineService = "answers";
-constexpr std::string_view kObjectsPath = "/objects/";
 
 std::string header(const StandinRequest& request, std::string_view name) {
   return std::string(find_header(request.http.headers, name).value_or(std::string_view()));
@@ -44,7 +42,12 @@
 }
 
 FleetStandin::FleetStandin(HttpLoop& loop, const FleetOptions& options, const Endpoint& listen)
-    : options_(options), metadata_store_(loop) {
+    : options_(options),
+      store_(loop, [this](const auto& kind, const auto& name, const Json& status) {
+        if (kind == "rollouts" && status.value("state", "") == "succeeded") {
+          stop_other_versions(name, status.value("to", ""));
+        }
+      }) {
   for (std::uint32_t i = 0; i < options_.plain_servers; ++i) {
     add_instance("orders-" + std::to_string(i), false);
   }
@@ -61,59 +64,27 @@
     add_instance("spare-engine-" + std::to_string(i), true);
   }
   write_config();
-  add_store_routes();
-  metadata_store_.start({.listen = listen});
+  add_routes();
+  store_.server().start({.listen = listen});
 }
 
-void FleetStandin::add_store_routes() {
-  metadata_store_.set_interceptor(
-      [this](const StandinRequest& request) { return apply_store_faults(request); });
-  metadata_store_.route("GET", "/objects/{}",
-                        [this](const auto& request) { list_or_watch_objects(request); });
-  metadata_store_.route("POST", "/objects/{}",
-                        [this](const auto& request) { create_object(request); });
-  metadata_store_.route("GET", "/objects/{}/{}", [this](const auto& request) {
-    const Json found = object(request.captures[0], request.captures[1]);
-    metadata_store_.reply_json(request.exchange, found.is_null() ? 404 : 200, found);
+void FleetStandin::add_routes() {
+  StandinServer& server = store_.server();
+  server.route("POST", "/versions", [this](const auto& request) { register_version(request); });
+  server.route("POST", "/leave", [this](const auto& request) { leave(request); });
+  server.route("GET", "/loads", [this](const auto& request) {
+    store_.server().reply_json(request.exchange, 200, loads_);
   });
-  metadata_store_.route("PUT", "/objects/{}/{}",
-                        [this](const auto& request) { replace_object(request); });
-  metadata_store_.route("DELETE", "/objects/{}/{}",
-                        [this](const auto& request) { remove_object(request); });
-  metadata_store_.route("PUT", "/objects/{}/{}/status",
-                        [this](const auto& request) { write_status(request); });
-  metadata_store_.route("POST", "/versions",
-                        [this](const auto& request) { register_version(request); });
-  metadata_store_.route("GET", "/runs", [this](const auto& request) {
-    metadata_store_.reply_json(request.exchange, 200, Json(executions_by_request_));
+  server.route("GET", "/runs", [this](const auto& request) {
+    store_.server().reply_json(request.exchange, 200, Json(executions_by_request_));
   });
 }
 
-bool FleetStandin::apply_store_faults(const StandinRequest& request) {
-  if (!request.path.starts_with(kObjectsPath)) {
-    return false;
-  }
-  count_store_call(request);
-  if (metadata_store_.fault_flag("store_silent")) {
-    return true;
-  }
-  if (!metadata_store_.fault_flag("store_down")) {
-    return false;
-  }
-  metadata_store_.reply_json(request.exchange, 503, {{"error", "down"}});
-  return true;
-}
-
-void FleetStandin::count_store_call(const StandinRequest& request) {
-  const std::string_view rest = std::string_view(request.path).substr(kObjectsPath.size());
-  metadata_store_.count("calls_" + std::string(rest.substr(0, rest.find('/'))));
-}
-
 void FleetStandin::add_instance(const std::string& id, bool is_engine) {
   auto instance = std::make_unique<Instance>();
   instance->id = id;
   instance->is_engine = is_engine;
-  instance->server = std::make_unique<StandinServer>(metadata_store_.loop());
+  instance->server = std::make_unique<StandinServer>(store_.server().loop());
   Instance& server_instance = *instance;
   server_instance.server->route("GET", "/report", [&server_instance](const auto& request) {
     server_instance.server->reply_json(
@@ -159,33 +130,30 @@
       register_instance(*instance);
     }
   }
-  metadata_store_.reply_json(request.exchange, 200, Json::object());
+  store_.server().reply_json(request.exchange, 200, Json::object());
 }
 
-void FleetStandin::write_status(const StandinRequest& request) {
+void FleetStandin::leave(const StandinRequest& request) {
   const Json body = request.json();
-  const std::string& kind = request.captures[0];
-  const std::string& name = request.captures[1];
-  const Json existing = object(kind, name);
-  if (existing.is_null() || !body.is_object()) {
-    metadata_store_.reply_json(request.exchange, existing.is_null() ? 404 : 400, Json::object());
+  const auto found = std::find_if(instances_.begin(), instances_.end(), [&](const auto& instance) {
+    return instance->id == body.value("id", "") && instance->registered && !instance->left_at;
+  });
+  if (found == instances_.end()) {
+    store_.server().reply_json(request.exchange, 404, Json::object());
     return;
   }
-  if (body.value("metadata", Json::object()).value("revision", std::uint64_t{0}) !=
-      existing["metadata"]["revision"]) {
-    metadata_store_.reply_json(request.exchange, 409, existing);
-    return;
+  Instance& instance = **found;
+  instance.left_at = clock_.now();
+  instance.removed = body.value("removed", false);
+  if (body.value("stopped", false)) {
+    store_.stop_rewriting("servers", instance.id);
   }
-  const Json status = body.value("status", Json());
-  if (status != existing["status"]) {
-    metadata_store_.count("status_writes");
-    objects_[kind][name].status = status;
-    write_object(kind, name, existing["spec"]);
-    if (kind == "rollouts" && status.value("state", "") == "succeeded") {
-      stop_other_versions(name, status.value("to", ""));
-    }
+  if (instance.removed) {
+    store_.remove("servers", instance.id);
+  } else {
+    register_instance(instance);
   }
-  metadata_store_.reply_json(request.exchange, 200, object(kind, name));
+  store_.server().reply_json(request.exchange, 200, Json::object());
 }
 
 void FleetStandin::stop_other_versions(const std::string& service, const std::string& version) {
@@ -199,9 +167,7 @@
 
 void FleetStandin::remove_from_service(Instance& instance, bool stop) {
   instance.stopped = instance.stopped || stop;
-  if (!object("servers", instance.id).is_null()) {
-    unregister_object("servers", instance.id);
-  }
+  store_.remove("servers", instance.id);
 }
 
 void FleetStandin::register_instance(Instance& instance) {
@@ -211,18 +177,18 @@
                        {"zone", "a"},
                        {"version", instance.version},
                        {"slots", instance.is_engine ? 64 : 6},
-                       {"state", "ready"},
+                       {"state", instance.left_at ? "draining" : "ready"},
                        {"cold_left_ms", 0},
                        {"seq", instance.command_count},
                        {"born", 1}};
   if (instance.is_engine) {
     registration["models"] = {{{"name", kModelName}, {"version", instance.weight_version}}};
   }
-  write_object("servers", instance.id, std::move(registration));
+  store_.write("servers", instance.id, std::move(registration));
 }
 
 void FleetStandin::write_config() {
-  write_object("config", "main",
+  store_.write("config", "main",
                {{"version", 1},
                 {"routes",
                  {route("orders", "unsafe", kOrderService), route("lookups", "safe", kOrderService),
@@ -242,154 +208,37 @@
                 {"tenants", {{{"name", "acme"}, {"api_keys", {"key-1"}}}}}});
 }
 
-nlohmann::json FleetStandin::object(const std::string& kind, const std::string& name) const {
-  const auto objects_of_kind = objects_.find(kind);
-  if (objects_of_kind == objects_.end() || !objects_of_kind->second.contains(name)) {
-    return nullptr;
-  }
-  const Object& found = objects_of_kind->second.at(name);
-  return {{"metadata",
-           {{"name", name},
-            {"revision", found.revision},
-            {"created", found.created},
-            {"finalizers", Json::array()},
-            {"deleting", false}}},
-          {"spec", found.spec},
-          {"status", found.status}};
-}
-
-void FleetStandin::write_object(const std::string& kind, const std::string& name, Json spec) {
-  Object& written = objects_[kind][name];
-  written.revision = ++revision_;
-  written.spec = std::move(spec);
-  written.created = written.created == 0 ? revision_ : written.created;
-  events_.push_back({revision_, kind, name, false, object(kind, name)});
-  complete_watches(kind);
-}
-
-void FleetStandin::complete_watches(const std::string& kind) {
-  const auto first_due =
-      std::stable_partition(pending_watches_.begin(), pending_watches_.end(),
-                            [&](const PendingWatch& w) { return w.kind != kind; });
-  const std::vector<PendingWatch> due(first_due, pending_watches_.end());
-  pending_watches_.erase(first_due, pending_watches_.end());
-  for (const PendingWatch& watch : due) {
-    answer_watch(watch);
-  }
-}
-
-void FleetStandin::answer_watch(const PendingWatch& watch) {
-  Json list = Json::array();
-  for (const ChangeEvent& event : events_) {
-    if (event.kind == watch.kind && event.revision > watch.revision) {
-      list.push_back({{"object", event.object}, {"removed", event.removed}});
-    }
-  }
-  metadata_store_.reply_json(watch.exchange, 200, {{"events", list}, {"current_rev", revision_}});
-}
-
-void FleetStandin::list_or_watch_objects(const StandinRequest& request) {
-  const std::string& kind = request.captures[0];
-  if (request.query.contains("watch")) {
-    const PendingWatch watch{request.exchange, kind, request.query_number("watch", 0)};
-    const bool due = std::any_of(events_.begin(), events_.end(), [&](const ChangeEvent& event) {
-      return event.kind == kind && event.revision > watch.revision;
-    });
-    if (due) {
-      answer_watch(watch);
-      return;
-    }
-    pending_watches_.push_back(watch);
-    const Duration wait{static_cast<std::int64_t>(
-        request.query_number("wait_ms", static_cast<std::uint64_t>(kDefaultWatchWait.ms)))};
-    metadata_store_.run_after(wait, [this, exchange = request.exchange] {
-      const auto found =
-          std::find_if(pending_watches_.begin(), pending_watches_.end(),
-                       [exchange](const PendingWatch& w) { return w.exchange == exchange; });
-      if (found != pending_watches_.end()) {
-        const PendingWatch expired = *found;
-        pending_watches_.erase(found);
-        answer_watch(expired);
-      }
-    });
-    return;
-  }
-  Json items = Json::array();
-  for (const auto& [name, found] : objects_[kind]) {
-    items.push_back(object(kind, name));
-  }
-  metadata_store_.reply_json(request.exchange, 200,
-                             {{"items", items}, {"has_more", false}, {"current_rev", revision_}});
-}
-
-void FleetStandin::create_object(const StandinRequest& request) {
+void FleetStandin::load_weights(Instance& instance, const StandinRequest& request) {
   const Json body = request.json();
-  const std::string& kind = request.captures[0];
-  if (!body.is_object() || !body.contains("metadata")) {
-    metadata_store_.reply_json(request.exchange, 400, {{"error", "no metadata"}});
-    return;
-  }
-  const std::string name = body["metadata"].value("name", "");
-  const Json existing = object(kind, name);
-  if (!existing.is_null()) {
-    metadata_store_.reply_json(request.exchange, 409, existing);
+  if (!body.is_object()) {
+    instance.server->reply_json(request.exchange, 400, Json::object());
     return;
   }
-  write_object(kind, name, body.value("spec", Json()));
-  metadata_store_.reply_json(request.exchange, 200, object(kind, name));
+  const int status = answer_load(instance, body);
+  loads_.push_back({{"server", instance.id},
+                    {"holder", body.value("holder", "")},
+                    {"fence", body.value("fence", std::uint64_t{0})},
+                    {"status", status},
+                    {"at_ms", clock_.now().ms}});
+  instance.server->reply_json(request.exchange, status, Json::object());
 }
 
-void FleetStandin::replace_object(const StandinRequest& request) {
-  const Json body = request.json();
-  const std::string& kind = request.captures[0];
-  const std::string& name = request.captures[1];
-  const Json existing = object(kind, name);
-  if (existing.is_null() || !body.is_object()) {
-    metadata_store_.reply_json(request.exchange, existing.is_null() ? 404 : 400, Json::object());
-    return;
-  }
-  const Json metadata = body.value("metadata", Json::object());
-  if (metadata.contains("revision") && metadata["revision"] != existing["metadata"]["revision"]) {
-    metadata_store_.reply_json(request.exchange, 409, existing);
-    return;
+int FleetStandin::answer_load(Instance& instance, const Json& command) {
+  const auto fence = command.value("fence", std::uint64_t{0});
+  if (options_.check_fences && fence < instance.highest_fence) {
+    return 412;
   }
-  if (body.value("spec", Json()) != existing["spec"]) {
-    write_object(kind, name, body.value("spec", Json()));
-  }
-  metadata_store_.reply_json(request.exchange, 200, object(kind, name));
-}
-
-void FleetStandin::remove_object(const StandinRequest& request) {
-  const std::string& kind = request.captures[0];
-  const std::string& name = request.captures[1];
-  const Json existing = object(kind, name);
-  if (existing.is_null()) {
-    metadata_store_.reply_json(request.exchange, 404, Json::object());
-    return;
-  }
-  unregister_object(kind, name);
-  metadata_store_.reply_json(request.exchange, 200, existing);
-}
-
-void FleetStandin::unregister_object(const std::string& kind, const std::string& name) {
-  const Json existing = object(kind, name);
-  objects_[kind].erase(name);
-  events_.push_back({++revision_, kind, name, true, existing});
-  events_.back().object["metadata"]["revision"] = revision_;
-  complete_watches(kind);
-}
-
-void FleetStandin::load_weights(Instance& instance, const StandinRequest& request) {
-  const Json body = request.json();
-  if (!body.is_object() || body.value("expect", instance.command_count) != instance.command_count) {
-    instance.server->reply_json(request.exchange, 409, Json::object());
-    return;
+  instance.highest_fence = std::max(instance.highest_fence, fence);
+  if (command.value("expect", instance.command_count) != instance.command_count) {
+    return 409;
   }
   ++instance.command_count;
-  metadata_store_.count("loads");
-  instance.weight_version = body.value("version", instance.weight_version);
-  instance.server->reply_json(request.exchange, 202, Json::object());
-  register_instance(instance);
+  store_.server().count("loads");
+  instance.weight_version = command.value("version", instance.weight_version);
+  if (!instance.removed) {
+    register_instance(instance);
+  }
+  return 202;
 }
 
 void FleetStandin::serve(Instance& instance, const StandinRequest& request) {
@@ -400,12 +249,16 @@
                                     {{"request-id", id}, {"instance-id", instance.id}}, "");
     return;
   }
-  if (metadata_store_.consume_fault("refuse")) {
+  if (instance.left_at && clock_.now() > *instance.left_at + kDrainTime) {
+    store_.server().count("late_requests");
+    store_.server().count("late_requests_" + instance.id);
+  }
+  if (store_.server().consume_fault("refuse")) {
     instance.server->http().respond(request.exchange, 503,
                                     {{"request-id", id}, {"not-executed", "1"}}, "");
     return;
   }
-  const Duration delay{static_cast<std::int64_t>(metadata_store_.fault_number("delay_ms"))};
+  const Duration delay{static_cast<std::int64_t>(store_.server().fault_number("delay_ms"))};
   if (delay <= Duration{0}) {
     execute(instance, request);
   } else {
@@ -416,12 +269,12 @@
 void FleetStandin::execute(Instance& instance, const StandinRequest& request) {
   const std::string id = header(request, "request-id");
   if (instance.stopped) {
-    metadata_store_.count("cut_off");
+    store_.server().count("cut_off");
     instance.server->http().abort(request.exchange);
     return;
   }
   ++executions_by_request_[id];
-  metadata_store_.count("runs_" + instance.version);
+  store_.server().count("runs_" + instance.version);
   constexpr std::uint64_t kPercent = 100;
   // Spreads the errors evenly over the executions.
   const std::uint64_t errors_before = instance.executions * instance.fail_percent / kPercent;
@@ -429,7 +282,7 @@
     instance.server->http().respond(request.exchange, 500, {{"request-id", id}}, "");
     return;
   }
-  if (metadata_store_.consume_fault("lose_answers")) {
+  if (store_.server().consume_fault("lose_answers")) {
     instance.server->http().abort(request.exchange);
     return;
   }
@@ -445,7 +298,7 @@
   const std::string last_event_id = header(request, "last-event-id");
   const std::uint64_t next_event_id = last_event_id.empty() ? 1 : std::stoull(last_event_id) + 1;
   const std::uint64_t cut_event_id =
-      metadata_store_.consume_fault("cut_streams") ? options_.events / 2 : 0;
+      store_.server().consume_fault("cut_streams") ? options_.events / 2 : 0;
   send_event(instance, request.exchange, id, next_event_id, cut_event_id);
 }
 
@@ -456,7 +309,7 @@
                               std::uint64_t cut_event_id) {
   HttpServer& http = instance.server->http();
   if (instance.stopped) {
-    metadata_store_.count("cut_off");
+    store_.server().count("cut_off");
     http.abort(exchange);
     return;
   }
@@ -489,6 +342,8 @@
   command.add_option("--events", options.events, "number of events in each stream");
   command.add_option("--max-body-bytes", options.max_body_bytes,
                      "limit on request bodies in the configuration");
+  command.add_flag("--check-fences", options.check_fences,
+                   "engines refuse load commands with a lower fence than an earlier one");
 }
 
 }  // namespace bluebellstep
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -1,5 +1,5 @@
-// Stand-in for the platform that gateways run on: its metadata store and the servers that are
-// registered there. All run in one process, each server on its own port.
+// Stand-in for the platform that gateways run on: its metadata store (`FleetStore`) and the servers
+// that are registered there. All run in one process, each server on its own port.
 
 #ifndef BLUEBELLSTEP_STANDINS_FLEET_STANDIN_H_
 #define BLUEBELLSTEP_STANDINS_FLEET_STANDIN_H_
@@ -8,10 +8,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "http/http_loop.h"
+#include "standins/fleet_store.h"
 #include "standins/standin_server.h"
 
 namespace bluebellstep {
@@ -24,6 +27,7 @@
   std::uint32_t spare_engines = 4;         // Like `spare_servers`, for the service of the engines.
   std::uint32_t events = 10;               // In each stream.
   std::uint32_t max_body_bytes = 100'000;  // Limit of the stored configuration.
+  bool check_fences = false;               // Engines refuse load commands with a lower fence.
 };
 
 /**
@@ -40,6 +44,13 @@
  * `runs_VERSION` count the executions. The data of each event of a stream ends with the version of
  * the engine that sent it, also where an engine continues the stream of another version.
  *
+ * `POST /leave`: the server `id` reports that it is draining, or is removed from the store if
+ * `removed`. If `stopped`, it does not write this again to a store that has lost it. The counter
+ * `late_requests` counts the requests that reach such servers more than `kDrainTime` later.
+ *
+ * `GET /loads` returns all commands to load weights: `server`, `holder`, `fence`, `status`,
+ * `at_ms`.
+ *
  * Counters `calls_KIND` count the calls to the store for objects of a kind.
  *
  * `GET /runs` returns the number of executions by request id.
@@ -47,6 +58,7 @@
  * Faults, set by `POST /faults` of the store:
  * - `store_down` (flag): the store answers with status 503.
  * - `store_silent` (flag): the store never answers requests that arrive while this is set.
+ * - `no_era` (flag): the store does not state its era.
  * - `refuse` (N): the servers refuse the next N requests with status 503.
  * - `lose_answers` (N): the servers execute the next N requests without a response.
  * - `cut_streams` (N): the servers cut off the next N streams in the middle.
@@ -54,6 +66,9 @@
  */
 class FleetStandin {
  public:
+  /** A server that leaves serves requests for this time at least. */
+  static constexpr Duration kDrainTime{2000};
+
   /** Starts the servers, and the metadata store at `listen`. Throws `std::system_error` if the
    * address is in use. */
   FleetStandin(HttpLoop& loop, const FleetOptions& options, const Endpoint& listen);
@@ -65,7 +80,7 @@
   ~FleetStandin() { instances_.clear(); }
 
   /** The port on which the metadata store listens. */
-  std::uint16_t port() const { return metadata_store_.port(); }
+  std::uint16_t port() const { return store_.port(); }
 
  private:
   using Json = nlohmann::json;
@@ -82,37 +97,20 @@
     std::uint64_t weight_version = 1;
     // Number of executed weight loads. A load with a different value in `expect` is refused.
     std::uint64_t command_count = 0;
+    std::uint64_t highest_fence = 0;  // Of all commands.
+    std::optional<Instant> left_at;   // When it reported that it is draining, or was removed.
+    bool removed = false;
     std::unique_ptr<StandinServer> server;
 
     std::string_view service() const;
   };
 
-  /** A watch request that waits for a change of an object of its kind. */
-  struct PendingWatch {
-    ExchangeId exchange;
-    std::string kind;
-    std::uint64_t revision = 0;  // Waits for a later revision than this.
-  };
-
-  void add_store_routes();
+  void add_routes();
   void add_instance(const std::string& id, bool is_engine);
   void register_version(const StandinRequest& request);
-  void write_status(const StandinRequest& request);
+  void leave(const StandinRequest& request);
   void stop_other_versions(const std::string& service, const std::string& version);
   void remove_from_service(Instance& instance, bool stop);
-  void unregister_object(const std::string& kind, const std::string& name);
-  void list_or_watch_objects(const StandinRequest& request);
-  void create_object(const StandinRequest& request);
-  void replace_object(const StandinRequest& request);
-  void remove_object(const StandinRequest& request);
-  void write_object(const std::string& kind, const std::string& name, Json spec);
-  void answer_watch(const PendingWatch& watch);
-  void complete_watches(const std::string& kind);
-  // Returns true if an injected fault of the store prevents the normal handling of the request.
-  bool apply_store_faults(const StandinRequest& request);
-  void count_store_call(const StandinRequest& request);
-  // Returns the object in its JSON representation; null if it does not exist.
-  Json object(const std::string& kind, const std::string& name) const;
   void register_instance(Instance& instance);
   void write_config();
 
@@ -124,30 +122,16 @@
                   std::uint64_t next_event_id,
                   std::uint64_t cut_event_id);
   void load_weights(Instance& instance, const StandinRequest& request);
-
-  struct Object {
-    std::uint64_t revision = 0;
-    Json spec;
-    Json status = nullptr;
-    std::uint64_t created = 0;  // Revision of the store at the creation.
-  };
-  struct ChangeEvent {
-    std::uint64_t revision = 0;
-    std::string kind;
-    std::string name;
-    bool removed = false;
-    Json object;
-  };
+  // Handles a load command and returns the status of the response.
+  int answer_load(Instance& instance, const Json& command);
 
   FleetOptions options_;
-  std::uint64_t revision_ = 0;  // Of the last change to any object.
-  std::map<std::string, std::map<std::string, Object>> objects_;  // By kind and name.
-  std::vector<ChangeEvent> events_;
-  std::vector<PendingWatch> pending_watches_;
+  Clock clock_;
   std::map<std::string, std::int64_t> executions_by_request_;  // Key: request id.
+  Json loads_ = Json::array();                                 // In the order of arrival.
   std::vector<std::unique_ptr<Instance>> instances_;
   // Declared last, so that it is destroyed first and no handler uses a destroyed member.
-  StandinServer metadata_store_;
+  FleetStore store_;
 };
 
 /** Adds the options of the subcommand `fleet` to `command`. Parsing writes to `options`, which must
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -153,7 +153,9 @@
 }
 
 void StandinServer::reply_json(ExchangeId exchange, int status, const nlohmann::json& body) {
-  server_->respond(exchange, status, {{"content-type", "application/json"}}, body.dump());
+  std::vector<HttpHeader> headers = extra_headers_;
+  headers.push_back({"content-type", "application/json"});
+  server_->respond(exchange, status, std::move(headers), body.dump());
 }
 
 void StandinServer::reply_error(ExchangeId exchange,
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "http/http_loop.h"
@@ -88,6 +89,9 @@
 
   HttpLoop& loop() { return loop_; }
 
+  /** Sets headers that all JSON responses have besides the content type. */
+  void set_extra_headers(std::vector<HttpHeader> headers) { extra_headers_ = std::move(headers); }
+
   /** Sends a response with a JSON body. */
   void reply_json(ExchangeId exchange, int status, const nlohmann::json& body);
 
@@ -138,6 +142,7 @@
   std::function<void(ExchangeId)> on_closed_;
   std::function<void(const nlohmann::json&)> on_faults_;
   std::function<bool(const StandinRequest&)> interceptor_;
+  std::vector<HttpHeader> extra_headers_;
   std::map<std::string, std::int64_t> counters_;
   nlohmann::json faults_ = nlohmann::json::object();
   std::unique_ptr<HttpServer> server_;
--- a/tests/process/gateway_fleet.cc
+++ b/tests/process/gateway_fleet.cc
@@ -61,12 +61,28 @@
     throw std::runtime_error("cannot create a temporary folder");
   }
   folder_ = pattern;
-  processes_["fleet"] = std::make_unique<ChildProcess>(
-      std::vector<std::string>{STANDINS_BINARY, "fleet", "--ip", "127.0.0.1", "--port", "0",
-                               "--events", std::to_string(setup_.stream_events), "--max-body-bytes",
-                               std::to_string(setup_.max_body_bytes), "--spare-engines",
-                               std::to_string(setup_.spare_engines)},
-      (folder_ / "fleet").string());
+  std::vector<std::string> arguments = {STANDINS_BINARY,
+                                        "fleet",
+                                        "--ip",
+                                        "127.0.0.1",
+                                        "--port",
+                                        "0",
+                                        "--events",
+                                        std::to_string(setup_.stream_events),
+                                        "--max-body-bytes",
+                                        std::to_string(setup_.max_body_bytes),
+                                        "--plain-servers",
+                                        std::to_string(setup_.plain_servers),
+                                        "--engines",
+                                        std::to_string(setup_.engines),
+                                        "--spare-engines",
+                                        std::to_string(setup_.spare_engines)};
+  if (setup_.check_fences) {
+    arguments.emplace_back("--check-fences");
+    setup_.bounds += "  engines_check_fences: true\n";
+  }
+  processes_["fleet"] =
+      std::make_unique<ChildProcess>(std::move(arguments), (folder_ / "fleet").string());
   process("fleet").wait_for_listening();
   for (int i = 1; i <= gateways; ++i) {
     ports_["g" + std::to_string(i)] = free_ports(4);
@@ -91,6 +107,9 @@
   processes_.erase(name);
   const auto& ports = ports_.at(name);
   const auto at = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
+  const auto routed = store_ports_.find(name);
+  const std::uint16_t store_port =
+      routed == store_ports_.end() ? this->store_port() : routed->second;
   const std::string file = (folder_ / (name + ".yaml")).string();
   std::string peers;
   for (const auto& [other, other_ports] : ports_) {
@@ -98,9 +117,8 @@
   }
   std::ofstream(file) << "name: " << name << "\nzone: a\ncallers: " << at(ports[0])
                       << "\nready: " << at(ports[1]) << "\npeers: " << at(ports[2])
-                      << "\nmetrics: " << at(ports[3])
-                      << "\nstore: " << at(process("fleet").port("port")) << "\nfirst_peers: ["
-                      << peers << "]\n"
+                      << "\nmetrics: " << at(ports[3]) << "\nstore: " << at(store_port)
+                      << "\nfirst_peers: [" << peers << "]\n"
                       << setup_.settings << "bounds:\n  stop_limit: 8s\n"
                       << setup_.bounds;
   processes_[name] = std::make_unique<ChildProcess>(
@@ -109,6 +127,11 @@
   process(name).wait_for_listening();
 }
 
+void GatewayFleet::route_store(const std::string& gateway, std::uint16_t port) {
+  store_ports_[gateway] = port;
+  start_gateway(gateway);
+}
+
 std::string GatewayFleet::settings_file(const std::string& gateway) const {
   return (folder_ / (gateway + ".yaml")).string();
 }
@@ -178,15 +201,14 @@
               {"stop", stop}});
 }
 
-int GatewayFleet::store_calls(const std::string& kind) {
-  return Json::parse(call_store("GET", "/counters", nullptr).body).value("calls_" + kind, 0);
+std::int64_t GatewayFleet::counter(const std::string& name) {
+  return Json::parse(call_store("GET", "/counters", nullptr).body).value(name, std::int64_t{0});
 }
 
 GatewayFleet::Response GatewayFleet::call_store(const std::string& method,
                                                 const std::string& path,
                                                 const Json& body) {
-  HttpCall call{
-      .endpoint = {"127.0.0.1", process("fleet").port("port")}, .method = method, .path = path};
+  HttpCall call{.endpoint = {"127.0.0.1", store_port()}, .method = method, .path = path};
   call.headers = {{"content-type", "application/json"}};
   call.body = body.is_null() ? "" : body.dump();
   return client_.send_and_wait(call);
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -24,6 +24,9 @@
 
 /** Options of a fleet. */
 struct FleetSetup {
+  std::uint32_t plain_servers = 2;
+  std::uint32_t engines = 2;
+  bool check_fences = false;  // Engines refuse load commands with a lower fence.
   std::uint32_t stream_events = kStreamEvents;
   std::uint32_t spare_engines = 4;         // For `POST /versions` of the stand-in.
   std::uint32_t max_body_bytes = 100'000;  // Limit in the stored configuration.
@@ -61,6 +64,12 @@
   /** Starts a gateway. A running one is killed first; the ports stay the same. */
   void start_gateway(const std::string& name);
 
+  /** Port of the platform's store. */
+  std::uint16_t store_port() const { return processes_.at("fleet")->port("port"); }
+
+  /** Restarts a gateway, which uses `port` for the store from now on, also after later restarts. */
+  void route_store(const std::string& gateway, std::uint16_t port);
+
   /** Path of a gateway's settings file. */
   std::string settings_file(const std::string& gateway) const;
 
@@ -98,8 +107,11 @@
                        bool stop = false,
                        int count = 2);
 
+  /** Returns a counter of the stand-in; 0 if nothing was counted. */
+  std::int64_t counter(const std::string& name);
+
   /** Returns how often the gateways called the store for objects of `kind`. */
-  int store_calls(const std::string& kind);
+  int store_calls(const std::string& kind) { return static_cast<int>(counter("calls_" + kind)); }
 
   /** Calls the platform's store, or another endpoint of the stand-in. No body is sent if `body` is
    * null. */
@@ -134,6 +146,7 @@
   std::filesystem::path folder_;
   // By gateway: ports of callers, readiness, peers and metrics.
   std::map<std::string, std::vector<std::uint16_t>> ports_;
+  std::map<std::string, std::uint16_t> store_ports_;  // By gateway; of those with one of their own.
   std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
   HttpLoop loop_;
   HttpClient client_{loop_};
