upstream_pool: Remember that an upstream left beyond its removal

What callers saw: requests to an upstream that leaves.

The pool keeps the start and address of such an upstream for 60 s. Those that do not state when they started are not remembered, since their starts cannot be told apart.

The new test failed before (upstream_pool_test.cc:633, "an upstream that said that it leaves gets no requests when its registration comes back"). `discard` needs the time now; two calls in tests pass it, nothing else of them changes.

--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -341,7 +341,7 @@
     LogEvent("upstream_not_understood", LogEvent::Severity::kWarning)
         .field("upstream", change.object.name)
         .field("why", fault->reason);
-    pool_.discard(change.object.name);
+    pool_.discard(change.object.name, now);
     return;
   }
   pool_.put(std::move(std::get<UpstreamRegistration>(decoded)), now);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "base/hash.h"
@@ -30,6 +31,8 @@
 // fault may also be at the gateway that reports it.
 constexpr std::size_t kMinUnreachableReports = 2;
 constexpr std::size_t kGatewaysPerUnreachableReport = 20;
+// An upstream that leaves has ended by then.
+constexpr Duration kLeftMemory{60'000};
 // Share of `max_connections` that is used.
 constexpr double kConnectionSafetyShare = 0.9;
 
@@ -49,6 +52,8 @@
       // Those sent within the last second may have reached the new process.
       upstream.in_flight = found->second.in_flight;
       cold_limit_.keep_counts(std::move(found->second.limit));
+    } else {
+      upstream.says_it_leaves = has_left(registration);
     }
     upstream.limit = cold_limit_.take_counts(upstream.id_hash, now);
     upstream.known_since = now;
@@ -86,8 +91,7 @@
   const bool after_outage =
       outage_ended_at_ && now < *outage_ended_at_ + limits_.reregistration_grace;
   if (is_leaving(upstream) || (!in_outage && !after_outage)) {
-    cold_limit_.keep_counts(std::move(upstream.limit));
-    upstreams_.erase(found);
+    erase(found, now);
     return;
   }
   if (!upstream.kept_until) {
@@ -100,13 +104,31 @@
   }
 }
 
-void UpstreamPool::discard(std::string_view id) {
+void UpstreamPool::discard(std::string_view id, Instant now) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
-    cold_limit_.keep_counts(std::move(found->second.limit));
-    upstreams_.erase(found);
+    erase(found, now);
   }
 }
 
+UpstreamPool::Upstreams::iterator UpstreamPool::erase(Upstreams::iterator entry, Instant now) {
+  Upstream& upstream = entry->second;
+  const UpstreamRegistration& registration = upstream.registration;
+  // Starts of an upstream that does not state its start time cannot be told apart.
+  if (upstream.says_it_leaves && registration.started_ms != 0) {
+    left_[entry->first] = {.started_ms = registration.started_ms,
+                           .endpoint = registration.endpoint,
+                           .until = now + kLeftMemory};
+  }
+  cold_limit_.keep_counts(std::move(upstream.limit));
+  return upstreams_.erase(entry);
+}
+
+bool UpstreamPool::has_left(const UpstreamRegistration& registration) const {
+  const auto left = left_.find(registration.id);
+  return left != left_.end() && left->second.started_ms == registration.started_ms &&
+         left->second.endpoint == registration.endpoint;
+}
+
 void UpstreamPool::replace_all(std::vector<UpstreamRegistration> registrations, Instant now) {
   std::set<std::string, std::less<>> present;
   for (UpstreamRegistration& registration : registrations) {
@@ -152,13 +174,9 @@
 
 void UpstreamPool::remove_expired_registrations(Instant now) {
   for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
-    if (is_removed(entry->second, now)) {
-      cold_limit_.keep_counts(std::move(entry->second.limit));
-      entry = upstreams_.erase(entry);
-    } else {
-      ++entry;
-    }
+    entry = is_removed(entry->second, now) ? erase(entry, now) : std::next(entry);
   }
+  std::erase_if(left_, [now](const auto& entry) { return now >= entry.second.until; });
 }
 
 void UpstreamPool::set_zones_out_of_service(std::set<std::string, std::less<>> zones, Instant now) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -153,7 +153,7 @@
    * `record_store_answer` for the exception around an outage. */
   void remove(std::string_view id, Instant now);
   /** Removes an upstream whose registration names no usable upstream any more. */
-  void discard(std::string_view id);
+  void discard(std::string_view id, Instant now);
   /** Replaces all registrations by those of a complete list. Missing ones are treated as in
    * `remove`. */
   void replace_all(std::vector<UpstreamRegistration> registrations, Instant now);
@@ -352,6 +352,14 @@
     Duration unreachable_ejection{0};
   };
 
+  // An upstream that was removed after it had stated that it leaves.
+  struct Left {
+    std::int64_t started_ms = 0;
+    Endpoint endpoint;
+    Instant until;  // When this is forgotten.
+  };
+  using Upstreams = std::map<std::string, Upstream, std::less<>>;
+
   struct TargetVersion {
     std::uint64_t version = 0;
     Instant set_at;      // When it was set as the target; assumed if that was before the start.
@@ -367,6 +375,11 @@
   }
   // Time without answers of the store after which registrations may have expired.
   Duration min_outage() const { return limits_.registration_interval * 2; }
+  // Removes an upstream, and returns the next one.
+  Upstreams::iterator erase(Upstreams::iterator entry, Instant now);
+  // Whether the upstream of this registration, which is not known at present, has stated that it
+  // leaves.
+  bool has_left(const UpstreamRegistration& registration) const;
   // Whether the upstream leaves by its registration or by its own word.
   static bool is_leaving(const Upstream& upstream);
   // Returns the upstream if it has not started again since `sent_at`, else null.
@@ -440,7 +453,8 @@
   const RequestQuota& quota_;
   ColdLimit cold_limit_;
   const ServiceRollouts* service_rollouts_ = nullptr;  // Null in deployments without roll-outs.
-  std::map<std::string, Upstream, std::less<>> upstreams_;
+  Upstreams upstreams_;
+  std::map<std::string, Left, std::less<>> left_;
   std::set<std::string, std::less<>> zones_out_of_service_;
   std::map<std::string, TargetVersions, std::less<>> targets_;  // By model; lists are never empty.
   struct Rollout {
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -619,6 +619,24 @@
   }
 }
 
+// Guards against a removed upstream whose registration comes back as ready, and which gets requests
+// although it has said that it leaves.
+TEST_CASE("an upstream that said that it leaves gets no requests when its registration comes back",
+          "[gateway]") {
+  Fixture f;
+  const UpstreamRegistration ready{
+      .id = "o1", .service = "orders", .endpoint = {"10.0.0.1", 80}, .started_ms = 7};
+  f.pool.put(ready, kStart);
+  f.pool.record_leaving("o1", kStart + 100_ms);
+  f.pool.remove("o1", kStart + 200_ms);
+  f.pool.put(ready, kStart + 300_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 300_ms).empty());
+  UpstreamRegistration restarted = ready;
+  restarted.started_ms = 8;
+  f.pool.put(restarted, kStart + 400_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 400_ms) == "o1");
+}
+
 // Guards against an engine that leaves and is told to load weights.
 TEST_CASE("an engine that says that it leaves is not updated", "[gateway]") {
   Fixture f;
@@ -660,7 +678,7 @@
   const PickQuery query{.service = &f.engines};
   f.pool.put(registration, kStart);
   CHECK(f.send_all(query, kStart) > 0);
-  f.pool.discard("e1");
+  f.pool.discard("e1", kStart);
   f.pool.put(registration, kStart);
   CHECK(f.send_all(query, kStart) == 0);
   f.pool.remove("e1", kStart + Duration{1000});
--- a/tests/support/fleet_simulation.cc
+++ b/tests/support/fleet_simulation.cc
@@ -103,7 +103,7 @@
   for (const auto& gateway : gateways_) {
     for (std::size_t engine = 0; engine < load_.overload.engines_down; ++engine) {
       if (down) {
-        gateway->pool->discard(engine_id(engine));
+        gateway->pool->discard(engine_id(engine), events_.now());
       } else {
         put_engine(*gateway->pool, engine);
       }
