upstream_pool: Log the use of upstreams that leave or have no registration

The record of the incident did not tell why an upstream counted as present. doubtful_upstream_used says so, at most once a second for each upstream. restored_store_test covers the configuration as well.

--- a/src/gateway/restored_store_test.cc
+++ b/src/gateway/restored_store_test.cc
@@ -183,6 +183,10 @@
       return std::holds_alternative<PickedUpstream>(picked);
     });
   }
+  bool has_config(std::uint64_t version) {
+    return on_loop(
+        [&] { return forwarder->config() != nullptr && forwarder->config()->version == version; });
+  }
   Endpoint endpoint() const { return {"127.0.0.1", peers.port()}; }
 
   HttpLoop loop;
@@ -213,11 +217,17 @@
                   R"(","address":"127.0.0.1:9","slots":4,"state":")" + state + R"("})");
 }
 
+std::string config(int revision, int version) {
+  return item("main", revision,
+              R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})");
+}
+
 struct Fixture {
   // What the store holds before the restore, and in the copy.
   const RestorableStore::Objects before = {
       {"servers", server("draining", 20, "draining") + "," + server("new", 21, "ready") + "," +
                       server("in-b", 4, "ready", "b")},
+      {"config", config(23, 8)},
       {"evacuations", item("b", 22, "{}")},
       {"bluebellstep-gateways", item("g", 19, R"({"peers":"127.0.0.1:9","zone":"a"})")}};
   const RestorableStore::Objects copy = {{"servers", server("draining", 5, "ready") + "," +
@@ -248,6 +258,7 @@
   CHECK_FALSE(gateway.uses("removed"));
   CHECK(gateway.uses("new"));
   CHECK_FALSE(gateway.uses("in-b"));
+  CHECK(gateway.has_config(8));
   // Its own registration is missing.
   CHECK(wait_until([&] { return store.registrations() > registrations; }));
   // One that did not register again is gone.
@@ -276,6 +287,7 @@
     return !started.uses("draining") && !started.uses("removed") && !started.uses("in-b");
   }));
   CHECK(started.uses("new"));
+  CHECK(wait_until([&] { return started.has_config(8); }));
 }
 
 }  // namespace bluebellstep
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -33,6 +33,8 @@
 constexpr std::size_t kGatewaysPerUnreachableReport = 20;
 // An upstream that leaves has ended by then.
 constexpr Duration kLeftMemory{60'000};
+// In an outage of the store, many upstreams may have no registration.
+constexpr Duration kDoubtfulUseLogInterval{1000};
 // Share of `max_connections` that is used.
 constexpr double kConnectionSafetyShare = 0.9;
 
@@ -249,6 +251,9 @@
                          .prompt_tokens = query.prompt_tokens};
   cold_limit_.record_sent(upstream.limit, now);
   upstream.health.record_sent();
+  if (is_leaving(upstream) || upstream.kept_until) {
+    log_doubtful_use(upstream, now);
+  }
   if (query.service->engine) {
     cache_.record_sent(picked.upstream_id, picked.cache_namespace, query.prompt, picked.cache_plan,
                        now);
@@ -261,6 +266,20 @@
   }
 }
 
+void UpstreamPool::log_doubtful_use(Upstream& upstream, Instant now) {
+  if (now < upstream.doubtful_use_logged_at + kDoubtfulUseLogInterval) {
+    return;
+  }
+  upstream.doubtful_use_logged_at = now;
+  LogEvent("doubtful_upstream_used", LogEvent::Severity::kWarning)
+      .field("upstream", upstream.registration.id)
+      .field("registered_as_leaving", upstream.registration.leaving)
+      .field("says_it_leaves", upstream.says_it_leaves)
+      .field("kept", upstream.kept_until.has_value())
+      .field("kept_ms", upstream.kept_until ? (*upstream.kept_until - now).ms : 0)
+      .field("known_ms", (now - upstream.known_since).ms);
+}
+
 void UpstreamPool::record_prefill_finished(const PickedUpstream& picked) {
   cache_.record_fetch_finished(picked.cache_plan);
   if (const auto found = upstreams_.find(picked.upstream_id); found != upstreams_.end()) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -338,7 +338,8 @@
     Instant unreached_until;  // Connections to it have failed lately; for the load report.
     bool failed_since_success = false;
     std::optional<Instant> kept_until;  // Set if the registration was removed around an outage.
-    InFlightLoad in_flight;             // Requests of this gateway only.
+    Instant doubtful_use_logged_at;
+    InFlightLoad in_flight;  // Requests of this gateway only.
     ReportedLoad load;
     Instant load_reported_at;
     UpstreamSpeed speed;
@@ -375,6 +376,8 @@
   }
   // Time without answers of the store after which registrations may have expired.
   Duration min_outage() const { return limits_.registration_interval * 2; }
+  // Logs that a request is sent to an upstream that leaves or has no registration.
+  static void log_doubtful_use(Upstream& upstream, Instant now);
   // Removes an upstream, and returns the next one.
   Upstreams::iterator erase(Upstreams::iterator entry, Instant now);
   // Whether the upstream of this registration, which is not known at present, has stated that it
