retained_objects: An upstream that the copy held and that is missing was removed since

An object of the copy with the number and content that were known shows that the copy held all objects up to that number; a missing one of those was removed since.

--- a/src/retained_objects/retained_objects.cc
+++ b/src/retained_objects/retained_objects.cc
@@ -55,13 +55,22 @@
                                                          Instant now) {
   Changes changes;
   elapsed_.clear();
+  const std::uint64_t copied_up_to = newest_copied_number(replica);
   for (const auto& [name, object] : replica.objects()) {
     if (is_taken(name, &object, replica, now)) {
       changes.push_back({.object = object, .removed = false});
     }
   }
   for (const auto& [name, object] : objects_) {
-    if (!replica.objects().contains(name) && is_taken(name, nullptr, replica, now)) {
+    if (replica.objects().contains(name)) {
+      continue;
+    }
+    const bool is_removed_since = object.revision.era == replica.revision_before_era().era &&
+                                  object.revision.number <= copied_up_to;
+    if (is_removed_since) {
+      end_belief(name, "removed");
+    }
+    if (is_removed_since || is_taken(name, nullptr, replica, now)) {
       changes.push_back(change_to(replica, name));
     }
   }
@@ -75,6 +84,18 @@
   return changes;
 }
 
+std::uint64_t RetainedObjects::newest_copied_number(const ObjectReplica& replica) const {
+  std::uint64_t newest = 0;
+  for (const auto& [name, known] : objects_) {
+    const platform::StoredObject* restored = find_object(replica.objects(), name);
+    const bool is_copied =
+        restored != nullptr && known.revision.era == replica.revision_before_era().era &&
+        restored->revision.number == known.revision.number && restored->content == known.content;
+    newest = std::max(newest, is_copied ? known.revision.number : 0);
+  }
+  return newest;
+}
+
 bool RetainedObjects::is_taken(const std::string& name,
                                const platform::StoredObject* restored,
                                const ObjectReplica& replica,
--- a/src/retained_objects/retained_objects.h
+++ b/src/retained_objects/retained_objects.h
@@ -92,6 +92,9 @@
 
   // Takes in all objects of a restored store.
   Changes apply_restored(const ObjectReplica& replica, Instant now);
+  // Returns the highest number of an object that the copy held as it was known. The copy held all
+  // objects up to that number, so that one that is missing was removed since.
+  std::uint64_t newest_copied_number(const ObjectReplica& replica) const;
   // Decides on one object of a restored store. Returns whether to act on it.
   // @param restored  The object in the store; null if it is missing there.
   bool is_taken(const std::string& name,
--- a/src/retained_objects/retained_objects_test.cc
+++ b/src/retained_objects/retained_objects_test.cc
@@ -327,4 +327,21 @@
   CHECK_FALSE(informed.content("o"));
 }
 
+// Guards against requests to an upstream that was removed after the restore, before the first list
+// of the gateway: it is missing there like one that the store has lost.
+TEST_CASE("an upstream that the copy held and that is missing was removed since", "[retained]") {
+  Gateway gateway(ObjectKind::kUpstreams);
+  const auto named = [](std::string name, std::uint64_t number, std::uint64_t era) {
+    return StoredObject{
+        .name = std::move(name), .revision = {number, era}, .content = upstream("ready")};
+  };
+  gateway.list({named("a", 3, 1), named("b", 4, 1), named("c", 9, 1)}, {9, 1});
+  gateway.list({named("b", 4, 2)}, {6, 2});
+  CHECK_FALSE(gateway.content("a"));
+  CHECK(gateway.content("b"));
+  CHECK(gateway.content("c"));  // Written after the copy; it is not written again yet.
+  gateway.wait(kMissingUpstreamRetention);
+  CHECK_FALSE(gateway.content("c"));
+}
+
 }  // namespace bluebellstep
