restored_store_test: Followers are told of what is retained

Three mutants showed no failure before: a statement of leaving that outlasts a new start, followers that are told nothing, and answers that are ignored.

--- a/src/gateway/object_changes_test.cc
+++ b/src/gateway/object_changes_test.cc
@@ -25,6 +25,12 @@
   const PassedView view{.since_ago = Duration{900}, .as_of_ago = Duration{60}, .after_gap = true};
   ChangesAnswer answer{.current = true, .age = Duration{40}, .era = 2, .view = view};
   answer.returned_zones.push_back({"a", Duration{700}});
+  answer.beliefs.push_back({.kind = platform::ObjectKind::kUpstreams,
+                            .beliefs = {{.name = "b",
+                                         .reason = RetentionReason::kLeaving,
+                                         .contradicted_by = {.number = 4, .era = 2},
+                                         .content = R"({"a":1})",
+                                         .left = Duration{900}}}});
   answer.kinds.push_back(
       {.kind = platform::ObjectKind::kUpstreams,
        .revision = {9, 2},
@@ -50,6 +56,7 @@
   CHECK(decoded->kinds[0].revision == StoreRevision{9, 2});
   CHECK(decoded->kinds[0].gaps == answer.kinds[0].gaps);
   CHECK(decoded->era == 2);
+  CHECK(decoded->beliefs == answer.beliefs);
   CHECK(decoded->kinds[1].changes.size() == 1);
 }
 
--- a/src/gateway/restored_store_test.cc
+++ b/src/gateway/restored_store_test.cc
@@ -271,6 +271,36 @@
   CHECK(gateway.uses("draining"));
 }
 
+// Guards against followers that do not learn which upstreams must not be used, and against answers
+// to them that carry whole configurations.
+TEST_CASE_METHOD(Fixture,
+                 "followers are told of retained upstreams that must not be used",
+                 "[gateway][retained]") {
+  store.set(3, 30, before);
+  GatewayUnderTest gateway("g", stand_in_loop, store.endpoint(), {});
+  REQUIRE(gateway.received(3));
+  store.set(4, 10, copy);
+  REQUIRE(gateway.received(4));
+  std::string body;
+  CHECK(wait_until([&] {
+    return gateway.on_loop([&] {
+      gateway.synchronizer->on_peer_request(
+          encode_changes_query({.known = KnownRevisions(5, StoreRevision{10, 4})}),
+          [&](std::string answer) { body = std::move(answer); });
+      return !body.empty();
+    });
+  }));
+  const auto answer = decode_changes_answer(body);
+  REQUIRE(answer);
+  REQUIRE(answer->beliefs.size() == 1);
+  CHECK(answer->beliefs[0].kind == platform::ObjectKind::kUpstreams);
+  std::vector<std::string> names;
+  for (const RetainedBelief& belief : answer->beliefs[0].beliefs) {
+    names.push_back(belief.name);
+  }
+  CHECK(names == std::vector<std::string>{"draining", "removed"});
+}
+
 // Guards against requests from a gateway that was started just after a restore to an upstream of
 // which all others know that it leaves.
 TEST_CASE_METHOD(Fixture,
--- a/src/gateway/state_synchronizer_test.cc
+++ b/src/gateway/state_synchronizer_test.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 
@@ -82,7 +83,7 @@
                   server_.respond(exchange, 200, {},
                                   R"({"current":true,"age_ms":0,"store_regained_ago_ms":200,)"
                                   R"("kinds":[)" +
-                                      kinds_ + "]}");
+                                      kinds_ + R"(],"beliefs":)" + beliefs_ + "}");
                 }}) {}
 
   Endpoint endpoint() const { return {"127.0.0.1", server_.port()}; }
@@ -92,6 +93,11 @@
     kinds_ = std::move(kinds);
   }
 
+  void set_beliefs(std::string beliefs) {
+    const std::lock_guard lock(mutex_);
+    beliefs_ = std::move(beliefs);
+  }
+
   int polls() const {
     const std::lock_guard lock(mutex_);
     return polls_;
@@ -99,8 +105,9 @@
 
  private:
   mutable std::mutex mutex_;
-  std::string kinds_;  // Guarded by `mutex_`.
-  int polls_ = 0;      // Guarded by `mutex_`.
+  std::string kinds_;           // Guarded by `mutex_`.
+  std::string beliefs_ = "[]";  // Guarded by `mutex_`.
+  int polls_ = 0;               // Guarded by `mutex_`.
   HttpServer server_;
 };
 
@@ -330,6 +337,23 @@
   CHECK_FALSE(on_loop([&] { return pool.contains("o1"); }));
 }
 
+// Guards against requests from a follower to an upstream that was removed before a restore, which
+// the follower had not heard of.
+TEST_CASE_METHOD(FollowerFixture,
+                 "a follower retains what the gateway does that it follows",
+                 "[gateway][retained]") {
+  start();
+  CHECK(wait_until([&] { return on_loop([&] { return synchronizer->following(); }); }));
+  CHECK(on_loop([&] { return pool.contains("o1"); }));
+  reader.set_beliefs(encode_beliefs({{.kind = platform::ObjectKind::kUpstreams,
+                                      .beliefs = {{.name = "o1",
+                                                   .reason = RetentionReason::kRemoved,
+                                                   .contradicted_by = {1},
+                                                   .left = Duration{60'000}}}}})
+                         .dump());
+  CHECK(wait_until([&] { return on_loop([&] { return !pool.contains("o1"); }); }));
+}
+
 // Guards against upstreams that count as warm because their zone was taken out of service and back
 // between two answers.
 TEST_CASE_METHOD(FollowerFixture,
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -631,10 +631,11 @@
   f.pool.remove("o1", kStart + 200_ms);
   f.pool.put(ready, kStart + 300_ms);
   CHECK(f.pick(f.plain_query(), kStart + 300_ms).empty());
+  f.pool.remove("o1", kStart + 400_ms);
   UpstreamRegistration restarted = ready;
   restarted.started_ms = 8;
-  f.pool.put(restarted, kStart + 400_ms);
-  CHECK(f.pick(f.plain_query(), kStart + 400_ms) == "o1");
+  f.pool.put(restarted, kStart + 500_ms);
+  CHECK(f.pick(f.plain_query(), kStart + 500_ms) == "o1");
 }
 
 // Guards against an engine that leaves and is told to load weights.
