retained_objects: Take an upstream of which nothing is known for a new one

What callers saw: in the process test of a restore, requests were refused with no_upstream while all servers of a service were replaced. New upstreams are registered under numbers of the lost history, so that they counted as removed ones of the copy, and were not used for 30 s. Now only those count as removed of which a removal was heard in the last minute.

An upstream that was added and removed between two lists of a gateway, and that the copy holds, is used again until it is written.

--- a/src/retained_objects/retained_objects.cc
+++ b/src/retained_objects/retained_objects.cc
@@ -108,15 +108,17 @@
     end_belief(name, "as_known");
     return false;
   }
-  // An object that is not known did not exist before the restore. It may have existed between two
-  // lists, so that nothing is known of it.
+  // An object that was removed did not exist any more at the last revision before the restore.
   std::uint64_t last_number =
       is_known ? known->second.revision.number : replica.revision_before_era().number;
   if (held != held_.end() && held->second.contradicted_by.number > 0) {
     // While the store contradicts what is known, later writes have higher numbers than its object.
     last_number = held->second.contradicted_by.number;
   }
-  const bool is_later = restored != nullptr && restored->revision.number > last_number;
+  // One of which nothing is known is most likely new: numbers of the lost history are given out
+  // again at once.
+  const bool is_new = !is_known && held == held_.end() && !removed_.contains(name);
+  const bool is_later = is_new || (restored != nullptr && restored->revision.number > last_number);
   const auto retention =
       is_later ? std::nullopt : retention_of(kind_, is_known ? &known->second : nullptr, restored);
   if (!retention) {
