--- a/src/gateway/state_synchronizer_test.cc
+++ b/src/gateway/state_synchronizer_test.cc
@@ -77,13 +77,15 @@
   explicit ReaderStandin(HttpLoop& loop)
       : server_(loop,
                 {.listen = {"127.0.0.1", 0}},
-                {.on_request = [this](ExchangeId exchange, const HttpRequest&) {
+                {.on_request = [this](ExchangeId exchange, const HttpRequest& request) {
                   const std::lock_guard lock(mutex_);
                   ++polls_;
+                  const bool is_poll = request.path.starts_with(kChangesPath);
                   server_.respond(exchange, 200, {},
                                   R"({"current":true,"age_ms":0,"store_regained_ago_ms":200,)"
                                   R"("kinds":[)" +
-                                      kinds_ + R"(],"beliefs":)" + beliefs_ + "}");
+                                      kinds_ + R"(],"beliefs":)" + (is_poll ? beliefs_ : "[]") +
+                                      "}");
                 }}) {}
 
   Endpoint endpoint() const { return {"127.0.0.1", server_.port()}; }
