store_watcher_test: Upstreams that leave while no watch tells of it

Candidates for requests that reach an upstream after it has left, without a restore: a removal and a leaving report in a compacted part of the history, between two pages of a list, of an upstream that starts again under its id, and more removals than a replica keeps.

--- a/src/gateway/object_replica_test.cc
+++ b/src/gateway/object_replica_test.cc
@@ -349,6 +349,30 @@
   }
 }
 
+// Guards against an upstream that stays in use at a follower although it is gone: its reader has
+// forgotten the removal, after many others.
+TEST_CASE("a follower that missed forgotten removals is not told of single changes", "[gateway]") {
+  constexpr std::uint64_t kRemovals = 1500;  // More than a replica keeps.
+  ObjectReplica reader;
+  reader.replace({object("x", 1)}, {1});
+  platform::ObjectChanges changes{.changes = {{object("x", 2), true}},
+                                  .store_revision = {kRemovals + 2}};
+  for (std::uint64_t i = 0; i < kRemovals; ++i) {
+    changes.changes.push_back({object("y" + std::to_string(i), i + 3), true});
+  }
+  SECTION("in one answer") {
+    reader.apply(changes);
+  }
+  SECTION("one by one") {
+    for (const platform::ObjectChange& change : changes.changes) {
+      reader.apply({.changes = {change}, .store_revision = change.object.revision});
+    }
+  }
+  CHECK_FALSE(reader.changes_since({1}));
+  CHECK(reader.has_changes_since({1}));
+  CHECK(reader.changes_since({kRemovals}));
+}
+
 // Guards against any order of watches, lists, restores and peers' messages in which a replica tells
 // something else than the store did at the replica's revision.
 TEST_CASE("a replica equals the store at its revision whatever the order of answers", "[gateway]") {
--- a/src/gateway/store_watcher_test.cc
+++ b/src/gateway/store_watcher_test.cc
@@ -97,6 +97,9 @@
       return names;
     });
   }
+  std::string content(const std::string& name) {
+    return on_loop([&] { return watcher->replica().objects().at(name).content; });
+  }
   StoreRevision revision() {
     return on_loop([&] { return watcher->replica().revision(); });
   }
@@ -383,6 +386,75 @@
   }
 }
 
+// Guards against requests to an upstream that has left: its report and its removal were written
+// while the store was out of reach, and the store has compacted them away since.
+TEST_CASE_METHOD(RestoreFixture,
+                 "a leaving report and a removal that no watch can tell of are noticed",
+                 "[gateway][leaving]") {
+  store.put("servers", "o2", R"("ready")");
+  start_and_watch();
+  REQUIRE(names() == Names{"o1", "o2"});
+  const bool watch_lost = GENERATE(true, false);
+  if (watch_lost) {
+    store.refuse("servers");
+    store.drop_watches();
+  }
+  store.put("servers", "o2", R"("draining")");
+  store.remove("servers", "o1");
+  store.compact();
+  store.refuse("");
+  REQUIRE(reaches({.number = 4, .era = 1}));
+  CHECK(names() == Names{"o2"});
+  CHECK(content("o2") == R"("draining")");
+}
+
+// Guards against requests to an upstream that has left while the list was read page by page.
+TEST_CASE_METHOD(RestoreFixture,
+                 "upstreams that leave between two pages of a list are noticed",
+                 "[gateway][leaving]") {
+  for (const char* name : {"o2", "o3", "o4"}) {
+    store.put("servers", name, R"("ready")");
+  }
+  store.set_page_size(1);
+  store.hold_answers("GET /objects/servers?after=o1");
+  start();
+  REQUIRE(eventually([&] { return store.held_answers() == 1; }));
+  store.put("servers", "o2", R"("draining")");
+  store.put("servers", "o4", R"("draining")");
+  store.remove("servers", "o1");
+  store.remove("servers", "o3");
+  store.send_held_answers();
+  REQUIRE(reaches({.number = 8, .era = 1}));
+  CHECK(names() == Names{"o2", "o4"});
+  CHECK(content("o2") == R"("draining")");
+  CHECK(content("o4") == R"("draining")");
+}
+
+// Guards against requests to an upstream that has left, started again under its id and left again.
+TEST_CASE_METHOD(RestoreFixture,
+                 "an upstream that starts again while it leaves is known by its last report",
+                 "[gateway][leaving]") {
+  start_and_watch();
+  const bool watch_lost = GENERATE(true, false);
+  if (watch_lost) {
+    store.refuse("servers");
+    store.drop_watches();
+  }
+  store.put("servers", "o1", R"("draining")");
+  store.remove("servers", "o1");
+  store.put("servers", "o1", R"("ready")");
+  const bool leaves_again = GENERATE(true, false);
+  if (leaves_again) {
+    store.put("servers", "o1", R"("draining")");
+  }
+  if (watch_lost && GENERATE(true, false)) {
+    store.compact();
+  }
+  store.refuse("");
+  REQUIRE(reaches({.number = store.revision(), .era = 1}));
+  CHECK(content("o1") == (leaves_again ? R"("draining")" : R"("ready")"));
+}
+
 // Guards against requests that wait for the event loop while it decodes a large configuration.
 TEST_CASE("the event loop is not delayed while a large configuration is decoded",
           "[gateway][delay]") {
