fencing_number: No number twice after a late write of an earlier era

Receivers refuse the sound holder's commands (412), or take two acquisitions for one. Nothing seen by callers.

Cause: the store compares revision numbers only. A write of an earlier era that takes effect late may replace the object of a holder of the present era, and with it the only record of the last number. The next process counted from 1 again.

Change: after the first restore the count is above the revision number of the replaced object, which rises with each write of the era.

--- a/src/commands/fenced_lease.cc
+++ b/src/commands/fenced_lease.cc
@@ -105,7 +105,8 @@
 }
 
 std::uint64_t FencedLease::next_number() const {
-  return FencingNumber::next(era_, highest_known_, settings_.holder).encode();
+  return FencingNumber::next(era_, highest_known_, settings_.holder, observed_->version.number)
+      .encode();
 }
 
 LeaseStep FencedLease::start_read() {
@@ -192,7 +193,7 @@
         .field("state", "held")
         .field("fence", number)
         .field("revision", to_string(version))
-        .field("wait_ms", (now - era_since_).ms);
+        .field("era", era_);
   }
   highest_known_ = number;
   held_in_era_before_ = false;
--- a/src/commands/fenced_lease_test.cc
+++ b/src/commands/fenced_lease_test.cc
@@ -252,6 +252,29 @@
   CHECK_FALSE(first.may_act(*second_at));
 }
 
+// Guards against a number that goes down, or is given out again, after a late write of an earlier
+// era has replaced the object that tells of the last acquisition.
+TEST_CASE("a late write of an earlier era does not lower the next number", "[commands]") {
+  FencedLease late = make_lease("c");
+  late.record_era(1, Instant{-5000}, Instant{-5000});
+  std::optional<PlatformObject> stored;
+  REQUIRE(run_until_held(late, stored, 1, Instant{0}, Instant{100}));
+  const PlatformObject late_object = *stored;
+  stored.reset();
+
+  FencedLease first = make_lease("a");
+  first.record_era(2, Instant{1000}, Instant{1000});
+  REQUIRE(run_until_held(first, stored, 2, Instant{3000}, Instant{4000}));
+  const std::string holder = GENERATE("a", "b");
+  stored = PlatformObject{.key = late_object.key,
+                          .version = {stored->version.number + 1, 2},
+                          .value = late_object.value};
+  FencedLease second = make_lease(holder);
+  second.record_era(2, Instant{5000}, Instant{5000});
+  REQUIRE(run_until_held(second, stored, 2, Instant{5000}, Instant{9000}));
+  CHECK(second.fencing_number() > first.fencing_number());
+}
+
 // Guards against two holders with one number where the store does not tell of its restore.
 TEST_CASE("two holders never have the same number", "[commands]") {
   FencedLease first = make_lease("a");
