fenced_lease: The holder of the era before waits after its release or term

Cause: a process that held the lease when it heard of a restore acquired it without a wait, for ever. It must not if its release was on its way, which may have taken effect before the restore, nor after the end of its term: meanwhile another process may have acquired the lease in the new era, and a late write of an earlier era may have replaced its object.

Change: the exemption ends with the term, and a release that was sent excludes it. Before that end no other process can hold the lease, since the others wait for term plus grace from a later time.

--- a/src/commands/fenced_lease.cc
+++ b/src/commands/fenced_lease.cc
@@ -24,7 +24,10 @@
     return;
   }
   const bool raised = era > era_;
-  held_in_era_before_ = held_ && now < held_->valid_until && era == era_ + 1;
+  no_wait_until_ = Instant{INT64_MIN};
+  if (held_ && !is_releasing() && now < held_->valid_until && era == era_ + 1) {
+    no_wait_until_ = held_->valid_until;
+  }
   era_ = era;
   era_since_ = known_since;
   if (!raised) {
@@ -69,23 +72,23 @@
 }
 
 LeaseStep FencedLease::next_not_held(Instant now) {
-  if (now < free_at()) {
+  if (const Instant free = free_at(now); now < free) {
     needs_read_ = true;
-    not_before_ = std::min(free_at(), now + settings_.poll_interval);
+    not_before_ = std::min(free, now + settings_.poll_interval);
     return LeaseWait{not_before_, true};
   }
   prepare_write(observed_->version, next_number(), false, now);
   return start_write();
 }
 
-Instant FencedLease::free_at() const {
+Instant FencedLease::free_at(Instant now) const {
   const auto& record = observed_->record;
   if (!observed_->version.is_absent() && !record) {
     // A value of unknown format may be the lease of another program version and is never taken
     // over.
     return observed_->first_read_at + Duration{INT64_MAX / 4};
   }
-  if (held_in_era_before_ && !(record && is_of_this_era(*record))) {
+  if (now < no_wait_until_ && !(record && is_of_this_era(*record))) {
     return Instant{INT64_MIN};
   }
   if (record && is_of_this_era(*record)) {
@@ -100,6 +103,10 @@
   return era_ == 0 ? Instant{INT64_MIN} : since + settings_.term + settings_.grace;
 }
 
+bool FencedLease::is_releasing() const {
+  return pending_write_ && pending_write_->record.holder.empty();
+}
+
 bool FencedLease::is_of_this_era(const Record& record) const {
   return FencingNumber::decode(record.fencing_number).era == FencingNumber::limit(era_);
 }
@@ -193,10 +200,10 @@
         .field("state", "held")
         .field("fence", number)
         .field("revision", to_string(version))
-        .field("era", era_);
+        .field("wait_ms", (now - era_since_).ms);
   }
   highest_known_ = number;
-  held_in_era_before_ = false;
+  no_wait_until_ = Instant{INT64_MIN};
   held_ = Held{version, number, written.first_sent_at + settings_.term / 2,
                written.first_sent_at + settings_.term};
 }
@@ -221,8 +228,7 @@
 }
 
 bool FencedLease::may_act(Instant now) const {
-  const bool releasing = pending_write_ && pending_write_->record.holder.empty();
-  return requested_ && !releasing && held_ && now + settings_.send_margin < held_->valid_until;
+  return requested_ && !is_releasing() && held_ && now + settings_.send_margin < held_->valid_until;
 }
 
 void FencedLease::report_stale(std::uint64_t highest) {
--- a/src/commands/fenced_lease.h
+++ b/src/commands/fenced_lease.h
@@ -13,7 +13,8 @@
 // 2. An object that was not written by an acquisition in the present era tells nothing of the
 //    holder. A process then waits for term plus grace from when it heard of the era: by then the
 //    last holder of an earlier era has stopped, also one that has heard nothing.
-// 3. The holder of the era before is the only one that need not wait.
+// 3. The holder of the era before need not wait until the end of its term, unless it has sent its
+//    release. Until then no other process can acquire the lease.
 // 4. The fencing number rises with the era, and no two holders can have the same.
 
 #ifndef BLUEBELLSTEP_COMMANDS_FENCED_LEASE_H_
@@ -80,7 +81,8 @@
    * only after every action under the lease has ended. `may_act` returns false from now on. */
   void release() { requested_ = false; }
 
-  /** Records the newest era of the store that this process knows of.
+  /** Records the newest era of the store that this process knows of. Call it before `next`, and
+   * before `on_read` and `on_write` with an answer that tells of the era.
    *
    * @param known_since  When the process first knew of it. */
   void record_era(std::uint64_t era, Instant known_since, Instant now);
@@ -141,7 +143,9 @@
   LeaseStep start_read();
   LeaseStep start_write();
   // Until when the lease may be held by another process, as far as the object tells.
-  Instant free_at() const;
+  Instant free_at(Instant now) const;
+  // Whether a release was sent, after which another process may hold the lease at any time.
+  bool is_releasing() const;
   // Whether the object was written by an acquisition, or its release, in the present era.
   bool is_of_this_era(const Record& record) const;
   std::uint64_t next_number() const;
@@ -160,8 +164,9 @@
   std::uint64_t highest_known_ = 0;   // Highest fencing number in an object or a report.
   std::uint64_t era_ = 0;             // The newest era of the store that is known.
   Instant era_since_{INT64_MIN / 2};  // When this process first knew of the era.
-  // This process held the lease when it heard of the era, and has not acquired it since.
-  bool held_in_era_before_ = false;
+  // Until when this process may acquire the lease without a wait: the end of the term in which it
+  // held the lease when it heard of the era. Later, another process may hold it.
+  Instant no_wait_until_{INT64_MIN};
   std::optional<Observed> observed_;
   std::optional<PendingWrite> pending_write_;
   std::optional<Held> held_;
--- a/src/commands/fenced_lease_test.cc
+++ b/src/commands/fenced_lease_test.cc
@@ -275,6 +275,50 @@
   CHECK(second.fencing_number() > first.fencing_number());
 }
 
+// Guards against two holders: the release took effect, and another process acquired the lease
+// before the restore.
+TEST_CASE("a holder that has sent its release waits after a restore", "[commands]") {
+  FencedLease lease = make_lease("a");
+  lease.record_era(1, Instant{-5000}, Instant{-5000});
+  std::optional<PlatformObject> stored;
+  REQUIRE(run_until_held(lease, stored, 1, Instant{0}, Instant{100}));
+  lease.release();
+  REQUIRE(std::holds_alternative<PlatformWrite>(lease.next(Instant{100})));
+  lease.on_write(PlatformUnavailable{}, Instant{200});
+  lease.acquire();
+  stored.reset();
+  lease.record_era(2, Instant{300}, Instant{300});
+  const auto held_at = run_until_held(lease, stored, 2, Instant{300}, Instant{5000});
+  REQUIRE(held_at);
+  CHECK(*held_at >= Instant{300} + kTerm + 300_ms);
+}
+
+// Guards against two holders: another process has acquired the lease in the new era, and a late
+// write has replaced its object, while the earlier holder was paused.
+TEST_CASE("the holder of the era before waits when its term has ended", "[commands]") {
+  FencedLease late = make_lease("c");
+  late.record_era(1, Instant{-5000}, Instant{-5000});
+  std::optional<PlatformObject> stored;
+  REQUIRE(run_until_held(late, stored, 1, Instant{-2000}, Instant{-1900}));
+  const PlatformObject late_object = *stored;
+
+  FencedLease lease = make_lease("a");
+  lease.record_era(1, Instant{-5000}, Instant{-5000});
+  stored.reset();
+  REQUIRE(run_until_held(lease, stored, 1, Instant{0}, Instant{100}));
+  lease.record_era(2, Instant{200}, Instant{200});
+
+  FencedLease other = make_lease("b");
+  other.record_era(2, Instant{200}, Instant{200});
+  stored.reset();
+  const auto other_at = run_until_held(other, stored, 2, Instant{200}, Instant{5000});
+  REQUIRE(other_at);
+  stored = PlatformObject{.key = late_object.key, .version = {7, 2}, .value = late_object.value};
+  const auto held_at = run_until_held(lease, stored, 2, *other_at + 10_ms, *other_at + 5000_ms);
+  REQUIRE(held_at);
+  CHECK_FALSE(other.may_act(*held_at));
+}
+
 // Guards against two holders with one number where the store does not tell of its restore.
 TEST_CASE("two holders never have the same number", "[commands]") {
   FencedLease first = make_lease("a");
