rollout_driver: Tell the lease of a restore before the answer that shows it

Cause: a holder that heard of the era by its own read of the lease passed the object to the lease first. The lease took its missing acquisition for a replacement and gave up the right to acquire again without a wait.

Change: the era is recorded before the answer is passed on.

The driver itself has no network-free test.

--- a/src/gateway/rollout_driver.cc
+++ b/src/gateway/rollout_driver.cc
@@ -78,6 +78,9 @@
   store_client_.send(std::move(call), [this, alive = std::weak_ptr<bool>(alive_),
                                        handler = std::move(handler)](platform::StoreAnswer answer) {
     if (!alive.expired()) {
+      // The lease must know the era of the answer before the answer itself: a holder that finds its
+      // acquisition missing first would take it for replaced by another one.
+      record_era(clock_.now());
       handler(answer);
       advance();
     }
@@ -131,12 +134,16 @@
   }
 }
 
-// Makes the lease's next platform call, if any. Returns whether the lease must be advanced again.
-bool RolloutDriver::advance_lease(Instant now) {
+void RolloutDriver::record_era(Instant now) {
   const StoreEra& era = store_client_.era();
   if (era.known_since()) {
     lease_.record_era(era.number(), *era.known_since(), now);
   }
+}
+
+// Makes the lease's next platform call, if any. Returns whether the lease must be advanced again.
+bool RolloutDriver::advance_lease(Instant now) {
+  record_era(now);
   return std::visit(
       Overloaded{[&](const PlatformRead& read) {
                    send_to_store(platform::read_call(settings_.store, platform::ObjectKind::kLeases,
--- a/src/gateway/rollout_driver.h
+++ b/src/gateway/rollout_driver.h
@@ -50,6 +50,8 @@
 
  private:
   void advance();
+  // Tells the lease the newest era of the store.
+  void record_era(Instant now);
   bool advance_lease(Instant now);
   void advance_rollout(Instant now);
   void request_report(const EngineCall& engine_call);
