--- a/src/commands/command_model_test.cc
+++ b/src/commands/command_model_test.cc
@@ -14,6 +14,7 @@
 #include "commands/command_dispatcher.h"
 #include "commands/weight_load_gate.h"
 #include "tests/support/event_queue.h"
+#include "tests/support/pausing_process.h"
 #include "tests/support/simulated_platform.h"
 
 namespace bluebellstep {
@@ -44,32 +45,6 @@
   return a.from < b.until && b.from < a.until;
 }
 
-/** A process with random pauses. Actions that are due during a pause run at its end. */
-class PausingProcess {
- public:
-  explicit PausingProcess(EventQueue& queue) : queue_(queue) {}
-
-  void pause(Duration duration) {
-    paused_until_ = std::max(paused_until_, queue_.now() + duration);
-  }
-
-  void after(Duration delay, std::function<void()> action) {
-    queue_.after(delay, [this, action = std::move(action)]() mutable { run(std::move(action)); });
-  }
-
- private:
-  void run(std::function<void()> action) {
-    if (queue_.now() < paused_until_) {
-      after(paused_until_ - queue_.now(), std::move(action));
-    } else {
-      action();
-    }
-  }
-
-  EventQueue& queue_;
-  Instant paused_until_;
-};
-
 /** Environment of both simulations: performs the platform calls of a state machine. */
 class Environment {
  public:
