service_rollout: Orders and decisions survive a restore of the store

Seen by callers: not shown.

Cause: an order was identified by its creation revision, which a restored store gives out anew when the operator writes the order again. A decision of a later era replaced the known one, also if it was the older one of the copy, and a missing one was written at the next change only.

Change: an order to the same version that is first seen in a later era continues the known one. A missing order, or the return of the one before, counts only after 10 s. Lost decisions are written again by whoever knows them, and the state of an order never goes back. Reports append the earlier creation revisions to their flags; other versions of the gateway ignore them.

--- a/src/commands/lease_restore_model_test.cc
+++ b/src/commands/lease_restore_model_test.cc
@@ -45,7 +45,7 @@
 }
 
 // The same on more seeds; takes minutes.
-TEST_CASE("a lease survives restores of its store, hunt", "[.lease_hunt]") {
+TEST_CASE("long hunt for violations of a lease across restores", "[.lease_hunt]") {
   const bool receiver_checks = GENERATE(false, true);
   CAPTURE(receiver_checks);
   const auto violation = first_violation({.receiver_checks = receiver_checks}, kHuntSeeds);
--- a/src/service_rollout/rollout_order.h
+++ b/src/service_rollout/rollout_order.h
@@ -4,6 +4,7 @@
 #ifndef BLUEBELLSTEP_SERVICE_ROLLOUT_ROLLOUT_ORDER_H_
 #define BLUEBELLSTEP_SERVICE_ROLLOUT_ROLLOUT_ORDER_H_
 
+#include <compare>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -22,7 +23,7 @@
   std::uint64_t created = 0;  // Revision of the store at the creation of the order's object.
   std::string to;             // The new software version.
 
-  bool operator==(const RolloutId&) const = default;
+  auto operator<=>(const RolloutId&) const = default;
 };
 
 /** Progress of a roll-out, as written to the store. */
--- a/src/service_rollout/service_rollout.cc
+++ b/src/service_rollout/service_rollout.cc
@@ -20,7 +20,11 @@
 
 void ServiceRollout::set_order(std::optional<RolloutOrder> order,
                                std::uint32_t slack_part,
+                               std::uint64_t era,
                                Instant now) {
+  if (keeps_lost_order(order, era, now)) {
+    return;
+  }
   if (!order) {
     order_.reset();
     trial_.reset();
@@ -31,7 +35,18 @@
   if (order_ && order->revision < order_->revision) {
     return;
   }
+  if (order_ && order_->id != order->id) {
+    if (continues(*order)) {
+      continue_with(order->id);
+    } else {
+      replaced_orders_.insert(order_->id);
+    }
+  }
   const bool is_new = !order_ || order_->id != order->id;
+  if (!is_new && is_terminal(order_->status)) {
+    // The restored store may have lost the status.
+    trial_->reported_state = std::max(trial_->reported_state, order_->status);
+  }
   order_ = std::move(order);
   if (is_new) {
     trial_.emplace(Trial{.seen_at = now,
@@ -44,11 +59,63 @@
   update_established();
 }
 
+bool ServiceRollout::continues(const RolloutOrder& order) const {
+  return order_ && order.id.to == order_->id.to && order.revision.era > order_->revision.era;
+}
+
+bool ServiceRollout::keeps_lost_order(const std::optional<RolloutOrder>& order,
+                                      std::uint64_t era,
+                                      Instant now) {
+  const bool lost =
+      order_ && era > order_->revision.era && (!order || replaced_orders_.contains(order->id));
+  if (!lost) {
+    order_lost_since_.reset();
+    return false;
+  }
+  order_lost_since_ = order_lost_since_.value_or(now);
+  return now < *order_lost_since_ + kLostOrderTime;
+}
+
+void ServiceRollout::continue_with(const RolloutId& id) {
+  LogEvent("rollout_order_rewritten")
+      .field("service", service_)
+      .field("to", id.to)
+      .field("created", id.created)
+      .field("created_before", order_->id.created);
+  trial_->earlier_created.insert(order_->id.created);
+  if (decision_matches()) {
+    decision_.id = id;
+    decision_lost_ = true;
+  }
+  order_->id = id;
+}
+
 void ServiceRollout::set_decision(const RolloutDecision& decision) {
-  if (decision.revision >= decision_.revision) {
-    decision_ = decision;
-    update_established();
+  if (decision.revision < decision_.revision ||
+      (decision_lost_ && decision.revision == decision_.revision)) {
+    return;
+  }
+  const bool restored = decision.revision.era > decision_era_;
+  decision_era_ = decision.revision.era;
+  const bool of_new_order = order_ && decision.id == order_->id && !decision_matches();
+  const bool is_older =
+      decision.id == decision_.id ? decision.state < decision_.state : restored && !of_new_order;
+  if (is_older && decision_.state != RolloutState::kNone) {
+    // The store has lost a later decision, on which gateways have acted.
+    decision_.revision = decision.revision;
+    decision_lost_ = true;
+    return;
   }
+  decision_ = decision;
+  decision_lost_ = false;
+  update_established();
+}
+
+void ServiceRollout::on_decision_removed(std::uint64_t era) {
+  decision_lost_ =
+      decision_lost_ || (era > decision_era_ && decision_.state != RolloutState::kNone);
+  decision_era_ = std::max(decision_era_, era);
+  decision_.revision = {};
 }
 
 void ServiceRollout::set_registered_versions(VersionNames versions) {
@@ -212,8 +279,15 @@
   return sum;
 }
 
+// Also whether one of the two gateways knows the order as it was written again.
+bool ServiceRollout::is_of_order(const VersionReport& report) const {
+  return report.id.to == order_->id.to && (report.id.created == order_->id.created ||
+                                           report.earlier_created.contains(order_->id.created) ||
+                                           trial_->earlier_created.contains(report.id.created));
+}
+
 void ServiceRollout::on_report(const VersionReport& report, Instant now) {
-  if (!order_ || report.id != order_->id || report.gateway == gateway_ ||
+  if (!order_ || !is_of_order(report) || report.gateway == gateway_ ||
       !trial_->evidence.apply(report, now)) {
     return;
   }
@@ -403,6 +477,9 @@
 
 std::optional<RolloutWrite> ServiceRollout::wanted_write(const VersionNames& gateways,
                                                          Instant now) {
+  if (decision_lost_ && (!order_ || decision_matches() || is_terminal(order_->status))) {
+    return RolloutWrite{.decision = decision_, .reason = "store_restored"};
+  }
   if (!order_) {
     const bool unfinished =
         decision_.state == RolloutState::kRunning || decision_.state == RolloutState::kAccepted;
@@ -465,6 +542,9 @@
 }
 
 bool ServiceRollout::active() const {
+  if (decision_lost_) {
+    return true;
+  }
   if (order_) {
     return !is_terminal(order_->status);
   }
@@ -479,6 +559,7 @@
     report.state = state();
     report.rolls_back = trial_->rolls_back;
     report.old_in_flight = old_in_flight();
+    report.earlier_created = trial_->earlier_created;
     report.outcomes = trial_->evidence.own();
   }
   return report;
--- a/src/service_rollout/service_rollout.h
+++ b/src/service_rollout/service_rollout.h
@@ -7,6 +7,11 @@
 // therefore evaluates the same outcomes and stops by itself; one of them writes the decision, and
 // the conditional write of the store excludes all others.
 //
+// A store that was restored from an older copy may have lost the order and the decision, or have
+// earlier ones again. The order is then kept for some time, until the operator has written it
+// again, with another creation revision. The decision is written again by the gateways that know
+// it.
+//
 // Phases, by share of the time from the order to its deadline: a small part of the requests, then
 // (trial) all requests until the allowance is used up, then the decision.
 
@@ -17,6 +22,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -65,6 +71,9 @@
   static constexpr Duration kDelayPerRank{400};
   /** An order that is missing for this long was withdrawn. */
   static constexpr Duration kWithdrawalDelay{2000};
+  /** An order that a restored store does not have is kept for this long. Operators write within
+   * some seconds again what was lost. */
+  static constexpr Duration kLostOrderTime{10'000};
 
   /** @param gateway  Name of this gateway. */
   ServiceRollout(std::string service, std::string gateway, RolloutLimits limits)
@@ -73,12 +82,16 @@
   /** Sets the order; nothing if there is none. Earlier revisions of the known order are ignored.
    *
    * @param slack_part  This gateway's part of the slack; 0 for an order found at the start.
+   * @param era         Of the store that told of the order, or that has none.
    */
-  void set_order(std::optional<RolloutOrder> order, std::uint32_t slack_part, Instant now);
+  void set_order(std::optional<RolloutOrder> order,
+                 std::uint32_t slack_part,
+                 std::uint64_t era,
+                 Instant now);
   /** Sets the decision as it is in the store. Earlier revisions are ignored. */
   void set_decision(const RolloutDecision& decision);
   /** The decision's object is missing. The next write creates it; what was decided remains. */
-  void on_decision_removed() { decision_.revision = {}; }
+  void on_decision_removed(std::uint64_t era);
   /** Sets the versions of the registered upstreams. */
   void set_registered_versions(VersionNames versions);
   /** Takes in the report of another gateway. */
@@ -142,11 +155,20 @@
     bool rolls_back = false;   // Never reset: a version is not tried again.
     // The ordered version is the only one in use, so there is nothing to compare or to limit.
     bool is_present_version = false;
-    RolloutState reported_state = RolloutState::kNone;  // The most advanced of all reports.
-    std::string_view reason;                            // Of `rolls_back`.
+    // The most advanced of all reports and of the known status.
+    RolloutState reported_state = RolloutState::kNone;
+    std::string_view reason;  // Of `rolls_back`.
     VersionVerdict verdict;
+    // Creation revisions of the order before it was written again to a restored store.
+    std::set<std::uint64_t> earlier_created;
   };
 
+  // Whether `order`, which is not the known one, is the known one that was written again.
+  bool continues(const RolloutOrder& order) const;
+  // Whether the restored store, in `era`, has lost the known order, so that it is kept.
+  bool keeps_lost_order(const std::optional<RolloutOrder>& order, std::uint64_t era, Instant now);
+  void continue_with(const RolloutId& id);
+  bool is_of_order(const VersionReport& report) const;
   bool decision_matches() const { return order_ && decision_.id == order_->id; }
   bool is_rejected(std::string_view version) const;
   void update_established();
@@ -175,6 +197,11 @@
   std::optional<RolloutOrder> order_;
   std::optional<Trial> trial_;  // Set if `order_` is.
   RolloutDecision decision_;
+  // The decision must be written again, since a restored store has lost it.
+  bool decision_lost_ = false;
+  std::uint64_t decision_era_ = 0;       // Of the store that told of the decision last.
+  std::set<RolloutId> replaced_orders_;  // Orders before the present one.
+  std::optional<Instant> order_lost_since_;
   std::optional<Instant> order_missing_since_;
   VersionNames registered_versions_;
   // Versions that receive requests without an order. Never empty once an upstream was registered
--- a/src/service_rollout/service_rollout_driver.cc
+++ b/src/service_rollout/service_rollout_driver.cc
@@ -80,7 +80,7 @@
       rollouts_.set_cold_time(name, config->find_service(name)->cold_time);
     }
   }
-  rollouts_.set_orders(orders, now);
+  rollouts_.set_orders(orders, replica.revision().era, now);
 }
 
 void ServiceRolloutDriver::read_decisions() {
@@ -97,7 +97,7 @@
       decisions.emplace(name, std::move(std::get<RolloutDecision>(decoded)));
     }
   }
-  rollouts_.set_decisions(decisions);
+  rollouts_.set_decisions(decisions, replica.revision().era);
 }
 
 bool ServiceRolloutDriver::store_current(Instant now) const {
--- a/src/service_rollout/service_rollout_test.cc
+++ b/src/service_rollout/service_rollout_test.cc
@@ -41,8 +41,8 @@
     for (const std::string& name : names_) {
       gateways_.push_back(make_gateway(name, kStart - 60_s));
       gateways_.back().rollouts->set_registered_versions({{"s", {"v1"}}});
-      gateways_.back().rollouts->set_orders({}, kStart);
-      gateways_.back().rollouts->set_decisions({});
+      gateways_.back().rollouts->set_orders({}, 0, kStart);
+      gateways_.back().rollouts->set_decisions({}, 0);
     }
   }
 
@@ -185,11 +185,11 @@
 
   void refresh(Gateway& gateway) {
     if (order) {
-      gateway.rollouts->set_orders({{"s", *order}}, now);
+      gateway.rollouts->set_orders({{"s", *order}}, 0, now);
     } else {
-      gateway.rollouts->set_orders({}, now);
+      gateway.rollouts->set_orders({}, 0, now);
     }
-    gateway.rollouts->set_decisions({{"s", decision}});
+    gateway.rollouts->set_decisions({{"s", decision}}, 0);
   }
 
   void exchange() {
@@ -452,10 +452,10 @@
   rollouts.set_registered_versions({{"s", {"v1", "v2"}}, {"t", {"v1"}}});
   CHECK_FALSE(rollouts.allows("s", "v1"));
   CHECK(rollouts.allows("t", "v1"));
-  rollouts.set_orders({}, kStart);
+  rollouts.set_orders({}, 0, kStart);
   CHECK_FALSE(rollouts.allows("s", "v1"));
   rollouts.set_decisions(
-      {{"s", {.id = {.created = 1, .to = "v2"}, .state = kRolledBack, .revision = {2}}}});
+      {{"s", {.id = {.created = 1, .to = "v2"}, .state = kRolledBack, .revision = {2}}}}, 0);
   CHECK(rollouts.allows("s", "v1"));
   CHECK_FALSE(rollouts.allows("s", "v2"));
 }
@@ -468,8 +468,8 @@
   ServiceRollouts rollouts("g1", kLimits, quota);
   const RolloutOrder order{.id = {.created = 1, .to = "v2"}, .duration = 12_s, .revision = {1}};
   rollouts.set_registered_versions({{"s", {"v1", "v2"}}});
-  rollouts.set_decisions({});
-  rollouts.set_orders({{"s", order}}, kStart);
+  rollouts.set_decisions({}, 0);
+  rollouts.set_orders({{"s", order}}, 0, kStart);
   for (int i = 0; i < 1000; ++i) {
     rollouts.record_sent("s", "v1");
   }
--- a/src/service_rollout/service_rollouts.cc
+++ b/src/service_rollout/service_rollouts.cc
@@ -28,25 +28,28 @@
                                   : 0;
 }
 
-void ServiceRollouts::set_orders(const ByService<RolloutOrder>& orders, Instant now) {
+void ServiceRollouts::set_orders(const ByService<RolloutOrder>& orders,
+                                 std::uint64_t era,
+                                 Instant now) {
   for (auto& [service, rollout] : rollouts_) {
     if (!orders.contains(service)) {
-      rollout.set_order(std::nullopt, 0, now);
+      rollout.set_order(std::nullopt, 0, era, now);
     }
   }
   for (const auto& [service, order] : orders) {
-    at(service).set_order(order, slack_part(service, now), now);
+    at(service).set_order(order, slack_part(service, now), era, now);
   }
   orders_set_ = true;
 }
 
-void ServiceRollouts::set_decisions(const ByService<RolloutDecision>& decisions) {
+void ServiceRollouts::set_decisions(const ByService<RolloutDecision>& decisions,
+                                    std::uint64_t era) {
   for (const auto& [service, decision] : decisions) {
     at(service).set_decision(decision);
   }
   for (auto& [service, rollout] : rollouts_) {
     if (!decisions.contains(service)) {
-      rollout.on_decision_removed();
+      rollout.on_decision_removed(era);
     }
   }
   decisions_set_ = true;
@@ -67,7 +70,7 @@
 void ServiceRollouts::update_order(std::string_view service,
                                    const RolloutOrder& order,
                                    Instant now) {
-  at(service).set_order(order, slack_part(service, now), now);
+  at(service).set_order(order, slack_part(service, now), order.revision.era, now);
 }
 
 void ServiceRollouts::update_decision(std::string_view service, const RolloutDecision& decision) {
--- a/src/service_rollout/service_rollouts.h
+++ b/src/service_rollout/service_rollouts.h
@@ -28,9 +28,11 @@
       : gateway_(std::move(gateway)), limits_(limits), quota_(quota) {}
 
   /** Sets the complete lists of orders and decisions. The first list of orders has orders that were
-   * given at an unknown time before. */
-  void set_orders(const ByService<RolloutOrder>& orders, Instant now);
-  void set_decisions(const ByService<RolloutDecision>& decisions);
+   * given at an unknown time before.
+   *
+   * @param era  Of the store that has these lists. */
+  void set_orders(const ByService<RolloutOrder>& orders, std::uint64_t era, Instant now);
+  void set_decisions(const ByService<RolloutDecision>& decisions, std::uint64_t era);
   /** Sets the versions of the registered upstreams of all services. */
   void set_registered_versions(const ByService<VersionNames>& versions);
 
--- a/src/service_rollout/version_evidence.cc
+++ b/src/service_rollout/version_evidence.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kMinFields = 11;
 // Position of the first bucket in the outcomes of a route and version.
 constexpr std::size_t kFirstBucket = 4;
+// Position of the creation revisions of earlier writes of the order, after the flags.
+constexpr std::size_t kFirstEarlierCreated = 2;
 // A report with more entries is not one of a gateway.
 constexpr std::size_t kMaxEntries = 1000;
 
@@ -94,12 +96,15 @@
       encode_outcomes(route, phase, true, entry.new_version, outcomes);
     }
   }
+  Json flags{report.rolls_back, report.old_in_flight};
+  for (const std::uint64_t created : report.earlier_created) {
+    flags.push_back(created);
+  }
   std::string out;
-  Json::to_msgpack(
-      Json{kTag, report.gateway, report.incarnation, report.sequence, report.service,
-           report.id.created, report.id.to, report.elapsed.ms, static_cast<int>(report.state),
-           Json{report.rolls_back, report.old_in_flight}, std::move(outcomes)},
-      out);
+  Json::to_msgpack(Json{kTag, report.gateway, report.incarnation, report.sequence, report.service,
+                        report.id.created, report.id.to, report.elapsed.ms,
+                        static_cast<int>(report.state), std::move(flags), std::move(outcomes)},
+                   out);
   return out;
 }
 
@@ -131,6 +136,9 @@
     report.state = static_cast<RolloutState>(state);
     report.rolls_back = json->at(9).at(0).get<bool>();
     report.old_in_flight = json->at(9).at(1).get<std::uint64_t>();
+    for (std::size_t i = kFirstEarlierCreated; i < json->at(9).size(); ++i) {
+      report.earlier_created.insert(json->at(9).at(i).get<std::uint64_t>());
+    }
     for (const Json& entry : json->at(10)) {
       decode_outcomes(entry, report.outcomes);
     }
--- a/src/service_rollout/version_evidence.h
+++ b/src/service_rollout/version_evidence.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -60,6 +61,8 @@
   bool rolls_back = false;                   // The gateway's verdict, or one that it was told.
   std::uint64_t old_in_flight = 0;           // Requests at servers of other versions.
   PhaseOutcomes outcomes;                    // Since the gateway learned of the order.
+  // Creation revisions of the order before it was written again to a restored store.
+  std::set<std::uint64_t> earlier_created;
 };
 
 /** Encodes a report as a datagram. */
--- a/src/service_rollout/version_exposure_test.cc
+++ b/src/service_rollout/version_exposure_test.cc
@@ -68,15 +68,15 @@
     gateway.quota->set_registered(gateway.names);
     gateway.rollouts = std::make_unique<ServiceRollouts>(name, kLimits, *gateway.quota);
     gateway.rollouts->set_registered_versions({{"s", {"v1", "v2"}}});
-    gateway.rollouts->set_decisions({});
+    gateway.rollouts->set_decisions({}, 0);
     if (now < kStart) {
-      gateway.rollouts->set_orders({}, now);
+      gateway.rollouts->set_orders({}, 0, now);
     }
   }
 
   void learn_order(std::size_t index, Instant now) {
     Gateway& gateway = gateways_[index];
-    gateway.rollouts->set_orders({{"s", kOrder}}, now);
+    gateway.rollouts->set_orders({{"s", kOrder}}, 0, now);
     if (random_.chance(0.8)) {
       gateway.rollouts->update_decision(
           "s", {.id = kOrder.id, .state = RolloutState::kRunning, .revision = {8}});
