--- a/tests/support/simulated_platform.h
+++ b/tests/support/simulated_platform.h
@@ -20,7 +20,7 @@
 /** Stores objects, and answers reads and conditional writes after random delays. */
 class SimulatedPlatform {
  public:
-  /** Share of calls whose answer is lost while the platform is up. */
+  /** Default share of calls whose answer is lost while the platform is up. */
   static constexpr double kLostAnswerShare = 0.15;
 
   explicit SimulatedPlatform(EventQueue& queue) : queue_(queue) {}
@@ -31,6 +31,9 @@
     outage_end_ = until;
   }
 
+  /** Sets the share of calls whose answer is lost while the platform is up. */
+  void set_lost_answer_share(double share) { lost_answer_share_ = share; }
+
   /** Sets whether answers state the era. */
   void set_states_era(bool states_era) { states_era_ = states_era; }
 
@@ -68,18 +71,18 @@
   void call(const PlatformWrite& write, std::function<void(const WriteAnswer&)> on_answer) {
     if (should_answer()) {
       queue_.after(queue_.random_duration(1, 20), [=, this] {
-        queue_.after(queue_.random_duration(1, 20),
-                     [on_answer, answer = WriteAnswer{apply(write), stated_era()}] {
-                       on_answer(answer);
-                     });
+        queue_.after(
+            queue_.random_duration(1, 20),
+            [on_answer, answer = WriteAnswer{apply(write), stated_era()}] { on_answer(answer); });
       });
       return;
     }
     if (queue_.random().chance(0.6)) {  // May take effect long after `on_answer` was called.
       queue_.after(queue_.network_delay(), [=, this] { apply(write); });
     }
-    queue_.after(queue_.random_duration(50, 500),
-                 [=] { on_answer({PlatformUnavailable{}, std::nullopt}); });
+    queue_.after(queue_.random_duration(50, 500), [=] {
+      on_answer({PlatformUnavailable{}, std::nullopt});
+    });
   }
 
   /** Passes the object, or nothing if it does not exist, to `on_answer`; `PlatformUnavailable` if
@@ -119,7 +122,7 @@
   // Decides at random whether a call that starts now gets an answer.
   bool should_answer() {
     const bool down = queue_.now() >= outage_start_ && queue_.now() < outage_end_;
-    return !down && !queue_.random().chance(kLostAnswerShare);
+    return !down && !queue_.random().chance(lost_answer_share_);
   }
 
   std::optional<std::uint64_t> stated_era() const {
@@ -142,6 +145,7 @@
   EventQueue& queue_;
   Instant outage_start_;
   Instant outage_end_;
+  double lost_answer_share_ = kLostAnswerShare;
   bool states_era_ = true;
   std::uint64_t era_ = 0;
   std::uint64_t last_version_ = 0;
