overload: Let streams that are taken up wait longer than new ones

Admission judged them like new streams, by the latency goal of a first event, of which a large prompt leaves little for the queue. Such a stream is now sent if its next event is expected within 1.5 goals.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -154,6 +154,7 @@
       // A request that may have run is not refused any more.
       .latency_goal = request.possible_runs > 0 ? Duration{0} : request.route->latency_goal,
       .time_left = time_left(request, clock_.now()),
+      .resumes = request.route->resumable && request.caller.last_event_id.has_value(),
       .tie_breaker = hash64(request.caller.request_id),
       .excluded_ids = request.tried_upstreams};
   if (request.versions_matter) {
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -193,7 +193,8 @@
       .own_ms = estimate.speed_factor * work_ms + estimate.own.fetch_ms,
       .latency_goal = query.latency_goal,
       .urgent_goal = is_urgent ? std::nullopt : std::optional(query.service->urgent_latency_goal),
-      .time_left = query.time_left};
+      .time_left = query.time_left,
+      .resumes = query.resumes};
 }
 
 // Whether under half of an engine's slots are taken and nothing waits there. Engines prefill one
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -77,6 +77,7 @@
   std::int64_t priority = 0;  // Of the account or else of the route; 0 is the most urgent.
   Duration latency_goal{0};   // 0 if the request is sent whatever the load is.
   Duration time_left{0};      // Until the deadline of the request.
+  bool resumes = false;       // The caller takes a stream up.
   // Hash of the request's id. Orders upstreams with nearly equal scores.
   std::uint64_t tie_breaker = 0;
   std::span<const std::string> excluded_ids;  // Upstreams that were already tried.
--- a/src/overload/admission_control.h
+++ b/src/overload/admission_control.h
@@ -26,6 +26,8 @@
   // Under half of the engine's slots are taken and nothing waits there, as far as is known. Such an
   // engine is refused to no request that can be answered before its deadline.
   bool has_idle_slots = false;
+  // The caller has got the first part of the answer and takes the stream up.
+  bool resumes = false;
 };
 
 /** Limits queues by the latency goals of requests. */
@@ -39,6 +41,10 @@
   /** A queue of this length is accepted in any case, so that prompts whose own prefill takes as
    * long as the goal are not starved by others. */
   static constexpr double kMinQueueMs = 120;
+  /** A stream that a caller takes up is sent if its next event is expected within this multiple of
+   * the latency goal. Its caller waits longer than for a first event, and often no other engine may
+   * continue it; see docs/design/stream-versions.md. */
+  static constexpr double kResumedGoalMultiple = 1.5;
   /** Part of the time left within which the first event must be expected. */
   static constexpr double kMaxTimeLeftShare = 0.8;
   static constexpr Duration kMinRetryDelay{300};
@@ -47,6 +53,10 @@
   /** Returns the longest queue with which a request is sent, in ms. */
   static double max_queue_ms(const AdmissionInputs& inputs);
 
+  /** Returns the same for a stream that a caller takes up, except for the deadline; 0 for others.
+   */
+  static double resumed_queue_ms(const AdmissionInputs& inputs);
+
   /** Returns nothing if the request is sent. Otherwise it is refused, and the result is the time
    * after which the queue is expected to be short enough. */
   static std::optional<Duration> retry_delay(const AdmissionInputs& inputs);
--- a/src/overload/overload_policy.cc
+++ b/src/overload/overload_policy.cc
@@ -80,7 +80,7 @@
   const double by_deadline =
       AdmissionControl::kMaxTimeLeftShare * static_cast<double>(inputs.time_left.ms) -
       inputs.own_ms;
-  return std::min(by_goal, by_deadline);
+  return std::min(std::max(by_goal, AdmissionControl::resumed_queue_ms(inputs)), by_deadline);
 }
 
 std::optional<Duration> OverloadPolicy::retry_delay(const AdmissionInputs& inputs,
--- a/src/overload/overload_policy.h
+++ b/src/overload/overload_policy.h
@@ -68,6 +68,7 @@
  * - Callers are asked to return after as long as the overload has lasted already, within the time
  *   that they wait.
  *
+ * - A stream that a caller takes up may wait as long as without refusals.
  * - Sizes of prompts that are sent much less often than others of their kind may wait longer.
  *
  * An engine with idle slots is refused to no request that can be answered before its deadline.
--- a/src/overload/overload_policy_test.cc
+++ b/src/overload/overload_policy_test.cc
@@ -56,6 +56,16 @@
     short_queue.inputs.time_left = Duration{5000};
     CHECK(short_queue.sent());
 
+    // Guards against a stream that was begun and is refused while engines could still continue it
+    // in time.
+    Case resumed = overloaded;
+    resumed.inputs.resumes = true;
+    const double goal_ms = static_cast<double>(inputs.latency_goal.ms);
+    const bool in_resumed_goal =
+        inputs.queue_ms + inputs.own_ms <= AdmissionControl::kResumedGoalMultiple * goal_ms;
+    CHECK((!overloaded.sent() || resumed.sent()));
+    CHECK((!in_resumed_goal || !in_time_left || resumed.sent()));
+
     // Guards against an urgent request that is refused while a less urgent one with the same work
     // is sent.
     Case urgent = overloaded;
