state_synchronizer: Ask another gateway for what it retains after a restore

What callers saw (supposed, not in the record): requests from a gateway to an upstream that leaves, after a restore, since only the other gateways had heard of the leaving.

--- a/src/gateway/restored_store_test.cc
+++ b/src/gateway/restored_store_test.cc
@@ -59,11 +59,13 @@
   /** Replaces all objects. A later era ends the watches of the earlier one. */
   void set(std::uint64_t era, std::uint64_t revision, Objects objects) {
     loop_.run_and_wait([&] {
-      era_ = era;
+      const bool ends_watches = era != std::exchange(era_, era);
       revision_ = revision;
       objects_ = std::move(objects);
-      for (const ExchangeId watch : std::exchange(watches_, {})) {
-        server_.respond(watch, 410, headers(), "");
+      if (ends_watches) {
+        for (const ExchangeId watch : std::exchange(watches_, {})) {
+          server_.respond(watch, 410, headers(), "");
+        }
       }
     });
   }
@@ -320,4 +322,25 @@
   CHECK(wait_until([&] { return started.has_config(8); }));
 }
 
+// Guards against requests from a gateway that heard of none of the lost changes before the restore.
+TEST_CASE_METHOD(Fixture,
+                 "a gateway that missed the lost changes learns of them from another one",
+                 "[gateway][retained]") {
+  store.set(3, 10, copy);
+  GatewayUnderTest late("h", stand_in_loop, store.endpoint(), {});
+  REQUIRE(late.received(3));
+  store.set(3, 30, before);
+  GatewayUnderTest informed("g", stand_in_loop, store.endpoint(), {});
+  REQUIRE(informed.received(3));
+  late.loop.run_and_wait([&] { late.synchronizer->set_first_peers({informed.endpoint()}); });
+  CHECK(late.uses("draining"));
+  store.set(4, 10, copy);
+  REQUIRE(late.received(4));
+  REQUIRE(informed.received(4));
+  CHECK(wait_until([&] {
+    return !late.uses("draining") && !late.uses("removed") && !late.uses("in-b") &&
+           late.has_config(8);
+  }));
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -174,6 +174,9 @@
   }
   // Their objects are outdated until the list.
   follower_polls_.answer_all();
+  // Another gateway may have heard of changes that the store has lost. It tells what it retains of
+  // them once it has listed the objects.
+  run_after(spread + kTaskInterval, [this] { query_peer(); });
 }
 
 void StateSynchronizer::run_after(Duration delay, std::function<void()> task) {
