state_synchronizer: Log the source of each change

object_changed and store_list_taken tell whether a list, a watch or a peer told of a change, so that a log shows why an upstream counts as present. The age of what a peer tells is not logged: StoreWatcher does not know it.

--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -230,7 +230,8 @@
         .field("name", change.object.name)
         .field("revision", to_string(change.object.revision))
         .field("removed", change.removed)
-        .field("restored", restored);
+        .field("restored", restored)
+        .field("source", find_watcher(kind)->change_source());
     if (kind == ObjectKind::kUpstreams) {
       on_upstream(change);
     } else if (kind == ObjectKind::kTargetWeights && !change.removed) {
--- a/src/gateway/state_synchronizer_restore_test.cc
+++ b/src/gateway/state_synchronizer_restore_test.cc
@@ -14,6 +14,7 @@
 #include "http/http_server.h"
 #include "http/socket_address.h"
 #include "tests/process/child_process.h"
+#include "tests/support/log_capture.h"
 #include "tests/support/restorable_store.h"
 
 namespace bluebellstep {
@@ -146,6 +147,11 @@
     REQUIRE(eventually([&] { return g2.following(); }));
     REQUIRE(g2.has(1, {"o1", "o2"}));
   }
+  StoreRevision revision_of(const std::string& upstream) {
+    return g1.on_loop([&] {
+      return g1.synchronizer->replica(ObjectKind::kUpstreams).objects().at(upstream).revision;
+    });
+  }
   /** Restores the store of one gateway; upstream `added` is written in each new era. */
   void restore(GatewayStore& store, int times) {
     for (int i = 0; i < times; ++i) {
@@ -250,6 +256,22 @@
   CHECK(g1.has(2, kRestored));
 }
 
+// Guards against logs that don't tell from whom a gateway knows of an upstream.
+TEST_CASE_METHOD(TwoGatewaysFixture, "the log tells the source of each change", "[gateway]") {
+  const LogCapture log;
+  const auto lines = [&](const std::string& name, const std::string& source) {
+    return log.count("event=object_changed kind=upstreams name=" + name +
+                     " revision=" + to_string(revision_of(name)) +
+                     " removed=false restored=false source=" + source);
+  };
+  start_both();
+  CHECK(lines("o1", "list") == 2);
+  store_1.put_upstream("o3");
+  REQUIRE(eventually([&] { return g2.upstreams().contains("o3"); }));
+  CHECK(lines("o3", "watch") == 1);
+  CHECK(lines("o3", "peer") == 1);
+}
+
 // Guards against a gateway that starts with the objects of a lost history and keeps them.
 TEST_CASE_METHOD(TwoGatewaysFixture,
                  "a gateway that starts while the store is away ends in the newest era",
--- a/src/gateway/store_watcher.cc
+++ b/src/gateway/store_watcher.cc
@@ -111,7 +111,7 @@
   reachable_ = true;
   can_watch_ = true;
   listing_ = false;
-  replace(std::exchange(listed_objects_, {}), *list_revision_, "store");
+  replace(std::exchange(listed_objects_, {}), *list_revision_, "list");
   notify_current();
   listener_.on_call_ended(true);
   watch(watch_wait_);
@@ -153,7 +153,7 @@
                           reachable_ = true;
                           listener_.on_call_ended(true);
                           const bool changed = !changes.changes.empty();
-                          notify_changes(replica_.apply(std::move(changes)));
+                          notify_changes(replica_.apply(std::move(changes)), "watch");
                           notify_current();
                           if (changed) {
                             run_after(batch_delay(), [this] { watch(watch_wait_); });
@@ -218,7 +218,7 @@
 
 void StoreWatcher::apply_changes(platform::ObjectChanges changes,
                                  std::span<const RevisionGap> gaps) {
-  notify_changes(replica_.apply(std::move(changes), gaps));
+  notify_changes(replica_.apply(std::move(changes), gaps), "peer");
 }
 
 void StoreWatcher::replace(std::vector<platform::StoredObject> objects,
@@ -236,7 +236,7 @@
       .field("objects", static_cast<std::uint64_t>(listed))
       .field("changes", static_cast<std::uint64_t>(changes.size()))
       .field("taken", replica_.revision() == revision);
-  notify_changes(std::move(changes), restored);
+  notify_changes(std::move(changes), source, restored);
 }
 
 void StoreWatcher::notify_current() const {
@@ -245,7 +245,10 @@
   }
 }
 
-void StoreWatcher::notify_changes(ObjectReplica::Changes changes, bool restored) {
+void StoreWatcher::notify_changes(ObjectReplica::Changes changes,
+                                  std::string_view source,
+                                  bool restored) {
+  change_source_ = source;
   if (!changes.empty() || restored) {
     listener_.on_changes(std::move(changes), restored);
   }
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -96,6 +96,8 @@
 
   /** The objects as last received. */
   const ObjectReplica& replica() const { return replica_; }
+  /** Where the last changes of the replica came from: `list`, `watch` or `peer`. */
+  std::string_view change_source() const { return change_source_; }
   platform::ObjectKind kind() const { return kind_; }
 
  private:
@@ -107,7 +109,9 @@
   void retry();
   Duration batch_delay() const;
   void notify_current() const;
-  void notify_changes(ObjectReplica::Changes changes, bool restored = false);
+  void notify_changes(ObjectReplica::Changes changes,
+                      std::string_view source,
+                      bool restored = false);
   void replace(std::vector<platform::StoredObject> objects,
                const StoreRevision& revision,
                std::string_view source);
@@ -126,6 +130,7 @@
   platform::ObjectKind kind_;
   Listener listener_;
   ObjectReplica replica_;
+  std::string_view change_source_;
   // A watch may start from the replica's revision. If not, the objects must be listed first.
   bool can_watch_ = false;
   bool listing_ = false;  // A list is in progress.
