--- a/src/gateway/state_synchronizer_restore_test.cc
+++ b/src/gateway/state_synchronizer_restore_test.cc
@@ -3,11 +3,13 @@
 // played.
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "gateway/state_synchronizer.h"
@@ -26,6 +28,8 @@
 constexpr Duration kPatience{8000};
 constexpr const char* kUpstream =
     R"({"service":"s","zone":"a","address":"127.0.0.1:9","slots":4,"state":"ready"})";
+constexpr const char* kLeavingUpstream =
+    R"({"service":"s","zone":"a","address":"127.0.0.1:9","slots":4,"state":"draining"})";
 
 bool eventually(const std::function<bool()>& condition) {
   return testing::wait_until(kPatience, condition);
@@ -256,6 +260,29 @@
   CHECK(g1.has(2, kRestored));
 }
 
+// Guards against requests to an upstream that has left, after an outage of the store without a
+// restore: a peer that heard of the leaving report passes on only that the upstream is gone, which
+// looks like a registration that expired in the outage.
+TEST_CASE_METHOD(TwoGatewaysFixture,
+                 "a gateway that regains the store after its peer drops an upstream that has left",
+                 "[gateway][leaving]") {
+  constexpr Duration kOutage{2600};  // Registrations may have expired.
+  constexpr Duration kLater{700};
+  start_both();
+  for (GatewayStore* store : {&store_1, &store_2}) {
+    store->cut();
+    store->put("servers", "o1", kLeavingUpstream);
+    store->remove("servers", "o1");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(kOutage.ms));
+  store_1.reconnect();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLater.ms));
+  store_2.reconnect();
+  REQUIRE(eventually([&] { return g1.has(1, {"o2"}) && g2.has(1, {"o2"}); }));
+  CHECK_FALSE(g1.on_loop([&] { return g1.pool.contains("o1"); }));
+  CHECK_FALSE(g2.on_loop([&] { return g2.pool.contains("o1"); }));
+}
+
 // Guards against logs that don't tell from whom a gateway knows of an upstream.
 TEST_CASE_METHOD(TwoGatewaysFixture, "the log tells the source of each change", "[gateway]") {
   const LogCapture log;
