--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -246,7 +246,8 @@
         .field("name", change.object.name)
         .field("revision", to_string(change.object.revision))
         .field("removed", change.removed)
-        .field("restored", restored);
+        .field("restored", restored)
+        .field("source", find_watcher(kind)->change_source());
     if (kind == ObjectKind::kUpstreams) {
       on_upstream(change);
     } else if (kind == ObjectKind::kTargetWeights && !change.removed) {
--- a/src/gateway/state_synchronizer_restore_test.cc
+++ b/src/gateway/state_synchronizer_restore_test.cc
@@ -3,17 +3,20 @@
 // played.
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "gateway/state_synchronizer.h"
 #include "http/http_server.h"
 #include "http/socket_address.h"
 #include "tests/process/child_process.h"
+#include "tests/support/log_capture.h"
 #include "tests/support/restorable_store.h"
 
 namespace bluebellstep {
@@ -25,6 +28,8 @@
 constexpr Duration kPatience{8000};
 constexpr const char* kUpstream =
     R"({"service":"s","zone":"a","address":"127.0.0.1:9","slots":4,"state":"ready"})";
+constexpr const char* kLeavingUpstream =
+    R"({"service":"s","zone":"a","address":"127.0.0.1:9","slots":4,"state":"draining"})";
 
 bool eventually(const std::function<bool()>& condition) {
   return testing::wait_until(kPatience, condition);
@@ -146,6 +151,11 @@
     REQUIRE(eventually([&] { return g2.following(); }));
     REQUIRE(g2.has(1, {"o1", "o2"}));
   }
+  StoreRevision revision_of(const std::string& upstream) {
+    return g1.on_loop([&] {
+      return g1.synchronizer->replica(ObjectKind::kUpstreams).objects().at(upstream).revision;
+    });
+  }
   /** Restores the store of one gateway; upstream `added` is written in each new era. */
   void restore(GatewayStore& store, int times) {
     for (int i = 0; i < times; ++i) {
@@ -250,6 +260,45 @@
   CHECK(g1.has(2, kRestored));
 }
 
+// Guards against requests to an upstream that has left, after an outage of the store without a
+// restore: a peer that heard of the leaving report passes on only that the upstream is gone, which
+// looks like a registration that expired in the outage.
+TEST_CASE_METHOD(TwoGatewaysFixture,
+                 "a gateway that regains the store after its peer drops an upstream that has left",
+                 "[gateway][leaving]") {
+  constexpr Duration kOutage{2600};  // Registrations may have expired.
+  constexpr Duration kLater{700};
+  start_both();
+  for (GatewayStore* store : {&store_1, &store_2}) {
+    store->cut();
+    store->put("servers", "o1", kLeavingUpstream);
+    store->remove("servers", "o1");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(kOutage.ms));
+  store_1.reconnect();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLater.ms));
+  store_2.reconnect();
+  REQUIRE(eventually([&] { return g1.has(1, {"o2"}) && g2.has(1, {"o2"}); }));
+  CHECK_FALSE(g1.on_loop([&] { return g1.pool.contains("o1"); }));
+  CHECK_FALSE(g2.on_loop([&] { return g2.pool.contains("o1"); }));
+}
+
+// Guards against logs that don't tell from whom a gateway knows of an upstream.
+TEST_CASE_METHOD(TwoGatewaysFixture, "the log tells the source of each change", "[gateway]") {
+  const LogCapture log;
+  const auto lines = [&](const std::string& name, const std::string& source) {
+    return log.count("event=object_changed kind=upstreams name=" + name +
+                     " revision=" + to_string(revision_of(name)) +
+                     " removed=false restored=false source=" + source);
+  };
+  start_both();
+  CHECK(lines("o1", "list") == 2);
+  store_1.put_upstream("o3");
+  REQUIRE(eventually([&] { return g2.upstreams().contains("o3"); }));
+  CHECK(lines("o3", "watch") == 1);
+  CHECK(lines("o3", "peer") == 1);
+}
+
 // Guards against a gateway that starts with the objects of a lost history and keeps them.
 TEST_CASE_METHOD(TwoGatewaysFixture,
                  "a gateway that starts while the store is away ends in the newest era",
