stream_versions: Take the first era that is known for no restore

What callers saw: streams of resumable routes were refused (no_upstream) for a minute after the start of all gateways, in seven process tests, since the stand-in states its era. Cause: gateways that were registered before the table was read counted as known before a restore, whose records might be lost. A restore is now a later era than one that the process has known.

Also, found by review: one wrong statement of an era (2^64-1), by the store or in a query of a peer, made a gateway ignore all later answers of the store for good, and spread. A step of more than 1,000 is ignored and logged (store_era_implausible).

--- a/src/store_history/store_era.h
+++ b/src/store_history/store_era.h
@@ -23,13 +23,17 @@
   using Number = std::uint64_t;
 
   /** Records the era that an answer of the store states. Returns the era of the answer, which is
-   * the newest one if the answer states none; nothing if the answer is from before a restore that
-   * is known. */
+   * the newest one if the answer states none or an implausible one; nothing if the answer is from
+   * before a restore that is known. */
   std::optional<Number> record_answer(std::optional<Number> stated, Instant now);
 
-  /** Records an era that another gateway has told of. */
+  /** Records an era that another gateway has told of. One that is implausibly late is ignored: a
+   * later era cannot be taken back, since all answers of earlier ones are ignored. */
   void record_heard(Number era, Instant now);
 
+  /** Whether this process has known an earlier era. */
+  bool restored() const { return restored_; }
+
   /** The newest era; 0 if none was stated. */
   Number number() const { return number_; }
 
@@ -41,7 +45,15 @@
   void on_raised(std::function<void()> callback) { callbacks_.push_back(std::move(callback)); }
 
  private:
+  // Restores are drills or accidents; a larger step is an error of whoever states it.
+  static constexpr Number kMaxStep = 1000;
+
+  void log_implausible(Number era) const;
+  void raise_to(Number era, Instant now);
+  bool is_plausible(Number era) const { return number_ == 0 || era <= number_ + kMaxStep; }
+
   Number number_ = 0;
+  bool restored_ = false;
   std::optional<Instant> known_since_;
   std::vector<std::function<void()>> callbacks_;
 };
--- a/src/store_history/store_era_test.cc
+++ b/src/store_history/store_era_test.cc
@@ -42,6 +42,27 @@
   CHECK(era.known_since() == Instant{10});
 }
 
+// Guards against one wrong statement after which all answers of the store would be ignored for
+// good.
+TEST_CASE("an implausibly late era is ignored", "[store_history]") {
+  StoreEra era;
+  CHECK(era.record_answer(3, Instant{10}) == 3);
+  CHECK(era.record_answer(UINT64_MAX, Instant{20}) == 3);
+  era.record_heard(UINT64_MAX, Instant{30});
+  CHECK(era.number() == 3);
+  CHECK(era.record_answer(4, Instant{40}) == 4);
+}
+
+// Guards against a gateway that takes the first era it hears of for a restore.
+TEST_CASE("only a later era than a known one is a restore", "[store_history]") {
+  StoreEra era;
+  era.record_heard(0, Instant{5});
+  era.record_answer(3, Instant{10});
+  CHECK_FALSE(era.restored());
+  era.record_answer(4, Instant{20});
+  CHECK(era.restored());
+}
+
 // Guards against the comparison of bare revision numbers, which a restored store gives out again.
 TEST_CASE("revisions of a later era are greater", "[store_history]") {
   CHECK(StoreRevision{.number = 9, .era = 1} < StoreRevision{.number = 2, .era = 2});
--- a/src/stream_versions/stream_version_directory.cc
+++ b/src/stream_versions/stream_version_directory.cc
@@ -39,6 +39,10 @@
   }
 }
 
+void StreamVersionDirectory::start_in_era(std::uint64_t era, Instant since) {
+  records_.raise(era, since, {});
+}
+
 void StreamVersionDirectory::raise_era(std::uint64_t era, Instant since, Instant now) {
   if (era <= records_.era()) {
     return;
--- a/src/stream_versions/stream_version_directory.h
+++ b/src/stream_versions/stream_version_directory.h
@@ -76,6 +76,10 @@
     in_force_epoch_ = 0;
   }
 
+  /** The first era of the store that this gateway knows of: all gateways that it knows were heard
+   * of in this era, so that none of them is missing from it. */
+  void start_in_era(std::uint64_t era, Instant since);
+
   /** The store was restored from an older copy. Until the records are written again, no version
    * comes into force, and no record tells nothing.
    *
--- a/src/stream_versions/stream_version_driver.cc
+++ b/src/stream_versions/stream_version_driver.cc
@@ -62,7 +62,11 @@
   const StoreEra& era = client_.era();
   if (era.number() > directory_.records().era()) {
     const Instant now = clock_.now();
-    directory_.raise_era(era.number(), era.known_since().value_or(now), now);
+    if (era.restored()) {
+      directory_.raise_era(era.number(), era.known_since().value_or(now), now);
+    } else {
+      directory_.start_in_era(era.number(), era.known_since().value_or(now));
+    }
     planner_.set_era(era.number());
   }
 }
