--- a/tests/process/store_restore.cc
+++ b/tests/process/store_restore.cc
@@ -12,8 +12,7 @@
 using Json = GatewayFleet::Json;
 
 constexpr Duration kDownTime{300};
-constexpr int kOpenRequests = 8;
-constexpr std::size_t kGateways = 3;
+constexpr int kOpenRequests = 3;  // At each gateway.
 
 void post(GatewayFleet& fleet, const std::string& path, const Json& body, int status) {
   CHECK(fleet.call_store("POST", path, body).status == status);
@@ -101,17 +100,18 @@
     : fleet_(fleet), routes_(std::move(routes)) {}
 
 void SteadyRequests::send() {
-  while (answers_->open < kOpenRequests) {
-    ++answers_->open;
-    ++sent_;
-    const std::string& route = routes_[sent_ % routes_.size()];
-    const std::string id = route + "-" + std::to_string(sent_);
-    fleet_.send("g" + std::to_string(1 + sent_ % kGateways), route, id,
-                [answers = answers_, id](const GatewayFleet::Response& response) {
-                  const std::lock_guard lock(answers->mutex);
-                  answers->by_id[id] = response;
-                  --answers->open;
-                });
+  for (std::size_t gateway = 0; gateway < kGateways; ++gateway) {
+    while (answers_->open[gateway] < kOpenRequests) {
+      ++answers_->open[gateway];
+      const std::string& route = routes_[++sent_ % routes_.size()];
+      const std::string id = route + "-" + std::to_string(sent_);
+      fleet_.send("g" + std::to_string(gateway + 1), route, id,
+                  [answers = answers_, id, gateway](const GatewayFleet::Response& response) {
+                    const std::lock_guard lock(answers->mutex);
+                    answers->by_id[id] = response;
+                    --answers->open[gateway];
+                  });
+    }
   }
 }
 
@@ -124,7 +124,9 @@
 }
 
 std::map<std::string, GatewayFleet::Response> SteadyRequests::wait_for_answers() {
-  CHECK(wait_until(Duration{6000}, [&] { return answers_->open == 0; }));
+  CHECK(wait_until(Duration{6000}, [&] {
+    return std::ranges::all_of(answers_->open, [](const auto& open) { return open == 0; });
+  }));
   const std::lock_guard lock(answers_->mutex);
   return answers_->by_id;
 }
--- a/tests/process/store_restore.h
+++ b/tests/process/store_restore.h
@@ -3,6 +3,7 @@
 #ifndef BLUEBELLSTEP_TESTS_PROCESS_STORE_RESTORE_H_
 #define BLUEBELLSTEP_TESTS_PROCESS_STORE_RESTORE_H_
 
+#include <array>
 #include <atomic>
 #include <cstddef>
 #include <functional>
@@ -62,7 +63,7 @@
   GatewayFleet::Json loads_;
 };
 
-/** Keeps some requests of a few routes in progress at the gateways `g1`, `g2` and `g3`. */
+/** Keeps some requests of a few routes in progress at each of the gateways `g1`, `g2` and `g3`. */
 class SteadyRequests {
  public:
   SteadyRequests(GatewayFleet& fleet, std::vector<std::string> routes);
@@ -77,9 +78,11 @@
   std::map<std::string, GatewayFleet::Response> wait_for_answers();
 
  private:
+  static constexpr std::size_t kGateways = 3;
+
   /** Shared with the responses that are on their way. */
   struct Answers {
-    std::atomic<int> open{0};
+    std::array<std::atomic<int>, kGateways> open{};  // In progress, by gateway.
     std::mutex mutex;
     std::map<std::string, GatewayFleet::Response> by_id;
   };
--- a/tests/process/store_restore_process_test.cc
+++ b/tests/process/store_restore_process_test.cc
@@ -178,6 +178,19 @@
   }));
 }
 
+// Guards against gateways that need the header with the era.
+TEST_CASE("process: gateways serve requests with a store that states no era") {
+  GatewayFleet fleet(3);
+  fleet.set_faults({{"no_era", true}});
+  // One has heard of an era, and two have not.
+  fleet.start_gateway("g1");
+  fleet.start_gateway("g2");
+  CHECK(wait_until(Duration{8000}, [&] { return all_answer(fleet, "key-1", 200); }));
+  write_keys(fleet, {"key-2"});
+  CHECK(wait_until(Duration{5000}, [&] { return all_answer(fleet, "key-1", 401); }));
+  CHECK(all_answer(fleet, "key-2", 200));
+}
+
 // Guards against requests and streams that fail because of a restore, and against gateways that
 // never hear of the servers that are added after it.
 TEST_CASE("process: requests are served throughout a restore of the store") {
