--- a/tests/soak/store_restore_soak_test.cc
+++ b/tests/soak/store_restore_soak_test.cc
@@ -121,7 +121,7 @@
   void inject_fault() {
     const std::uint64_t fault = random_.below(5);
     const std::string holder = WeightLoads(fleet_).last_holder();
-    const std::string any = kGateways[random_.below(kGateways.size())];
+    const std::string& any = kGateways[random_.below(kGateways.size())];
     faulty_ = holder.empty() ? any : holder;
     all_hear_ = fault < 2;
     if (fault == 1 || fault == 2) {
