--- a/src/stream_versions/stream_version_model_test.cc
+++ b/src/stream_versions/stream_version_model_test.cc
@@ -106,13 +106,13 @@
       {Omitted::kRegistered, 272},
       {Omitted::kStoreAnswer, 94},
       {Omitted::kJoined, 55},
-      {Omitted::kCondition, 63},
+      {Omitted::kCondition, 189},
       {Omitted::kReportGap, 550, {.pauses = true}},
       {Omitted::kLookupTime, 4415, {.pauses = true}},
       {Omitted::kEra, 3781, {.restores = true}},
       {Omitted::kRewrite, 128, {.restores = true}},
       {Omitted::kIncomplete, 0, {.restores = true}},
-      {Omitted::kLostStreams, 120, {.restores = true}},
+      {Omitted::kLostStreams, 656, {.restores = true}},
   }));
   CAPTURE(static_cast<int>(missing.step));
   CHECK(breaks(missing));
--- a/tests/support/stream_version_simulation.h
+++ b/tests/support/stream_version_simulation.h
@@ -44,12 +44,11 @@
   kJoined,           // A gateway whose record is new counts the silence of others.
   kCondition,        // Objects are written whatever their revision is.
   kReportGap,        // A gateway that was paused takes reports that had waited for present ones.
-  kEra,          // Epochs are counted on across a restore, and the higher one is the newer table.
-  kRewrite,      // Records are written in the new era without the streams from before.
-  kIncomplete,   // No record means the default version although records are missing.
-  kLostStreams,  // A gateway that starts after a restore calls its record complete.
-
-  kLookupTime,  // A caller that waited during a pause is answered by a list of after it.
+  kEra,              // Epochs are counted on across a restore, and the table changes at once.
+  kRewrite,          // Records are written in the new era without the streams from before.
+  kIncomplete,       // No record means the default version although records are missing.
+  kLostStreams,      // A gateway that starts after a restore calls its record complete.
+  kLookupTime,       // A caller that waited during a pause is answered by a list of after it.
 };
 
 /** Faults besides stops, cuts and outages of the store. */
