stream_versions: Read the list and write the record again only where a restore needs it

A conflict of a table write read the list again, and a newer revision of the own record wrote it again, also without a restore.

--- a/src/stream_versions/stream_record_writer.cc
+++ b/src/stream_versions/stream_record_writer.cc
@@ -26,8 +26,8 @@
   }
   if (!revision_) {
     streams_.adopt(record, clock_.now());
-  } else if (revision > *revision_) {
-    // A write from before a restore was carried out late, or an earlier process wrote.
+  } else if (revision.era > 0 && revision > *revision_) {
+    // A write from before a restore was carried out late.
     streams_.mark_changed();
   }
   set_revision(revision);
--- a/src/stream_versions/stream_version_driver.cc
+++ b/src/stream_versions/stream_version_driver.cc
@@ -388,25 +388,27 @@
                             *table_revision_, encode_version_table(table), kCallTimeout),
        [this, table](const platform::StoreAnswer& response) {
          table_write_in_flight_ = false;
-         std::visit(Overloaded{[&](StoreRevision version) {
-                                 table_revision_ = version;
-                                 apply_table(table);
-                               },
-                               [&](const VersionConflict& conflict) {
-                                 table_revision_ = conflict.current.version;
-                                 apply_encoded_table(conflict.current.value);
-                                 read_list();  // It may not contain what was to be written.
-                               },
-                               [&](const PlatformUnavailable& fault) {
-                                 // It may be carried out later; the next list tells.
-                                 LogEvent("stream_versions_not_written",
-                                          LogEvent::Severity::kWarning)
-                                     .field("why", fault.detail);
-                                 table_revision_.reset();
-                                 reachable_ = false;
-                                 read_list();
-                               }},
-                    platform::decode_write(response));
+         std::visit(
+             Overloaded{[&](StoreRevision version) {
+                          table_revision_ = version;
+                          apply_table(table);
+                        },
+                        [&](const VersionConflict& conflict) {
+                          table_revision_ = conflict.current.version;
+                          apply_encoded_table(conflict.current.value);
+                          if (decode_version_table(conflict.current.value) != directory_.table()) {
+                            read_list();  // The store has lost the known table.
+                          }
+                        },
+                        [&](const PlatformUnavailable& fault) {
+                          // It may be carried out later; the next list tells.
+                          LogEvent("stream_versions_not_written", LogEvent::Severity::kWarning)
+                              .field("why", fault.detail);
+                          table_revision_.reset();
+                          reachable_ = false;
+                          read_list();
+                        }},
+             platform::decode_write(response));
        });
 }
 
