--- a/src/retained_objects/retained_objects.cc
+++ b/src/retained_objects/retained_objects.cc
@@ -57,7 +57,7 @@
   elapsed_.clear();
   const std::uint64_t copied_up_to = newest_copied_number(replica);
   for (const auto& [name, object] : replica.objects()) {
-    if (is_taken(name, &object, replica, now)) {
+    if (settle_restored(name, &object, replica, now)) {
       changes.push_back({.object = object, .removed = false});
     }
   }
@@ -73,7 +73,7 @@
     if (is_removed_since) {
       end_belief(name, "removed");
     }
-    if (is_removed_since || is_taken(name, nullptr, replica, now)) {
+    if (is_removed_since || settle_restored(name, nullptr, replica, now)) {
       changes.push_back(change_to(replica, name));
     }
   }
@@ -99,7 +99,7 @@
   return newest;
 }
 
-bool RetainedObjects::is_taken(const std::string& name,
+bool RetainedObjects::settle_restored(const std::string& name,
                                const platform::StoredObject* restored,
                                const ObjectReplica& replica,
                                Instant now) {
--- a/src/retained_objects/retained_objects.h
+++ b/src/retained_objects/retained_objects.h
@@ -95,9 +95,10 @@
   // Returns the highest number of an object that the copy held as it was known. The copy held all
   // objects up to that number, so that one that is missing was removed since.
   std::uint64_t newest_copied_number(const ObjectReplica& replica) const;
-  // Decides on one object of a restored store. Returns whether to act on it.
+  // Takes one object of a restored store, or retains what is known of it. Returns whether it was
+  // taken, so that it must be acted on.
   // @param restored  The object in the store; null if it is missing there.
-  bool is_taken(const std::string& name,
+  bool settle_restored(const std::string& name,
                 const platform::StoredObject* restored,
                 const ObjectReplica& replica,
                 Instant now);
