--- a/src/retained_objects/retained_objects.cc
+++ b/src/retained_objects/retained_objects.cc
@@ -100,9 +100,9 @@
 }
 
 bool RetainedObjects::settle_restored(const std::string& name,
-                               const platform::StoredObject* restored,
-                               const ObjectReplica& replica,
-                               Instant now) {
+                                      const platform::StoredObject* restored,
+                                      const ObjectReplica& replica,
+                                      Instant now) {
   const auto held = held_.find(name);
   const auto known = objects_.find(name);
   const bool is_known = known != objects_.end();
--- a/src/retained_objects/retained_objects.h
+++ b/src/retained_objects/retained_objects.h
@@ -99,9 +99,9 @@
   // taken, so that it must be acted on.
   // @param restored  The object in the store; null if it is missing there.
   bool settle_restored(const std::string& name,
-                const platform::StoredObject* restored,
-                const ObjectReplica& replica,
-                Instant now);
+                       const platform::StoredObject* restored,
+                       const ObjectReplica& replica,
+                       Instant now);
   void take(const platform::ObjectChange& change, Instant now);
   void adopt_offered(const ObjectReplica& replica, Instant now, Changes& changes);
   void hold(const std::string& name, const Held& held, std::string_view source, Instant now);
