--- a/review/common-3/kit.py
+++ b/review/common-3/kit.py
@@ -477,7 +477,7 @@
         return path
 
     async def start(self):
-        program = os.path.join(ROOT, "target", "bluebellstep")
+        program = os.environ.get("GATEWAY_PROGRAM", os.path.join(ROOT, "target", "bluebellstep"))
         if not os.access(program, os.X_OK):
             raise CannotRun("target/bluebellstep is not built")
         log = open(os.path.join(self.folder, self.name + ".log"), "ab")
