http1: Move the connections to upstreams out of the gateway

UpstreamConnection and ConnectionPool read answers of any HTTP/1.1 server and keep connections to it. Nothing in them depends on the gateway, and HttpClient, which src/gateway uses too, needs the same. They move to src/http1 as ClientConnection and ConnectionPool. No change of behaviour.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -25,16 +25,16 @@
 #include "base/id.h"
 #include "base/verdict.h"
 #include "gateway/caller_connection.h"
-#include "gateway/connection_pool.h"
 #include "gateway/crash_check.h"
 #include "gateway/decoded_headers.h"
 #include "gateway/segment_quarantine.h"
 #include "gateway/service_retry_budget.h"
 #include "gateway/serving_config.h"
 #include "gateway/sse_event_buffer.h"
-#include "gateway/upstream_connection.h"
 #include "gateway/upstream_pool.h"
 #include "http/http_loop.h"
+#include "http1/client_connection.h"
+#include "http1/connection_pool.h"
 #include "memory/memory_account.h"
 #include "metrics/metrics.h"
 #include "service_rollout/service_rollouts.h"
@@ -139,7 +139,7 @@
   struct Attempt {
     std::uint32_t number = 0;  // Among the attempts of its request.
     PickedUpstream picked;
-    std::unique_ptr<UpstreamConnection> connection;
+    std::unique_ptr<ClientConnection> connection;
     Instant started_at;
     bool reused = false;  // The connection has carried a request before.
     bool head_received = false;
--- a/src/gateway/upstream_connection.cc
+++ b/src/http1/client_connection.cc
@@ -1,6 +1,6 @@
 // Writes requests, reads responses and matches them by request id.
 
-#include "gateway/upstream_connection.h"
+#include "http1/client_connection.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,32 +8,32 @@
 namespace bluebellstep {
 namespace {
 
-// No upstream sends a larger response head.
+// No server sends a larger response head.
 constexpr std::size_t kMaxHeadBytes = 64u << 10;
-// A faulty upstream may send interim responses, or a response to another request, without end.
+// A faulty server may send interim responses, or a response to another request, without end.
 constexpr int kMaxInterimResponses = 16;
 constexpr std::size_t kMaxDiscardedBytes = 1u << 20;
 
 }  // namespace
 
-UpstreamConnection::UpstreamConnection(h2o_loop_t* loop,
-                                       const Endpoint& endpoint,
-                                       RequestIdReader read_request_id)
+ClientConnection::ClientConnection(h2o_loop_t* loop,
+                                   const Endpoint& endpoint,
+                                   RequestIdReader read_request_id)
     : read_request_id_(std::move(read_request_id)),
       stream_(loop,
               endpoint,
               {.on_connected = [this] { on_connected(); },
                .on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
                .on_end = [this](StreamEnd stream_end) { on_stream_end(stream_end); }}) {
-  // An upstream may answer before it has read the request, and then reset the connection.
+  // A server may answer before it has read the request, and then reset the connection.
   stream_.set_reads_after_write_error();
 }
 
-void UpstreamConnection::send_request(std::string head,
-                                      std::shared_ptr<const std::string> body,
-                                      std::string_view method,
-                                      std::string_view request_id,
-                                      Listener listener) {
+void ClientConnection::send_request(std::string head,
+                                    std::shared_ptr<const std::string> body,
+                                    std::string_view method,
+                                    std::string_view request_id,
+                                    Listener listener) {
   listener_ = std::move(listener);
   request_method_ = method;
   request_id_ = request_id;
@@ -46,19 +46,19 @@
   stream_.write(std::move(head), std::move(body));
 }
 
-void UpstreamConnection::close() {
+void ClientConnection::close() {
   request_in_flight_ = false;
   reusable_ = false;
   stream_.close();
 }
 
-void UpstreamConnection::on_connected() {
+void ClientConnection::on_connected() {
   if (request_in_flight_) {
     listener_.on_connected();
   }
 }
 
-void UpstreamConnection::on_bytes(std::string_view bytes) {
+void ClientConnection::on_bytes(std::string_view bytes) {
   if (!request_in_flight_) {
     // No response is expected: this is a late second response, or not HTTP.
     reusable_ = false;
@@ -73,7 +73,7 @@
 }
 
 // This and `read_body` return whether the remaining input may contain more of a response.
-bool UpstreamConnection::read_head() {
+bool ClientConnection::read_head() {
   MessageHead head;
   std::size_t consumed = 0;
   switch (parse_response_head(input_, head, consumed)) {
@@ -118,7 +118,7 @@
   return !alive.expired();
 }
 
-bool UpstreamConnection::read_body() {
+bool ClientConnection::read_body() {
   std::string content;
   const BodyDecoder::Result result = body_decoder_->feed(input_, content);
   input_.erase(0, result.consumed);
@@ -146,7 +146,7 @@
     discarding_response_ = false;
     return true;
   }
-  // The upstream sent bytes after the response, or responded before it had the complete request.
+  // The server sent bytes after the response, or responded before it had the complete request.
   if (!input_.empty() || has_further_input_ || stream_.unsent() > 0) {
     reusable_ = false;
   }
@@ -154,7 +154,7 @@
   return false;
 }
 
-void UpstreamConnection::on_stream_end(StreamEnd stream_end) {
+void ClientConnection::on_stream_end(StreamEnd stream_end) {
   reusable_ = false;
   if (!request_in_flight_) {
     return;
@@ -169,7 +169,7 @@
          stream_end == StreamEnd::kClosed ? "closed_early" : "reset");
 }
 
-void UpstreamConnection::finish(ExchangeOutcome outcome, std::string_view reason) {
+void ClientConnection::finish(ExchangeOutcome outcome, std::string_view reason) {
   request_in_flight_ = false;
   if (outcome != ExchangeOutcome::kComplete) {
     reusable_ = false;
--- a/src/gateway/upstream_connection.h
+++ b/src/http1/client_connection.h
@@ -1,10 +1,10 @@
-// A connection to an upstream, with one HTTP/1.1 exchange at a time.
+// A connection to a server, with one HTTP/1.1 exchange at a time.
 //
-// An upstream may respond late or twice. Such a response must not be taken for the response to a
+// A server may respond late or twice. Such a response must not be taken for the response to a
 // later request on the same connection.
 
-#ifndef BLUEBELLSTEP_GATEWAY_UPSTREAM_CONNECTION_H_
-#define BLUEBELLSTEP_GATEWAY_UPSTREAM_CONNECTION_H_
+#ifndef BLUEBELLSTEP_HTTP1_CLIENT_CONNECTION_H_
+#define BLUEBELLSTEP_HTTP1_CLIENT_CONNECTION_H_
 
 #include <h2o.h>
 
@@ -32,7 +32,7 @@
 /** A connection that can be reused for further requests. A response with the id of another request
  * is read and discarded. After unsolicited bytes the connection is not reused. Runs on the HTTP
  * thread. */
-class UpstreamConnection {
+class ClientConnection {
  public:
   /** Callbacks for one request. */
   struct Listener {
@@ -47,7 +47,7 @@
   /** Returns the request id in a response head, or an empty view if it has none. */
   using RequestIdReader = std::function<std::string_view(const MessageHead&)>;
 
-  UpstreamConnection(h2o_loop_t* loop, const Endpoint& endpoint, RequestIdReader read_request_id);
+  ClientConnection(h2o_loop_t* loop, const Endpoint& endpoint, RequestIdReader read_request_id);
 
   /** Sends a request, given its encoded head and its body, which may be null. Only to be called
    * while `idle`. The listener's callbacks may destroy this object. */
@@ -66,7 +66,7 @@
   /** Requests sent so far, including the current one. */
   int request_count() const { return request_count_; }
 
-  /** Prevents further requests, for an upstream that announced that it closes the connection. */
+  /** Prevents further requests, for a server that announced that it closes the connection. */
   void disable_reuse() { reusable_ = false; }
 
   /** Closes the connection. What was not sent yet is discarded, and no callback follows. */
@@ -101,4 +101,4 @@
 
 }  // namespace bluebellstep
 
-#endif  // BLUEBELLSTEP_GATEWAY_UPSTREAM_CONNECTION_H_
+#endif  // BLUEBELLSTEP_HTTP1_CLIENT_CONNECTION_H_
--- a/src/gateway/connection_pool.cc
+++ b/src/http1/connection_pool.cc
@@ -1,6 +1,6 @@
 // Acquires, keeps and closes connections.
 
-#include "gateway/connection_pool.h"
+#include "http1/connection_pool.h"
 
 #include <utility>
 
@@ -8,22 +8,22 @@
 
 namespace bluebellstep {
 
-ConnectionPool::UpstreamConnections& ConnectionPool::connections_for(std::string_view upstream) {
-  const auto found = connections_.find(upstream);
-  return found != connections_.end() ? found->second : connections_[std::string(upstream)];
+ConnectionPool::ServerConnections& ConnectionPool::connections_for(std::string_view server) {
+  const auto found = connections_.find(server);
+  return found != connections_.end() ? found->second : connections_[std::string(server)];
 }
 
-void ConnectionPool::close_unusable(UpstreamConnections& connections, Instant now) {
+void ConnectionPool::close_unusable(ServerConnections& connections, Instant now) {
   std::erase_if(connections.idle, [now](const IdleConnection& idle) {
     return !idle.connection->idle() || idle.expires_at <= now;
   });
 }
 
-ConnectionPool::Acquired ConnectionPool::acquire(std::string_view upstream,
+ConnectionPool::Acquired ConnectionPool::acquire(std::string_view server,
                                                  const Endpoint& endpoint,
                                                  std::size_t max_in_use,
                                                  Instant now) {
-  UpstreamConnections& connections = connections_for(upstream);
+  ServerConnections& connections = connections_for(server);
   close_unusable(connections, now);
   Acquired acquired;
   if (!connections.idle.empty()) {
@@ -32,7 +32,7 @@
     connections.idle.pop_back();
   } else if (connections.in_use < max_in_use) {
     acquired.connection =
-        std::make_unique<UpstreamConnection>(loop_.impl().loop(), endpoint, read_request_id_);
+        std::make_unique<ClientConnection>(loop_.impl().loop(), endpoint, read_request_id_);
   } else {
     return acquired;
   }
@@ -40,15 +40,15 @@
   return acquired;
 }
 
-void ConnectionPool::set_keep_alive(std::string_view upstream, Duration keep_alive) {
-  connections_for(upstream).keep_alive = keep_alive;
+void ConnectionPool::set_keep_alive(std::string_view server, Duration keep_alive) {
+  connections_for(server).keep_alive = keep_alive;
 }
 
-void ConnectionPool::release(std::string_view upstream,
-                             std::unique_ptr<UpstreamConnection> connection,
+void ConnectionPool::release(std::string_view server,
+                             std::unique_ptr<ClientConnection> connection,
                              bool may_reuse,
                              Instant now) {
-  UpstreamConnections& connections = connections_for(upstream);
+  ServerConnections& connections = connections_for(server);
   --connections.in_use;
   const Duration reuse_time = connections.keep_alive - kKeepAliveMargin;
   if (may_reuse && connection->idle() && reuse_time > Duration{0}) {
@@ -56,12 +56,12 @@
     return;
   }
   connection->close();
-  loop_.impl().defer([closing = std::shared_ptr<UpstreamConnection>(
+  loop_.impl().defer([closing = std::shared_ptr<ClientConnection>(
                           std::move(connection))]() mutable { closing.reset(); });
 }
 
 void ConnectionPool::close_expired_connections(Instant now) {
-  for (auto& [upstream, connections] : connections_) {
+  for (auto& [server, connections] : connections_) {
     close_unusable(connections, now);
   }
   std::erase_if(connections_, [](const auto& entry) {
