registration_grace: Count the grace for removed registrations from the store's return

A server serves on for 2 s.

RegistrationGrace decides this now. It dates the return between the last unanswered call and the first answer, and keeps upstreams for the two seconds in which those that run register again. Peers pass on which removed upstreams had said that they leave, and a missing upstream of a restored store is retained for 2 s instead of 3 s. A second kind probes the store while a long watch from before the outage blocks the first.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -61,7 +61,7 @@
   return {.cold_overage = bounds.cold_overage,
           .cold_slack = bounds.cold_slack,
           .version_limit = bounds.version_limit,
-          .registration_interval = bounds.registration_interval,
+          .registrations = {.registration_interval = bounds.registration_interval},
           .load_shedding = settings.load_shedding};
 }
 
--- a/src/gateway/object_changes.cc
+++ b/src/gateway/object_changes.cc
@@ -160,6 +160,9 @@
   if (!answer.beliefs.empty()) {
     json["beliefs"] = encode_beliefs(answer.beliefs);
   }
+  if (!answer.left_upstreams.empty()) {
+    json["left"] = answer.left_upstreams;
+  }
   // Names may come from other writers; a message must not be lost because of one.
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -182,6 +185,7 @@
     if (const auto beliefs = json.find("beliefs"); beliefs != json.end()) {
       answer.beliefs = decode_beliefs(*beliefs);
     }
+    answer.left_upstreams = json.value("left", std::vector<std::string>());
     for (const Json& kind : json.at("kinds")) {
       answer.kinds.push_back(decode_kind(kind));
     }
--- a/src/gateway/object_changes.h
+++ b/src/gateway/object_changes.h
@@ -77,6 +77,8 @@
   std::vector<KindChanges> kinds;  // Only those with a newer revision.
   std::vector<ReturnedZone> returned_zones;
   std::vector<KindBeliefs> beliefs;  // That retain an upstream as leaving or removed.
+  // Upstreams that were removed lately after they had stated that they leave.
+  std::vector<std::string> left_upstreams;
 };
 
 inline constexpr std::string_view kChangesPath = "/v1/changes";
--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -132,21 +132,25 @@
 void StateSynchronizer::add_watcher(ObjectKind kind) {
   watchers_.push_back(std::make_unique<StoreWatcher>(
       loop_, store_client_, worker_, settings_.store, kind,
-      StoreWatcher::Listener{
-          .on_changes = [this, kind](
-                            ObjectReplica::Changes changes,
-                            bool restored) { on_changes(kind, std::move(changes), restored); },
-          .on_current =
-              [this, kind](Instant as_of) {
-                current_at_[kind] = clock_.now();
-                if (kind == ObjectKind::kZonesOutOfService) {
-                  const Instant now = clock_.now();
-                  pool_.cold_limit().record_view({.since = now, .as_of = as_of},
-                                                 as_of + ColdLimit::kViewValidity, now);
-                }
-              },
-          .on_call_ended = [this, kind](bool reachable) { on_call_ended(kind, reachable); },
-          .may_probe = [this, kind] { return may_probe(kind); }}));
+      StoreWatcher::Listener{.on_changes =
+                                 [this, kind](ObjectReplica::Changes changes, bool restored) {
+                                   on_changes(kind, std::move(changes), restored);
+                                 },
+                             .on_current =
+                                 [this, kind](Instant as_of) {
+                                   current_at_[kind] = clock_.now();
+                                   if (kind == ObjectKind::kZonesOutOfService) {
+                                     const Instant now = clock_.now();
+                                     pool_.cold_limit().record_view(
+                                         {.since = now, .as_of = as_of},
+                                         as_of + ColdLimit::kViewValidity, now);
+                                   }
+                                 },
+                             .on_call_ended =
+                                 [this, kind](bool reachable, Instant sent_at) {
+                                   on_call_ended(kind, reachable, sent_at);
+                                 },
+                             .may_probe = [this, kind] { return may_probe(kind); }}));
 }
 
 void StateSynchronizer::start() {
@@ -194,13 +198,20 @@
 }
 
 // While the store does not answer, calls for one kind are enough to detect its recovery. A kind
-// that was never listed is asked for all the same, since requests wait for it.
-bool StateSynchronizer::may_probe(ObjectKind kind) const {
-  return store_reachable_ || kind == ObjectKind::kConfiguration ||
-         replica(kind).revision().is_absent();
+// that was never listed is asked for all the same, since requests wait for it. Another kind takes
+// over while a long watch for the first one, from before the outage, has not failed yet.
+bool StateSynchronizer::may_probe(ObjectKind kind) {
+  const Instant now = clock_.now();
+  const bool may_probe = store_reachable_ || kind == ObjectKind::kConfiguration ||
+                         replica(kind).revision().is_absent() ||
+                         now >= probed_at_ + kMaxProbeInterval;
+  if (may_probe) {
+    probed_at_ = now;
+  }
+  return may_probe;
 }
 
-void StateSynchronizer::on_call_ended(ObjectKind kind, bool reachable) {
+void StateSynchronizer::on_call_ended(ObjectKind kind, bool reachable, Instant sent_at) {
   target_weights_listed_ =
       target_weights_listed_ ||
       (kind == ObjectKind::kTargetWeights && reachable && !replica(kind).revision().is_absent());
@@ -212,7 +223,9 @@
   const Instant now = clock_.now();
   if (reachable) {
     store_answered_at_ = now;
-    pool_.record_store_answer(now, now);
+    pool_.registration_grace().record_store_answer(now, now);
+  } else {
+    pool_.registration_grace().record_failed_call(sent_at);
   }
   const bool lost = store_reachable_ && !reachable;
   store_reachable_ = reachable;
@@ -340,7 +353,9 @@
 void StateSynchronizer::on_upstream(const platform::ObjectChange& change) {
   const Instant now = clock_.now();
   if (change.removed) {
-    pool_.remove(change.object.name, now);
+    const bool left = std::find(left_at_peer_.begin(), left_at_peer_.end(), change.object.name) !=
+                      left_at_peer_.end();
+    left ? pool_.remove_left(change.object.name, now) : pool_.remove(change.object.name, now);
     return;
   }
   auto decoded = platform::decode_upstream(change.object.name, change.object.content);
--- a/src/gateway/state_synchronizer.h
+++ b/src/gateway/state_synchronizer.h
@@ -62,6 +62,10 @@
   static constexpr Duration kMaxAnswerAge{1400};
   /** The same for a gateway that follows another one. */
   static constexpr Duration kMaxFollowedAnswerAge{2300};
+  /** Longest time between two calls that probe an unreachable store: a retry follows a failed call
+   * by `kRetryDelay`, and a call takes no longer than this. */
+  static constexpr Duration kMaxProbeInterval =
+      StoreWatcher::kRetryDelay + StoreWatcher::kProbeWait + StoreWatcher::kCallTimeout;
   /** A gateway is followed until it had no poll for this long. */
   static constexpr Duration kFollowerTimeout{5000};
   /** Delay between attempts to register this gateway. */
@@ -202,8 +206,8 @@
   void check_registrations();
   void update_cache_nodes();
   void free_outdated_segments();
-  void on_call_ended(platform::ObjectKind kind, bool reachable);
-  bool may_probe(platform::ObjectKind kind) const;
+  void on_call_ended(platform::ObjectKind kind, bool reachable, Instant sent_at);
+  bool may_probe(platform::ObjectKind kind);
   // Writes this gateway's registration over the object's `revision`; an absent one creates the
   // object.
   void write_registration(const StoreRevision& revision);
@@ -276,6 +280,9 @@
   std::map<platform::ObjectKind, Instant> current_at_;
   // A call to the store was answered, by this gateway or the one that it follows.
   Instant store_answered_at_;
+  // While a peer's objects are taken in: `UpstreamPool::left_upstreams` of the peer.
+  std::vector<std::string> left_at_peer_;
+  Instant probed_at_;                 // When a retry was last allowed after a failed call.
   std::optional<Instant> polled_at_;  // By a follower.
   Instant membership_checked_at_;
   bool store_reachable_ = true;
--- a/src/gateway/state_synchronizer_peers.cc
+++ b/src/gateway/state_synchronizer_peers.cc
@@ -102,7 +102,8 @@
                        .era = store_client_.era().number(),
                        .view = valid_view(),
                        .returned_zones = pool_.cold_limit().returned_zones(now),
-                       .beliefs = beliefs_on_unused_upstreams()};
+                       .beliefs = beliefs_on_unused_upstreams(),
+                       .left_upstreams = pool_.left_upstreams(now)};
   for (std::size_t i = 0; i < watchers_.size(); ++i) {
     const ObjectReplica& replica = watchers_[i]->replica();
     const StoreRevision known_revision = i < known.size() ? known[i] : StoreRevision{};
@@ -230,7 +231,7 @@
 
 void StateSynchronizer::apply_changes(ChangesAnswer answer, Instant due) {
   const Instant now = clock_.now();
-  pool_.record_store_answer(now - answer.age, now);
+  pool_.registration_grace().record_store_answer(now - answer.age, now);
   store_answered_at_ = std::max(store_answered_at_, now - answer.age);
   if (!store_reachable_) {
     LogEvent("store_regained", LogEvent::Severity::kWarning).field("kind", "reader");
@@ -240,6 +241,7 @@
     Instant& current_at = current_at_[watcher->kind()];
     current_at = std::max(current_at, now - answer.age);
   }
+  left_at_peer_ = std::move(answer.left_upstreams);
   for (KindChanges& kind : answer.kinds) {
     StoreWatcher* watcher = find_watcher(kind.kind);
     if (watcher == nullptr) {
@@ -248,6 +250,7 @@
     watcher->apply_changes({.changes = std::move(kind.changes), .store_revision = kind.revision},
                            kind.gaps);
   }
+  left_at_peer_.clear();
   adopt_beliefs(answer.beliefs);
   record_passed_view(answer.view, std::min(now, due), ColdLimit::kPassedViewValidity,
                      answer.returned_zones);
@@ -316,6 +319,9 @@
   if (const auto retained = beliefs(); !retained.empty()) {
     answer["beliefs"] = encode_beliefs(retained);
   }
+  if (const auto left = pool_.left_upstreams(clock_.now()); !left.empty()) {
+    answer["left"] = left;
+  }
   if (encode_version_table_) {
     answer["version_table"] = encode_version_table_();
   }
@@ -338,12 +344,13 @@
       // The store works if it answers the peer, so that a registration that is gone did not expire.
       const Instant now = clock_.now();
       store_age = Duration{age->get<std::int64_t>()};
-      pool_.record_store_answer(now - *store_age, now);
+      pool_.registration_grace().record_store_answer(now - *store_age, now);
     }
     if (const auto table = json.find("version_table");
         table != json.end() && apply_version_table_) {
       apply_version_table_(table->get<std::string>());
     }
+    left_at_peer_ = json.value("left", std::vector<std::string>());
     for (const auto& item : json.at("kinds")) {
       const auto kind = static_cast<ObjectKind>(item.at("kind").get<int>());
       std::vector<platform::StoredObject> objects;
@@ -362,6 +369,7 @@
           .field("revision", to_string(revision));
       watcher->apply_snapshot(std::move(objects), revision);
     }
+    left_at_peer_.clear();
     if (const auto beliefs = json.find("beliefs"); beliefs != json.end()) {
       adopt_beliefs(decode_beliefs(*beliefs));
     }
@@ -374,6 +382,7 @@
         view, asked_at, view ? ColdLimit::kViewValidity - view->as_of_ago : Duration{0},
         zones == json.end() ? std::vector<ReturnedZone>() : decode_returned_zones(*zones));
   } catch (const nlohmann::json::exception& fault) {
+    left_at_peer_.clear();
     LogEvent("peer_answer_not_understood", LogEvent::Severity::kWarning).field("why", fault.what());
     return std::nullopt;
   }
--- a/src/gateway/store_watcher.cc
+++ b/src/gateway/store_watcher.cc
@@ -44,6 +44,7 @@
 void StoreWatcher::send(platform::StoreCall call,
                         Result (*decode)(const platform::StoreAnswer&),
                         void (StoreWatcher::*handler)(Result)) {
+  call_sent_at_ = clock_.now();
   client_.send(std::move(call), [this, alive = std::weak_ptr<bool>(alive_), series = series_,
                                  decode, handler](platform::StoreAnswer answer) {
     if (alive.expired() || series != series_) {
@@ -113,7 +114,7 @@
   listing_ = false;
   replace(std::exchange(listed_objects_, {}), *list_revision_, "list");
   notify_current();
-  listener_.on_call_ended(true);
+  listener_.on_call_ended(true, call_sent_at_);
   watch(watch_wait_);
 }
 
@@ -151,7 +152,7 @@
 void StoreWatcher::on_watch_answer(platform::ChangesResult result) {
   std::visit(Overloaded{[&](platform::ObjectChanges& changes) {
                           reachable_ = true;
-                          listener_.on_call_ended(true);
+                          listener_.on_call_ended(true, call_sent_at_);
                           const bool changed = !changes.changes.empty();
                           notify_changes(replica_.apply(std::move(changes)), "watch");
                           notify_current();
@@ -166,7 +167,7 @@
                               .field("kind", static_cast<int>(kind_))
                               .field("revision", to_string(replica_.revision()));
                           can_watch_ = false;
-                          listener_.on_call_ended(true);
+                          listener_.on_call_ended(true, call_sent_at_);
                           list({});
                         },
                         [&](const PlatformUnavailable& fault) { on_call_failed(fault); }},
@@ -191,7 +192,7 @@
         .field("detail", fault.detail);
   }
   reachable_ = false;
-  listener_.on_call_ended(false);
+  listener_.on_call_ended(false, call_sent_at_);
   run_after(kRetryDelay, [this] { retry(); });
 }
 
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -56,8 +56,8 @@
     std::function<void(ObjectReplica::Changes, bool restored)> on_changes;
     /** The replica contains all changes made before `as_of`. May be unset. */
     std::function<void(Instant as_of)> on_current;
-    /** A call ended. `reachable` is true if the store answered it. */
-    std::function<void(bool reachable)> on_call_ended;
+    /** A call that was sent at `sent_at` ended. `reachable` is true if the store answered it. */
+    std::function<void(bool reachable, Instant sent_at)> on_call_ended;
     /** Returns whether a retry may be sent to the store after a failed call. Called before each
      * retry. */
     std::function<bool()> may_probe;
@@ -139,6 +139,7 @@
   std::uint64_t series_ = 0;
   Duration watch_wait_;
   Clock clock_;
+  Instant call_sent_at_;  // Of the last call.
   // Time by which the store has answered the call in progress, unless the call takes long. An
   // answer that this process was late to read tells nothing of later times.
   Instant answer_due_;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -65,6 +65,7 @@
       upstream.weights_stated_at[model] = now;
     }
     upstream.registration = std::move(registration);
+    registration_grace_.forget(id);
     upstreams_.insert_or_assign(std::move(id), std::move(upstream));
     return;
   }
@@ -80,7 +81,7 @@
     newest = std::max(newest, version);
   }
   upstream.registration = std::move(registration);
-  upstream.kept_until.reset();
+  registration_grace_.forget(upstream.registration.id);
 }
 
 void UpstreamPool::remove(std::string_view id, Instant now) {
@@ -88,24 +89,28 @@
   if (found == upstreams_.end()) {
     return;
   }
-  Upstream& upstream = found->second;
-  const bool in_outage = store_heard_at_ && now >= *store_heard_at_ + min_outage();
-  const bool after_outage =
-      outage_ended_at_ && now < *outage_ended_at_ + limits_.reregistration_grace;
-  if (is_leaving(upstream) || (!in_outage && !after_outage)) {
+  if (is_leaving(found->second) || !registration_grace_.keep(id, now)) {
     erase(found, now);
-    return;
   }
-  if (!upstream.kept_until) {
-    upstream.kept_until = (in_outage ? now : *outage_ended_at_) + limits_.reregistration_grace;
-    LogEvent("removed_upstream_kept", LogEvent::Severity::kWarning)
-        .field("upstream", id)
-        .field("in_outage", in_outage)
-        .field("store_heard_ms_ago", (now - *store_heard_at_).ms)
-        .field("kept_ms", (*upstream.kept_until - now).ms);
+}
+
+void UpstreamPool::remove_left(std::string_view id, Instant now) {
+  if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+    found->second.says_it_leaves = true;
+    erase(found, now);
   }
 }
 
+std::vector<std::string> UpstreamPool::left_upstreams(Instant now) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, left] : left_) {
+    if (now < left.until && !contains(id)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 void UpstreamPool::discard(std::string_view id, Instant now) {
   if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
     erase(found, now);
@@ -115,19 +120,23 @@
 UpstreamPool::Upstreams::iterator UpstreamPool::erase(Upstreams::iterator entry, Instant now) {
   Upstream& upstream = entry->second;
   const UpstreamRegistration& registration = upstream.registration;
-  // Starts of an upstream that does not state its start time cannot be told apart.
-  if ((upstream.says_it_leaves || registration.leaving) && registration.started_ms != 0) {
+  if (is_leaving(upstream)) {
     left_[entry->first] = {.started_ms = registration.started_ms,
                            .endpoint = registration.endpoint,
                            .until = now + kLeftMemory};
+  } else if (const auto left = left_.find(entry->first); left != left_.end()) {
+    left_.erase(left);  // Of an earlier start.
   }
   cold_limit_.keep_counts(std::move(upstream.limit));
+  registration_grace_.forget(entry->first);
   return upstreams_.erase(entry);
 }
 
 bool UpstreamPool::has_left(const UpstreamRegistration& registration) const {
+  // Starts of an upstream that does not state its start time cannot be told apart.
   const auto left = left_.find(registration.id);
-  return left != left_.end() && left->second.started_ms == registration.started_ms &&
+  return left != left_.end() && registration.started_ms != 0 &&
+         left->second.started_ms == registration.started_ms &&
          left->second.endpoint == registration.endpoint;
 }
 
@@ -148,35 +157,9 @@
   }
 }
 
-void UpstreamPool::record_store_answer(Instant answered_at, Instant now) {
-  if (store_answered_at_ && answered_at >= *store_answered_at_ + min_outage()) {
-    outage_ended_at_ = now;
-    LogEvent("store_outage_ended", LogEvent::Severity::kWarning)
-        .field("silent_ms", (answered_at - *store_answered_at_).ms);
-  }
-  if (store_heard_at_ && now >= *store_heard_at_ + limits_.max_answer_gap) {
-    for (auto& [id, upstream] : upstreams_) {
-      if (upstream.kept_until) {
-        upstream.kept_until = now + limits_.reregistration_grace;
-      }
-    }
-  }
-  if (!store_answered_at_ || answered_at > *store_answered_at_) {
-    store_answered_at_ = answered_at;
-    const Instant heard_at = std::min(now, answered_at + limits_.max_answer_gap);
-    store_heard_at_ = std::max(heard_at, store_heard_at_.value_or(heard_at));
-  }
-}
-
-bool UpstreamPool::is_removed(const Upstream& upstream, Instant now) const {
-  // While the store does not answer, upstreams cannot register again.
-  return upstream.kept_until && now >= *upstream.kept_until &&
-         now < *store_heard_at_ + limits_.max_answer_gap;
-}
-
 void UpstreamPool::remove_expired_registrations(Instant now) {
   for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
-    entry = is_removed(entry->second, now) ? erase(entry, now) : std::next(entry);
+    entry = registration_grace_.has_ended(entry->first, now) ? erase(entry, now) : std::next(entry);
   }
   std::erase_if(left_, [now](const auto& entry) { return now >= entry.second.until; });
 }
@@ -217,7 +200,7 @@
                                const PickQuery& query,
                                Instant now) const {
   const UpstreamRegistration& registration = upstream.registration;
-  if (is_removed(upstream, now) || is_leaving(upstream) ||
+  if (registration_grace_.has_ended(registration.id, now) || is_leaving(upstream) ||
       registration.service != query.service->name ||
       zones_out_of_service_.contains(registration.zone) ||
       std::find(query.excluded_ids.begin(), query.excluded_ids.end(), registration.id) !=
@@ -251,7 +234,7 @@
                          .prompt_tokens = query.prompt_tokens};
   cold_limit_.record_sent(upstream.limit, now);
   upstream.health.record_sent();
-  if (is_leaving(upstream) || upstream.kept_until) {
+  if (is_leaving(upstream) || registration_grace_.is_kept(picked.upstream_id)) {
     log_doubtful_use(upstream, now);
   }
   if (query.service->engine) {
@@ -266,17 +249,18 @@
   }
 }
 
-void UpstreamPool::log_doubtful_use(Upstream& upstream, Instant now) {
+void UpstreamPool::log_doubtful_use(Upstream& upstream, Instant now) const {
   if (now < upstream.doubtful_use_logged_at + kDoubtfulUseLogInterval) {
     return;
   }
   upstream.doubtful_use_logged_at = now;
+  const auto kept_until = registration_grace_.kept_until(upstream.registration.id);
   LogEvent("doubtful_upstream_used", LogEvent::Severity::kWarning)
       .field("upstream", upstream.registration.id)
       .field("registered_as_leaving", upstream.registration.leaving)
       .field("says_it_leaves", upstream.says_it_leaves)
-      .field("kept", upstream.kept_until.has_value())
-      .field("kept_ms", upstream.kept_until ? (*upstream.kept_until - now).ms : 0)
+      .field("kept", kept_until.has_value())
+      .field("kept_ms", kept_until ? (*kept_until - now).ms : 0)
       .field("known_ms", (now - upstream.known_since).ms);
 }
 
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -33,6 +33,7 @@
 #include "gateway/upstream_health.h"
 #include "overload/admission_control.h"
 #include "overload/overload_policy.h"
+#include "registration_grace/registration_grace.h"
 #include "service_rollout/service_rollouts.h"
 #include "upstream_speed/request_time.h"
 #include "upstream_speed/upstream_speed.h"
@@ -51,14 +52,7 @@
   // does not know when that target was set, and requests may wait for seconds in an engine's queue
   // before they start.
   Duration startup_grace{500};
-  // Upstreams renew their registrations at this interval; a registration expires after three
-  // intervals without a renewal.
-  Duration registration_interval{1200};
-  // Upstreams whose registrations expired during an outage of the platform's store register again
-  // within this time after the outage.
-  Duration reregistration_grace{2500};
-  // Longest time between two answers of a store that works.
-  Duration max_answer_gap{1300};
+  RegistrationGraceLimits registrations;
   // Refuses by `OverloadPolicy` while requests are refused, instead of `AdmissionControl` alone.
   bool load_shedding = false;
 };
@@ -137,10 +131,13 @@
         cache_(cache),
         load_aggregator_(load_aggregator),
         quota_(quota),
-        cold_limit_(quota, load_aggregator, cold_bound(limits)) {}
+        cold_limit_(quota, load_aggregator, cold_bound(limits)) {
+    registration_grace_.set_limits(limits.registrations);
+  }
 
   void set_limits(const PoolLimits& limits) {
     limits_ = limits;
+    registration_grace_.set_limits(limits.registrations);
     cold_limit_.set_bound(cold_bound(limits));
   }
 
@@ -150,9 +147,14 @@
   /** Adds or updates an upstream. If its start time or endpoint has changed, the process was
    * restarted, and its health and reported load are reset. */
   void put(UpstreamRegistration registration, Instant now);
-  /** Removes an upstream whose registration was removed from the platform's store; see
-   * `record_store_answer` for the exception around an outage. */
+  /** Removes an upstream whose registration was removed from the platform's store, unless
+   * `registration_grace` keeps it. */
   void remove(std::string_view id, Instant now);
+  /** Removes an upstream whose registration was removed after it had stated that it leaves, as
+   * another gateway knows. */
+  void remove_left(std::string_view id, Instant now);
+  /** The upstreams that were removed lately after they had stated that they leave. */
+  std::vector<std::string> left_upstreams(Instant now) const;
   /** Removes an upstream whose registration names no usable upstream any more. */
   void discard(std::string_view id, Instant now);
   /** Replaces all registrations by those of a complete list. Missing ones are treated as in
@@ -172,16 +174,8 @@
    * @param set_before_start  The target was set at an unknown time before this gateway started.
    */
   void set_target_weights(const TargetWeights& target, bool set_before_start, Instant now);
-  /** Records an answer of the platform's store, to this gateway or to one that passes on what it
-   * reads there. A time without answers in which a registration can expire is an outage. An
-   * upstream whose registration was removed in an outage or shortly after it is kept for
-   * `PoolLimits::reregistration_grace`: the registration may have expired because it could not be
-   * renewed, and an upstream that still runs registers again. A lost connection, or an outage that
-   * only another gateway had, is no reason to keep an upstream.
-   *
-   * @param answered_at  When the store answered; earlier than `now` if the answer was passed on.
-   */
-  void record_store_answer(Instant answered_at, Instant now);
+  /** Decides which upstreams without a registration are used. Told of the store's answers. */
+  RegistrationGrace& registration_grace() { return registration_grace_; }
   /** Removes the upstreams that were kept because of an outage and did not register again. */
   void remove_expired_registrations(Instant now);
   std::size_t gateway_count() const { return quota_.gateway_count(); }
@@ -338,7 +332,6 @@
     ColdLimit::Upstream limit;
     Instant unreached_until;  // Connections to it have failed lately; for the load report.
     bool failed_since_success = false;
-    std::optional<Instant> kept_until;  // Set if the registration was removed around an outage.
     Instant doubtful_use_logged_at;
     InFlightLoad in_flight;  // Requests of this gateway only.
     ReportedLoad load;
@@ -375,10 +368,8 @@
   static ColdBound cold_bound(const PoolLimits& limits) {
     return {.overage = limits.cold_overage, .slack = limits.cold_slack};
   }
-  // Time without answers of the store after which registrations may have expired.
-  Duration min_outage() const { return limits_.registration_interval * 2; }
   // Logs that a request is sent to an upstream that leaves or has no registration.
-  static void log_doubtful_use(Upstream& upstream, Instant now);
+  void log_doubtful_use(Upstream& upstream, Instant now) const;
   // Removes an upstream, and returns the next one.
   Upstreams::iterator erase(Upstreams::iterator entry, Instant now);
   // Whether the upstream of this registration, which is not known at present, has stated that it
@@ -388,8 +379,6 @@
   static bool is_leaving(const Upstream& upstream);
   // Returns the upstream if it has not started again since `sent_at`, else null.
   Upstream* find_since(std::string_view id, Instant sent_at);
-  // Whether the upstream's registration was removed and the time for which it is kept has passed.
-  bool is_removed(const Upstream& upstream, Instant now) const;
   // Takes in that other gateways cannot reach the upstream.
   void apply_peer_reports(Upstream& upstream, Instant now) const;
   bool is_healthy(Upstream& upstream, const PickQuery& query, Instant now) const;
@@ -475,10 +464,7 @@
   std::function<void()> on_weights_went_back_;
   std::map<std::string, ServiceTimes, std::less<>> times_;  // By service.
   OverloadPolicy overload_policy_;
-  std::optional<Instant> store_answered_at_;  // Latest `answered_at` of `record_store_answer`.
-  // When that answer was recorded, but not much later than the answer itself.
-  std::optional<Instant> store_heard_at_;
-  std::optional<Instant> outage_ended_at_;  // The last outage of the store.
+  RegistrationGrace registration_grace_;
 };
 
 }  // namespace bluebellstep
--- a/src/retained_objects/retention_rules.h
+++ b/src/retained_objects/retention_rules.h
@@ -38,7 +38,7 @@
 inline constexpr Duration kLeavingRetention{30'000};
 /** Upstreams that run are registered again within two seconds of a restore. One that is still
  * missing then is gone. */
-inline constexpr Duration kMissingUpstreamRetention{3000};
+inline constexpr Duration kMissingUpstreamRetention{2000};
 /** Operators write again what was lost, which may take them some time. */
 inline constexpr Duration kOperatorRetention{30'000};
 /** All other objects are written again by processes. */
