cache_isolation: Name the shared namespace after the set of isolated accounts

The shared namespace is now named after the set of isolated accounts of the newest configuration, so it holds only what accounts outside of the set have made. Requests that arrived under an earlier configuration use the newest set. Slashes in names are escaped, as a model could share the namespace of an isolated account. config check tells what a change of the set costs.

--- a/src/config_check/config_difference.cc
+++ b/src/config_check/config_difference.cc
@@ -206,6 +206,13 @@
     }
   }
   compare_keys(current, next, differences);
+  if (current.isolated_accounts() != next.isolated_accounts()) {
+    differences.push_back({.subject = "cached segments that accounts share",
+                           .property = "use",
+                           .from = "as before",
+                           .to = "none, as the set of isolated accounts differs; engines prefill "
+                                 "all shared segments anew"});
+  }
   return differences;
 }
 
--- a/src/gateway/cache_directory.cc
+++ b/src/gateway/cache_directory.cc
@@ -9,21 +9,10 @@
 #include <utility>
 
 #include "base/hash.h"
-#include "http1/message_parser.h"
+#include "cache_isolation/cache_namespaces.h"
 
 namespace bluebellstep {
 
-std::string cache_namespace(std::string_view model,
-                            std::uint64_t weight_version,
-                            std::string_view account) {
-  std::string name = "w" + std::to_string(weight_version);
-  name.append("/").append(model);
-  if (!account.empty()) {
-    name.append("/").append(account);
-  }
-  return name;
-}
-
 bool CachePlan::saves() const {
   return std::any_of(save_endpoints.begin(), save_endpoints.end(),
                      [](const auto& store) { return store.has_value(); });
@@ -441,16 +430,8 @@
     return segments;
   }
   for (const auto& [key, held] : node->segments) {
-    const std::string_view cache_namespace = held.cache_namespace;
-    const std::size_t slash = cache_namespace.find('/');
-    if (held.expected_until || !cache_namespace.starts_with('w') ||
-        slash == std::string_view::npos) {
-      continue;
-    }
-    const auto stored_version = parse_decimal(cache_namespace.substr(1, slash - 1));
-    std::string_view stored_model = cache_namespace.substr(slash + 1);
-    stored_model = stored_model.substr(0, stored_model.find('/'));
-    if (stored_version && *stored_version < version && stored_model == model) {
+    const auto stored_version = weight_version_of(held.cache_namespace, model);
+    if (!held.expected_until && stored_version && *stored_version < version) {
       segments.push_back({held.cache_namespace, held.segment});
     }
   }
--- a/src/gateway/cache_directory.h
+++ b/src/gateway/cache_directory.h
@@ -46,7 +46,7 @@
 
 /** A change of one segment at a cache node. */
 struct SegmentEvent {
-  std::string cache_namespace;  // See the function `cache_namespace`.
+  std::string cache_namespace;  // See `CacheNamespaces`.
   std::uint64_t segment = 0;    // Segment id.
   std::uint32_t tokens = 0;     // Tokens stored now; 0 if the segment was removed.
 };
@@ -76,15 +76,6 @@
   bool saves() const;
 };
 
-/** Returns the cache namespace of a model and weight version. Requests find only segments of their
- * own namespace.
- *
- * @param account  The client account if it is isolated, otherwise empty.
- */
-std::string cache_namespace(std::string_view model,
-                            std::uint64_t weight_version,
-                            std::string_view account);
-
 /** Tracks the segments of each cache node by its events, and plans the fetches and saves of
  * requests.
  *
--- a/src/gateway/cache_directory_test.cc
+++ b/src/gateway/cache_directory_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "cache_isolation/cache_namespaces.h"
+
 namespace bluebellstep {
 namespace {
 
@@ -145,10 +147,10 @@
 TEST_CASE("segments of older weights of a model are found in a store", "[gateway][cache]") {
   CacheDirectory directory = make_directory();
   directory.on_events("s1",
-                      events(1, {{cache_namespace("m", 1, ""), 1, 100},
-                                 {cache_namespace("m", 2, "acme"), 2, 100},
-                                 {cache_namespace("other", 1, ""), 3, 100},
-                                 {cache_namespace("m", 3, ""), 4, 100},
+                      events(1, {{CacheNamespaces().shared("m", 1), 1, 100},
+                                 {CacheNamespaces::of_account("m", 2, "acme"), 2, 100},
+                                 {CacheNamespaces().shared("other", 1), 3, 100},
+                                 {CacheNamespaces().shared("m", 3), 4, 100},
                                  {"foreign", 5, 100}}),
                       kStart);
   const auto segments = directory.segments_before_version("s1", "m", 3);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -76,6 +76,7 @@
 
 void Forwarder::set_config(std::shared_ptr<const ServingConfig> config) {
   config_ = std::move(config);
+  pool_.set_isolated_accounts(config_->isolated_accounts());
   for (auto& [id, request] : requests_) {
     if (request->route != nullptr && !request->response_started) {
       limit_wait(*request);
--- a/src/gateway/serving_config.cc
+++ b/src/gateway/serving_config.cc
@@ -73,4 +73,14 @@
   return found == services.end() ? nullptr : &found->second;
 }
 
+IsolatedAccounts ServingConfig::isolated_accounts() const {
+  IsolatedAccounts names;
+  for (const ClientAccount& account : accounts) {
+    if (account.isolated) {
+      names.insert(account.name);
+    }
+  }
+  return names;
+}
+
 }  // namespace bluebellstep
--- a/src/gateway/serving_config.h
+++ b/src/gateway/serving_config.h
@@ -15,6 +15,7 @@
 
 #include "base/clock.h"
 #include "base/id.h"
+#include "cache_isolation/cache_namespaces.h"
 #include "http/http_types.h"
 
 namespace bluebellstep {
@@ -132,6 +133,8 @@
   const ClientAccount* find_account(std::string_view api_key) const;
   /** Returns the service with the name, or null. */
   const ServiceInfo* find_service(std::string_view name) const;
+  /** Returns the names of the isolated accounts. */
+  IsolatedAccounts isolated_accounts() const;
 
  private:
   // The priorities of the accounts that have a key. Others send no requests.
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -104,9 +104,13 @@
     return known->second;
   }
   PromptCacheState added;
-  const bool isolated = query.account != nullptr && query.account->isolated;
+  // The request may be from before the newest configuration.
+  const bool isolated =
+      query.account != nullptr &&
+      (query.account->isolated || cache_namespaces_.is_isolated(query.account->name));
   added.cache_namespace =
-      cache_namespace(query.model, version, isolated ? query.account->name : "");
+      isolated ? CacheNamespaces::of_account(query.model, version, query.account->name)
+               : cache_namespaces_.shared(query.model, version);
   const auto rollout = rollouts_.find(query.model);
   added.stores = {
       .fetch = rollout == rollouts_.end() || version >= rollout->second.complete_version,
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "cache_isolation/cache_namespaces.h"
 #include "cold_limit/cold_limit.h"
 #include "gateway/cache_directory.h"
 #include "gateway/decoded_headers.h"
@@ -141,6 +142,11 @@
     cold_limit_.set_bound(cold_bound(limits));
   }
 
+  /** Sets the accounts that share no cached segments with others, by the newest configuration. */
+  void set_isolated_accounts(IsolatedAccounts accounts) {
+    cache_namespaces_.set_isolated_accounts(std::move(accounts));
+  }
+
   /** Sets what decides which software versions receive requests. It must outlive this object. */
   void set_rollouts(const ServiceRollouts& rollouts) { service_rollouts_ = &rollouts; }
 
@@ -465,6 +471,7 @@
   std::map<std::string, ServiceTimes, std::less<>> times_;  // By service.
   OverloadPolicy overload_policy_;
   RegistrationGrace registration_grace_;
+  CacheNamespaces cache_namespaces_;
 };
 
 }  // namespace bluebellstep
--- a/src/gateway/upstream_pool_test.cc
+++ b/src/gateway/upstream_pool_test.cc
@@ -444,7 +444,7 @@
   query.prompt = prompt;
   query.prompt_tokens = 16'800;
   f.cache.on_events(
-      "e2", {.epoch = 1, .next = 1, .events = {{cache_namespace("m", 1, ""), 0xb1, 12'800}}},
+      "e2", {.epoch = 1, .next = 1, .events = {{CacheNamespaces().shared("m", 1), 0xb1, 12'800}}},
       kStart);
   CHECK(f.pick(query) == "e2");
 
@@ -460,6 +460,29 @@
   }
 }
 
+// Guards against segments of an account that are used by others after it has become isolated, since
+// the shared namespace keeps what it made before.
+TEST_CASE("segments made before an account became isolated are left behind",
+          "[gateway][isolation]") {
+  Fixture f;
+  f.add_engine("e1");
+  const ClientAccount acme{.name = "acme"};
+  const ClientAccount other{.name = "other"};
+  const auto namespace_for = [&](const ClientAccount* account) {
+    PickQuery query = f.engine_query();
+    query.account = account;
+    return std::get<PickedUpstream>(f.pool.pick(query, kStart)).cache_namespace;
+  };
+  const std::string before = namespace_for(&acme);
+  CHECK(namespace_for(&other) == before);
+  f.pool.set_isolated_accounts({"acme"});
+  // Requests under way know the account of the configuration before.
+  CHECK(namespace_for(&acme) != before);
+  CHECK(namespace_for(&other) != before);
+  CHECK(namespace_for(&acme) != namespace_for(&other));
+  CHECK(namespace_for(nullptr) == namespace_for(&other));
+}
+
 TEST_CASE("prompts with the same shared segment go to one engine if no cache is known",
           "[gateway]") {
   Fixture f;
