--- a/src/cache_isolation/cache_namespaces_test.cc
+++ b/src/cache_isolation/cache_namespaces_test.cc
@@ -67,7 +67,7 @@
 // Guards against segments that pass between two accounts of which one is isolated: accounts become
 // isolated, stop to be, are deleted and made again; gateways hear of it late, skip versions or
 // start anew and know only the newest one.
-TEST_CASE("an isolated account shares no segment, whatever the configuration was before",
+TEST_CASE("an isolated account shares no segment after any series of configurations",
           "[cache_isolation]") {
   const std::vector<std::string> accounts = {"a", "b", "c", "d"};
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
