--- a/src/gateway/state_synchronizer.cc
+++ b/src/gateway/state_synchronizer.cc
@@ -355,7 +355,11 @@
   if (change.removed) {
     const bool left = std::find(left_at_peer_.begin(), left_at_peer_.end(), change.object.name) !=
                       left_at_peer_.end();
-    left ? pool_.remove_left(change.object.name, now) : pool_.remove(change.object.name, now);
+    if (left) {
+      pool_.remove_left(change.object.name, now);
+    } else {
+      pool_.remove(change.object.name, now);
+    }
     return;
   }
   auto decoded = platform::decode_upstream(change.object.name, change.object.content);
