--- a/src/http/http_loop.cc
+++ b/src/http/http_loop.cc
@@ -6,7 +6,6 @@
 #include <cassert>
 #include <csignal>
 #include <future>
-#include <iterator>
 #include <limits>
 #include <memory>
 
